Bound retries and origin-bound misses; judge parents by their own answers

A retry budget, a share of misses that may go on to the origin (cut by late or failed ones), parents judged by what they answer themselves, full caches not taken out. Should also hold against purges and losses that send everybody to the origin. Might hurt by refusing misses that would just be in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,12 +43,16 @@
 /// An attempt is overdue this long after it should have ended at a third of the pace.
 const OVERDUE: Ms = 300.0;
 const OVERDUE_PACE: f64 = 2.5;
-/// A server that has answered nothing for so long, with so many attempts overdue, stands still.
+/// A server that has answered nothing for so long, and for so many times its usual gap between answers,
+/// with so many attempts overdue, stands still.
 const SILENT: Ms = 300.0;
+const SILENT_GAPS: f64 = 6.0;
 const SILENT_OVERDUE: usize = 2;
 /// Share of failures, of about the last ten outcomes, at which a server is taken out.
 const BAD_SHARE: f64 = 0.35;
 const BAD_WEIGHT: f64 = 0.15;
+/// A cache that turns away more than this share of what it holds is full.
+const FULL_SHARE: f64 = 0.15;
 /// First and longest time that a bad server is left alone; doubled for each failed way back.
 const OUT_FIRST: Ms = 500.0;
 const OUT_LONGEST: Ms = 3_000.0;
@@ -74,7 +78,19 @@
 /// Pause before a further attempt where no other server is left, growing with each attempt.
 const RETRY_PAUSE: Ms = 40.0;
 /// Part of the time left that a first attempt may take when there is time for another.
-const FIRST_PART: f64 = 0.5;
+const FIRST_PART: f64 = 0.6;
+/// Further attempts that each request brings, and how many may be saved up: a trouble that fails more
+/// than this would only grow by trying again.
+const RETRY_PART: f64 = 0.15;
+const RETRY_SAVED: f64 = 20.0;
+/// How the share of misses that may go on to the origin shrinks with a late or failed one, no more often
+/// than each so many ms, and grows again: with each one in time, and as time goes by.
+const ORIGIN_CUT: f64 = 0.8;
+const ORIGIN_CUT_EVERY: Ms = 100.0;
+const ORIGIN_MORE: f64 = 0.02;
+const ORIGIN_LEAST: f64 = 0.05;
+/// Below this share ageing copies are served rather than renewed.
+const ORIGIN_SOUND: f64 = 0.8;
 /// Advice to clients that were refused.
 const COME_BACK: Ms = 400.0;
 
@@ -103,6 +119,10 @@
     /// Decaying share of failures.
     bad: f64,
     heard: Ms,
+    /// Usual time between its answers.
+    gap: Ms,
+    /// Decaying share of what it was known to hold and turned away all the same.
+    full: f64,
     in_flight: u32,
     /// What it showed to hold.
     filter: TwoGenerations,
@@ -118,7 +138,11 @@
     source: Option<CacheId>,
     sent: Ms,
     work: Ms,
+    /// Wanted within this time of its sending.
+    aim: Ms,
     keeps: bool,
+    /// Filled from another cache of the location.
+    sibling: bool,
     /// The cache was not known to hold it.
     fills: bool,
     /// A filter's name for what was asked for.
@@ -140,8 +164,11 @@
     avoid: Vec<CacheId>,
     /// A sibling fill missed: only the owner will do.
     owner_only: bool,
+    /// Asked only for what is held, and that was not there.
+    lacking: bool,
+    /// Drawn once: whether its miss may go on to the origin.
+    draw: f64,
     started: bool,
-    waits: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -150,6 +177,14 @@
     fill: Option<Fill>,
 }
 
+impl Server {
+    /// Notes an answer, of whatever kind.
+    fn hear(&mut self, now: Ms) {
+        self.gap += (now - self.heard - self.gap) * BAD_WEIGHT;
+        self.heard = now;
+    }
+}
+
 /// The decisions of one router.
 #[derive(Debug)]
 pub struct Brain {
@@ -172,6 +207,11 @@
     out: Vec<Action>,
     looking: bool,
     seed: u64,
+    drawn: u64,
+    retries: f64,
+    /// Share of misses that may go on to the origin, and when it was last cut.
+    origin_share: f64,
+    origin_cut: Ms,
 }
 
 const LOOK: u32 = 0;
@@ -198,9 +238,19 @@
             out: Vec::new(),
             looking: false,
             seed,
+            drawn: 0,
+            retries: RETRY_SAVED,
+            origin_share: 1.0,
+            origin_cut: 0.0,
         }
     }
 
+    /// A random number from 0 up to 1.
+    fn draw(&mut self) -> f64 {
+        self.drawn += 1;
+        fraction(mix(self.drawn, self.seed))
+    }
+
     /// Takes in one event and says what to do about it.
     pub fn handle(&mut self, now: Ms, event: &Event) -> Vec<Action> {
         self.now = now;
@@ -257,6 +307,8 @@
                 health: Health::Up,
                 bad: 0.0,
                 heard: self.now,
+                gap: 0.0,
+                full: 0.0,
                 in_flight: 0,
                 filter: TwoGenerations::new(FILTER_BITS, FILTER_HASHES, member.id.0),
                 allowance: 0.0,
@@ -381,6 +433,8 @@
         }
         *self.heat.entry(request.object).or_insert(0.0) += work;
         self.heat_sum += work;
+        self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
+        let draw = self.draw();
         let open = Open {
             request: *request,
             deadline: self.now + request.budget,
@@ -389,8 +443,9 @@
             may_have_run: None,
             avoid: Vec::new(),
             owner_only: false,
+            lacking: false,
+            draw,
             started: false,
-            waits: false,
         };
         self.open.insert(request.id, open);
         self.place(request.id);
@@ -459,35 +514,38 @@
 
     /// Sends the request on its way, lets it wait for a moment, or gives it up.
     fn place(&mut self, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.waits = false;
+        let Some(open) = self.open.get(&id) else { return };
         if open.started || open.out > 0 {
             return;
         }
         let (request, deadline, sent) = (open.request, open.deadline, open.sent);
         let left = deadline - self.now - 2.0 * self.set.tick;
         let most = self.set.max_attempts.max(1);
-        if left <= 0.0 || sent >= most || (sent > 0 && left < self.work(&request)) {
+        let class = self.class(request.class);
+        let write = class.write || request.write;
+        let too_late = sent > 0 && left < self.work(&request);
+        if left <= 0.0 || sent >= most || too_late || open.lacking {
             return self.give_up(id);
         }
-        let open = &self.open[&id];
-        let class = self.class(request.class);
-        let route = if class.write || request.write { self.write_route(open) } else { self.read_route(open) };
+        if sent > 0 && !write {
+            // Guards against retry storms, whatever fails: tries beyond the budget only add to the load.
+            if self.retries < 1.0 {
+                return self.give_up(id);
+            }
+            self.retries -= 1.0;
+        }
+        let route = if write { self.write_route(open) } else { self.read_route(open) };
         let Some(route) = route else {
-            // Drawn anew for each, so that routers that fail alike don't come back alike.
-            let drawn = fraction(mix(self.seed, u64::from(self.token)));
-            let pause = RETRY_PAUSE * f64::from(1 + sent) * (0.5 + drawn);
-            let tries = self.open[&id].avoid.len();
-            if tries == 0 || pause >= left {
+            let pause = RETRY_PAUSE * f64::from(1 + sent) * (0.5 + self.draw());
+            if !write || sent == 0 || pause >= left {
                 return self.give_up(id);
             }
-            // Every server has failed it once: they get another chance after a moment.
+            // A write has no other place to go: the same one after a moment.
             self.token = self.token.wrapping_add(1).max(1);
             self.waiting.insert(self.token, id);
             self.out.push(Action::Timer { at: self.now + pause, token: self.token });
             if let Some(open) = self.open.get_mut(&id) {
                 open.avoid.clear();
-                open.waits = true;
             }
             return;
         };
@@ -509,6 +567,7 @@
     fn send(&mut self, id: RequestId, route: Route, timeout: Ms) {
         let Some(open) = self.open.get(&id) else { return };
         let request = open.request;
+        let class = self.class(request.class);
         let (item, work) = (self.item(&request), self.work(&request));
         let mean = self.mean_work(request.class);
         let known = self.servers.get(&route.cache).is_some_and(|s| s.filter.contains(item));
@@ -518,6 +577,8 @@
             source,
             sent: self.now,
             work,
+            aim: class.aim + class.aim_stretch * work - (self.now + request.budget - open.deadline).max(0.0),
+            sibling: source.and_then(|id| self.servers.get(&id)).is_some_and(|s| !self.above(&s.member)),
             keeps: route.fill.is_some_and(|fill| fill.rank > 0),
             fills: !known,
             item,
@@ -562,7 +623,8 @@
     fn read_route(&self, open: &Open) -> Option<Route> {
         let request = &open.request;
         let work = self.mean_work(request.class);
-        let stale = open.sent > 0;
+        let troubled = self.origin_share < ORIGIN_SOUND;
+        let stale = open.sent > 0 || troubled;
         let order = self.ring.successors(mix(request.object.0, SALT_OWNER));
         let sound = |id: &CacheId| !open.avoid.contains(id) && self.usable(*id, work);
         let usable: Vec<CacheId> = order.iter().copied().filter(sound).collect();
@@ -580,8 +642,8 @@
             false => a,
         });
         let Some(owner) = owner else {
-            // No cache is left here: past them, straight to the source.
-            if !self.set.direct || open.avoid.contains(&source) {
+            // No cache is left in the location: past them, straight to the source.
+            if !self.set.direct || open.avoid.contains(&source) || order.iter().any(|&id| self.ready(id)) {
                 return None;
             }
             let fill = self.fill(request, source, 0, stale);
@@ -595,7 +657,14 @@
                 }
             }
         }
-        Some(Route { cache: owner, fill: Some(self.fill(request, source, 1, stale)) })
+        // The origin is the one thing that all share: a miss beyond what it answers in time asks the
+        // parent only for what that holds, and is refused at once if that is nothing.
+        let only_held =
+            open.draw >= self.origin_share && !self.servers[&owner].filter.contains(self.item(request));
+        let from_origin = Some(source) == self.origin();
+        let source = if only_held && from_origin { owner } else { source };
+        let fill = self.fill(request, source, 1, stale);
+        Some(Route { cache: owner, fill: Some(Fill { only_held, renew: fill.renew && !troubled, ..fill }) })
     }
 
     fn fill(&self, request: &Request, source: CacheId, rank: u8, stale: bool) -> Fill {
@@ -709,7 +778,11 @@
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
             server.in_flight = server.in_flight.saturating_sub(1);
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
-                server.heard = self.now;
+                server.hear(self.now);
+            }
+            if !attempt.fills && matches!(outcome.status, Status::Ok | Status::Full) {
+                let full = f64::from(u8::from(outcome.status == Status::Full));
+                server.full += (full - server.full) * BAD_WEIGHT;
             }
         }
         self.judge_outcome(&attempt, outcome);
@@ -739,7 +812,10 @@
         use {Note::*, Status::*};
         let id = outcome.attempt.request;
         let told = self.set.tells;
-        let heard = self.servers.get(&attempt.cache).is_some_and(|s| s.heard > attempt.sent);
+        let asked = self.servers.get(&attempt.cache);
+        let heard = asked.is_some_and(|s| s.heard > attempt.sent);
+        let full = asked.is_some_and(|s| s.full > FULL_SHARE);
+        self.judge_origin(attempt, outcome);
         let (cache, source) = match (outcome.status, outcome.note) {
             (Ok, note) => {
                 if attempt.keeps || note == Some(Hit) {
@@ -753,14 +829,19 @@
                 };
                 (Some(true), filled.then_some(true))
             }
-            (Full, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
-            (Full, Some(OriginFailed | NoPlace)) => (None, None),
-            (Full, _) if told != Tells::All && attempt.fills => (None, Some(false)),
-            (Error | ConnectFailed | Reset | Full, _) => (Some(false), None),
-            (Timeout, _) if heard && attempt.fills => (None, Some(false)),
+            (_, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
+            (_, Some(OriginFailed | NoPlace)) => (None, None),
+            // Where it is not told who turned it away: the cache, if it does so with what it holds too.
+            (Full, _) if told != Tells::All && attempt.fills && !full => (None, Some(false)),
+            // Turned away as full is a matter of load, not of health: taking the cache out would only
+            // push its load onto the next.
+            (Full, _) => (None, None),
+            (Error | ConnectFailed | Reset, _) => (Some(false), None),
+            (Timeout, _) if attempt.fills => (None, None),
             (Timeout, _) => (Some(heard), None),
             (Miss, _) => {
                 if let Some(open) = self.open.get_mut(&id) {
+                    open.lacking = !attempt.sibling;
                     open.owner_only = true;
                 }
                 (None, None)
@@ -785,6 +866,27 @@
         }
     }
 
+    /// Learns whether the origin still answers in time what the parents lack.
+    ///
+    /// Meets a slow, crowded or stopped origin, purges and losses that send everybody there at once, and
+    /// links that can't carry the fills. Might hurt by refusing misses that would have been just in time.
+    fn judge_origin(&mut self, attempt: &Attempt, outcome: &Outcome) {
+        let in_time = outcome.took <= attempt.aim;
+        let reached = match self.set.tells {
+            Tells::Nothing => attempt.fills && attempt.source.is_some(),
+            _ => matches!(outcome.note, Some(Note::FilledByOrigin)),
+        };
+        let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled) && attempt.fills;
+        if outcome.note == Some(Note::OriginFailed) || lost || (reached && !in_time) {
+            if self.now - self.origin_cut >= ORIGIN_CUT_EVERY {
+                self.origin_cut = self.now;
+                self.origin_share = (self.origin_share * ORIGIN_CUT).max(ORIGIN_LEAST);
+            }
+        } else if reached && outcome.status == Status::Ok {
+            self.origin_share = (self.origin_share + ORIGIN_MORE).min(1.0);
+        }
+    }
+
     fn is_up(&self, id: CacheId) -> bool {
         self.servers.get(&id).is_some_and(|server| server.health == Health::Up)
     }
@@ -795,8 +897,8 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         if let Some(good) = good {
             server.bad += (f64::from(u8::from(!good)) - server.bad) * BAD_WEIGHT;
-            if good {
-                server.heard = now;
+            if good && server.heard < now {
+                server.hear(now);
             }
         }
         server.health = match (server.health, good) {
@@ -832,6 +934,7 @@
             }
         }
         self.find_silent();
+        self.origin_share = (self.origin_share + ORIGIN_MORE / 2.0).min(1.0);
         if now >= self.next_fade {
             self.next_fade = now + 1000.0;
             self.heat_sum *= HOT_KEPT;
@@ -874,7 +977,7 @@
                 _ => continue,
             };
             let origin = Some(server.member.kind) == self.set.origin_kind;
-            if now - server.heard > SILENT && !origin {
+            if now - server.heard > SILENT.max(server.gap * SILENT_GAPS) && !origin {
                 server.health = Health::Out { until: now + span, span };
                 silent.push(id);
             }
