--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,6 +154,42 @@
     pub purge_done: Ms,
 }
 
+impl Settings {
+    /// A class by its number; one that was never told of promises nothing.
+    pub fn class(&self, class: u16) -> Class {
+        self.classes.get(usize::from(class)).cloned().unwrap_or_default()
+    }
+
+    pub fn is_parent(&self, member: &Member) -> bool {
+        Some(member.kind) == self.parent_kind
+    }
+
+    pub fn is_origin(&self, member: &Member) -> bool {
+        Some(member.kind) == self.origin_kind
+    }
+
+    /// A cache of this router's own location.
+    pub fn is_own(&self, member: &Member) -> bool {
+        member.zone == self.zone && !self.is_parent(member) && !self.is_origin(member)
+    }
+
+    /// How a server of this kind may be loaded after its start; the origin has no such limit.
+    pub fn cold_start(&self, member: &Member) -> ColdStart {
+        match (self.is_parent(member), self.is_origin(member)) {
+            (true, _) => self.parent_cold,
+            (_, true) => ColdStart::default(),
+            _ => self.cache_cold,
+        }
+    }
+
+    /// Routers that may send to a server: its location's, or all for one that all locations share.
+    pub fn routers_for(&self, member: &Member) -> u32 {
+        let here = self.routers_by_zone.get(usize::from(member.zone)).copied().unwrap_or(0);
+        let shared = self.is_parent(member) || self.is_origin(member) || here == 0;
+        (if shared { self.routers } else { here }).max(1)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     Ready,
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,172 @@
+//! Measures of what was seen: mechanical, with every figure given by whoever uses them.
+
+use std::collections::BTreeMap;
+
+use crate::interface::Ms;
+
+/// A mean of what was seen lately.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Mean {
+    pub value: f64,
+    pub seen: f64,
+}
+
+impl Mean {
+    pub fn new(value: f64) -> Self {
+        Self { value, seen: 0.0 }
+    }
+
+    /// Takes in one more, at `weight`; the first ones weigh as much as each other.
+    pub fn add(&mut self, new: f64, weight: f64) {
+        self.seen += 1.0;
+        self.value += (new - self.value) * weight.max(1.0 / self.seen);
+    }
+
+    /// Takes in one more, at `weight` from the first on.
+    pub fn blend(&mut self, new: f64, weight: f64) {
+        self.seen += 1.0;
+        self.value += (new - self.value) * weight;
+    }
+}
+
+/// How much of the whole each of many draws, fading as time goes by.
+#[derive(Debug, Clone)]
+pub struct Shares<K> {
+    parts: BTreeMap<K, f64>,
+    pub sum: f64,
+}
+
+impl<K: Ord> Default for Shares<K> {
+    fn default() -> Self {
+        Self { parts: BTreeMap::new(), sum: 0.0 }
+    }
+}
+
+impl<K: Ord> Shares<K> {
+    pub fn add(&mut self, key: K, amount: f64) {
+        *self.parts.entry(key).or_insert(0.0) += amount;
+        self.sum += amount;
+    }
+
+    pub fn share(&self, key: &K) -> f64 {
+        if self.sum > 0.0 {
+            self.parts.get(key).map_or(0.0, |part| part / self.sum)
+        } else {
+            0.0
+        }
+    }
+
+    /// Leaves `kept` of every part and drops those below `least` of the whole.
+    pub fn fade(&mut self, kept: f64, least: f64) {
+        self.sum *= kept;
+        let least = self.sum * least;
+        self.parts.retain(|_, part| {
+            *part *= kept;
+            *part > least
+        });
+    }
+}
+
+/// An allowance that fills at a rate up to a most, and may be overdrawn.
+#[derive(Debug, Clone, Copy)]
+pub struct Allowance {
+    left: f64,
+    at: Ms,
+}
+
+impl Allowance {
+    pub fn empty(now: Ms) -> Self {
+        Self { left: 0.0, at: now }
+    }
+
+    pub fn left(&self, now: Ms, rate: f64, most: f64) -> f64 {
+        (self.left + rate * (now - self.at)).min(most)
+    }
+
+    pub fn spend(&mut self, now: Ms, rate: f64, most: f64, amount: f64) {
+        self.left = self.left(now, rate, most) - amount;
+        self.at = now;
+    }
+}
+
+/// How a [`Gate`] moves.
+#[derive(Debug, Clone, Copy)]
+pub struct GateRule {
+    /// Weight of a new one in the share of late ones, and the share that is borne.
+    pub weight: f64,
+    pub borne: f64,
+    /// Factor of a cut, and the time between two.
+    pub cut: f64,
+    pub every: Ms,
+    /// What one in time adds.
+    pub raise: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+/// A limit that shrinks while too many are late and grows while they are in time.
+#[derive(Debug, Clone, Copy)]
+pub struct Gate {
+    pub limit: f64,
+    late: f64,
+    cut_at: Ms,
+}
+
+impl Gate {
+    pub fn new(limit: f64) -> Self {
+        Self { limit, late: 0.0, cut_at: f64::NEG_INFINITY }
+    }
+
+    pub fn report(&mut self, now: Ms, late: bool, rule: &GateRule) {
+        self.late += (f64::from(u8::from(late)) - self.late) * rule.weight;
+        if !late {
+            self.limit += rule.raise;
+        } else if self.late > rule.borne && now - self.cut_at >= rule.every {
+            self.limit *= rule.cut;
+            self.cut_at = now;
+        }
+        self.limit = self.limit.clamp(rule.least, rule.most);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RULE: GateRule =
+        GateRule { weight: 0.5, borne: 0.6, cut: 0.5, every: 100.0, raise: 1.0, least: 1.0, most: 10.0 };
+
+    #[test]
+    fn a_gate_bears_single_late_ones_and_then_shrinks_once_a_while() {
+        let mut gate = Gate::new(8.0);
+        gate.report(0.0, true, &RULE);
+        assert_eq!(gate.limit, 8.0);
+        gate.report(1.0, true, &RULE);
+        gate.report(2.0, true, &RULE);
+        assert_eq!(gate.limit, 4.0);
+        gate.report(102.0, true, &RULE);
+        assert_eq!(gate.limit, 2.0);
+        (0..20).for_each(|_| gate.report(103.0, false, &RULE));
+        assert_eq!(gate.limit, 10.0);
+    }
+
+    #[test]
+    fn an_allowance_fills_up_to_its_most_and_can_be_overdrawn() {
+        let mut allowance = Allowance::empty(0.0);
+        assert_eq!(allowance.left(0.0, 2.0, 10.0), 0.0);
+        assert_eq!(allowance.left(100.0, 2.0, 10.0), 10.0);
+        allowance.spend(100.0, 2.0, 10.0, 14.0);
+        assert_eq!(allowance.left(101.0, 2.0, 10.0), -2.0);
+    }
+
+    #[test]
+    fn shares_fade_and_forget() {
+        let mut shares = Shares::default();
+        shares.add(1, 99.0);
+        shares.add(2, 1.0);
+        assert_eq!(shares.share(&1), 0.99);
+        shares.fade(0.5, 0.02);
+        assert_eq!(shares.share(&1), 0.99);
+        assert_eq!(shares.share(&2), 0.0);
+    }
+}
