Learn an object's sending time where sizes are not told

Cause: with sizes untold every part counted as its class's mean, so that large parts looked late and the limit on fills refused what the link would have borne. Might hurt where parts of one object differ much.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,6 +72,8 @@
 /// A class's mean sending time before enough of its answers were seen, and how many are enough.
 const WORK_GUESS: Ms = 400.0;
 const WORK_SEEN: f64 = 20.0;
+/// Objects whose sending time is remembered where sizes are not told; beyond that all are forgotten.
+const SIZES_KEPT: usize = 50_000;
 /// How far a new answer moves what is known of a mean.
 const LEARN: f64 = 0.02;
 
@@ -223,6 +225,8 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     /// By class: the mean sending time.
     works: Vec<Mean>,
+    /// Where sizes are not told: the shortest that an object's parts, which are alike, took.
+    sizes: BTreeMap<ObjectId, Ms>,
     heat: Shares<ObjectId>,
     purges: Purges,
     waiting: BTreeMap<u32, RequestId>,
@@ -254,6 +258,7 @@
             at_once: 0.0,
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            sizes: BTreeMap::new(),
             heat: Shares::default(),
             purges: Purges::default(),
             waiting: BTreeMap::new(),
@@ -394,11 +399,12 @@
     }
 
     fn on_request(&mut self, request: &Request) {
-        // Its own sending time, or its class's mean where sizes are not told.
+        // Its own sending time; where that is not told, the object's, or its class's mean.
         let told = request.size_kb > 0.0 && self.set.flow_kb_per_s > 0.0;
+        let learnt = self.sizes.get(&request.object).copied();
         let work = match told {
             true => request.size_kb / self.set.flow_kb_per_s * 1000.0,
-            false => self.mean_work(request.class),
+            false => learnt.unwrap_or_else(|| self.mean_work(request.class)),
         };
         if told {
             self.learn_work(request.class, work);
@@ -746,9 +752,15 @@
             }
         }
         let id = outcome.attempt.request;
-        let told = self.open.get(&id).is_some_and(|open| open.request.size_kb > 0.0);
-        if !told && outcome.status == Status::Ok {
-            self.learn_work(attempt.class, outcome.took);
+        let untold = self.open.get(&id).filter(|open| open.request.size_kb <= 0.0);
+        if let Some(object) = untold.filter(|_| outcome.status == Status::Ok).map(|o| o.request.object) {
+            if self.sizes.len() >= SIZES_KEPT {
+                self.sizes.clear();
+            }
+            let size = self.sizes.entry(object).or_insert(outcome.took);
+            *size = size.min(outcome.took);
+            let size = *size;
+            self.learn_work(attempt.class, size);
         }
         self.judge_ways(&attempt, outcome);
         let to_avoid = self.judge_servers(&attempt, outcome);
