Count overdue fills as late at once, and put them down to origin or link

Cause: a jam was seen only when its fills ended, up to seconds later. A fill past its aim now counts at once; where late ones had mostly waited for their first byte it counts against the origin, else against the location's link.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -105,6 +105,9 @@
 const LINK_GATE: GateRule =
     GateRule { weight: 0.08, borne: 0.25, cut: 0.85, every: 200.0, raise: 1.0, least: 1.0, most: 2.0 };
 
+/// Weight of a late fill in what late fills are put down to.
+const LATE_WEIGHT: f64 = 0.1;
+
 /// Whether a server does its work, as far as this router sees.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Health {
@@ -181,6 +184,8 @@
     item: u64,
     /// Cancelled by this router.
     called_off: bool,
+    /// Known to be late while it is still out.
+    late: bool,
 }
 
 /// A request that is owed its final answer.
@@ -237,6 +242,8 @@
     retries: f64,
     origin_gate: Gate,
     link_gate: Gate,
+    /// Share of late fills that had waited long for their first byte: the origin's doing, not the link's.
+    waits: Mean,
     /// Work of the fills that are under way.
     filling: Ms,
     out: Vec<Action>,
@@ -268,6 +275,7 @@
             retries: RETRY_SAVED,
             origin_gate: Gate::new(ORIGIN_GATE.most),
             link_gate: Gate::new(f64::INFINITY),
+            waits: Mean::new(0.0),
             filling: 0.0,
             out: Vec::new(),
             looking: false,
@@ -549,6 +557,7 @@
             fills: !known && source.is_some() && !sibling,
             item,
             called_off: false,
+            late: false,
         };
         let mean = self.mean_work(request.class);
         self.charge(route.cache, mean);
@@ -831,22 +840,35 @@
     /// Meets a slow, crowded or stopped origin, purges and losses that send everybody there at once, and
     /// a link that can't carry the fills. Might hurt by refusing misses that would have been just in time.
     fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome) {
-        let ok = outcome.status == Status::Ok;
-        let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
-        let late = lost || outcome.took > attempt.aim;
         if outcome.note == Some(Note::OriginFailed) {
             self.origin_gate.report(self.now, true, &ORIGIN_GATE);
-        } else if ok && outcome.note == Some(Note::FilledByOrigin) {
-            self.origin_gate.report(self.now, late && outcome.waited > attempt.aim / 2.0, &ORIGIN_GATE);
         }
-        // A wait for the origin says nothing of the link.
+        let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
+        if !attempt.fills || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
+            return;
+        }
+        let late = lost || outcome.took > attempt.aim;
         let waited = outcome.waited > attempt.aim / 2.0;
-        if attempt.fills && (ok || lost) && outcome.note != Some(Note::Hit) && !waited {
-            let most = LINK_GATE.most * self.at_once.max(1.0);
-            self.link_gate.limit = self.link_gate.limit.min(most);
-            let raise = LINK_GATE.raise / self.link_gate.limit.max(1.0);
-            self.link_gate.report(self.now, late, &GateRule { most, raise, ..LINK_GATE });
+        if late && !lost {
+            self.waits.blend(f64::from(u8::from(waited)), LATE_WEIGHT);
         }
+        if outcome.note == Some(Note::FilledByOrigin) {
+            self.origin_gate.report(self.now, late && waited, &ORIGIN_GATE);
+        }
+        if !attempt.late && !waited {
+            self.judge_fill(late);
+        }
+    }
+
+    /// Counts a fill whose wait is not known, or was not long.
+    fn judge_fill(&mut self, late: bool) {
+        if late && self.waits.value > 0.5 {
+            return self.origin_gate.report(self.now, true, &ORIGIN_GATE);
+        }
+        let most = LINK_GATE.most * self.at_once.max(1.0);
+        self.link_gate.limit = self.link_gate.limit.min(most);
+        let raise = LINK_GATE.raise / self.link_gate.limit.max(1.0);
+        self.link_gate.report(self.now, late, &GateRule { most, raise, ..LINK_GATE });
     }
 
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
@@ -892,6 +914,13 @@
             }
         }
         self.find_silent();
+        // What is overdue for its client is late before it ends.
+        let mut late = 0;
+        for attempt in self.attempts.values_mut().filter(|a| a.fills && !a.late && now - a.sent > a.aim) {
+            attempt.late = true;
+            late += 1;
+        }
+        (0..late).for_each(|_| self.judge_fill(true));
         self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
         if now >= self.next_fade {
             self.next_fade = now + HOT_EVERY;
