--- a/src/brain.rs
+++ b/src/brain.rs
@@ -96,7 +96,7 @@
 /// time and a little at each look, so that it comes back when nothing is sent there any more.
 const ORIGIN_GATE: GateRule =
     GateRule { weight: 0.15, borne: 0.2, cut: 0.8, every: 100.0, raise: 0.02, least: 0.05, most: 1.0 };
-const ORIGIN_BACK: f64 = 0.01;
+const ORIGIN_BACK: f64 = 0.004;
 /// Below this share ageing copies are served rather than renewed.
 const ORIGIN_SOUND: f64 = 0.8;
 /// The transfers of mean size that fills may have under way through the location's link. `most` is a
@@ -944,7 +944,8 @@
         let mut overdue: BTreeMap<CacheId, usize> = BTreeMap::new();
         for attempt in self.attempts.values().filter(|a| late(a)) {
             *overdue.entry(attempt.cache).or_default() += 1;
-            if let Some(source) = attempt.source.filter(|_| attempt.fills) {
+            // A parent that waits for a slow origin is not silent: without it all would go to the origin.
+            if let Some(source) = attempt.source.filter(|_| attempt.fills && self.waits.value <= 0.5) {
                 *overdue.entry(source).or_default() += 1;
             }
         }
