--- a/src/brain.rs
+++ b/src/brain.rs
@@ -178,8 +178,9 @@
     keeps: bool,
     /// Filled from another cache of the location.
     sibling: bool,
-    /// Likely to fill from above the location, by its link.
+    /// Likely to fill from above the location, by its link; and how much of that is under way.
     fills: bool,
+    filling: Ms,
     /// A filter's name for what was asked for.
     item: u64,
     /// Cancelled by this router.
@@ -545,6 +546,7 @@
         let known = self.servers.get(&route.cache).is_some_and(|s| s.filter.contains(item));
         let source = route.fill.map(|fill| fill.source).filter(|&source| source != route.cache);
         let sibling = source.and_then(|id| self.servers.get(&id)).is_some_and(|s| self.set.is_own(&s.member));
+        let fills = !known && source.is_some() && !sibling;
         let attempt = Attempt {
             cache: route.cache,
             source,
@@ -554,7 +556,8 @@
             aim,
             keeps: route.fill.is_some_and(|fill| fill.rank > 0),
             sibling,
-            fills: !known && source.is_some() && !sibling,
+            fills,
+            filling: if fills { work } else { 0.0 },
             item,
             called_off: false,
             late: false,
@@ -572,9 +575,7 @@
         if let Some(server) = self.servers.get_mut(&route.cache) {
             server.in_flight += 1;
         }
-        if attempt.fills {
-            self.filling += work;
-        }
+        self.filling += attempt.filling;
         let Some(open) = self.open.get_mut(&id) else { return };
         self.attempts.insert(AttemptId { request: id, number: open.sent as u8 }, attempt);
         open.sent += 1;
@@ -748,9 +749,7 @@
 
     fn on_outcome(&mut self, outcome: &Outcome) {
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
-        if attempt.fills {
-            self.filling = (self.filling - attempt.work).max(0.0);
-        }
+        self.filling = (self.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
             server.in_flight = server.in_flight.saturating_sub(1);
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
@@ -919,6 +918,11 @@
         for attempt in self.attempts.values_mut().filter(|a| a.fills && !a.late && now - a.sent > a.aim) {
             attempt.late = true;
             late += 1;
+            // What waits for the origin does not use the link.
+            if self.waits.value > 0.5 {
+                self.filling = (self.filling - attempt.filling).max(0.0);
+                attempt.filling = 0.0;
+            }
         }
         (0..late).for_each(|_| self.judge_fill(true));
         self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
