--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -75,9 +75,6 @@
         if length > LARGEST_BATCH || (records as usize).saturating_mul(RECORD_HEADER) > length {
             return Err(Malformed { what: format!("{records} records in {length} bytes"), at: 0 });
         }
-        if !now.is_finite() {
-            return Err(Malformed { what: "a clock that is no number".into(), at: 8 });
-        }
         Ok(Self { records, length, now })
     }
 }
@@ -294,20 +291,22 @@
     }
 
     fn f32(&mut self) -> Result<f64> {
+        let at = self.at;
         let value = self.array().map(f32::from_le_bytes)?;
-        self.finite(f64::from(value))
+        self.finite(f64::from(value), at)
     }
 
     fn f64(&mut self) -> Result<f64> {
+        let at = self.at;
         let value = self.array().map(f64::from_le_bytes)?;
-        self.finite(value)
+        self.finite(value, at)
     }
 
-    fn finite(&self, value: f64) -> Result<f64> {
+    fn finite(&self, value: f64, at: usize) -> Result<f64> {
         if value.is_finite() {
             Ok(value)
         } else {
-            Err(self.wrong("a value that is no number".into()))
+            Err(Malformed { what: "a value that is no number".into(), at: self.base + at })
         }
     }
 
@@ -466,3 +465,6 @@
     out.extend((bytes.len() as u16).to_le_bytes());
     out.extend(bytes);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/adapter/src/codec/tests.rs
@@ -0,0 +1,259 @@
+use super::*;
+
+/// Builds the fields of a record.
+#[derive(Default)]
+struct Bytes(Vec<u8>);
+
+impl Bytes {
+    fn u8(mut self, value: u8) -> Self {
+        self.0.push(value);
+        self
+    }
+
+    fn u16(mut self, value: u16) -> Self {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+
+    fn u32(mut self, value: u32) -> Self {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+
+    fn u64(mut self, value: u64) -> Self {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+
+    fn f32(mut self, value: f32) -> Self {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+
+    fn f64(mut self, value: f64) -> Self {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+
+    fn cache(mut self) -> Self {
+        self.0.extend([10, 1, 2, 3, 0x28, 0x23]);
+        self
+    }
+
+    fn text(mut self, text: &[u8]) -> Self {
+        self.0.extend(text);
+        self
+    }
+}
+
+const CACHE: CacheId = CacheId(0x0a01_0203_2823);
+
+fn of() -> Bytes {
+    Bytes::default()
+}
+
+fn record(code: u16, fields: Bytes) -> Vec<u8> {
+    of().u16(code).u32(fields.0.len() as u32).text(&fields.0).0
+}
+
+fn batch(records: &[Vec<u8>]) -> Result<Vec<(Input, Vec<f64>)>> {
+    let body = records.concat();
+    decode_batch(BatchHeader { records: records.len() as u32, length: body.len(), now: 5.0 }, &body)
+}
+
+fn one(code: u16, fields: Bytes) -> Result<(Input, Vec<f64>)> {
+    batch(&[record(code, fields)]).map(|mut inputs| inputs.remove(0))
+}
+
+fn event(code: u16, fields: Bytes) -> Event {
+    match one(code, fields) {
+        Ok((Input::Event { instance: 9, event }, _)) => event,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn entry(phase: u8) -> Bytes {
+    of().u16(4).cache().f32(1.5).u8(2).u16(1).f64(750.0).u8(phase)
+}
+
+fn member(phase: Phase) -> Member {
+    Member { id: CACHE, cell: 4, zone: 2, kind: 1, weight: 1.5, since: 750.0, phase }
+}
+
+#[test]
+fn a_batch_header() {
+    let bytes = of().u32(2).u32(40).f64(12.5).0;
+    let header = BatchHeader::decode(&bytes.try_into().expect("16 bytes"));
+    assert_eq!(header, Ok(BatchHeader { records: 2, length: 40, now: 12.5 }));
+    let impossible = of().u32(100).u32(40).f64(12.5).0;
+    assert!(BatchHeader::decode(&impossible.try_into().expect("16 bytes")).is_err());
+    let no_clock = of().u32(0).u32(0).f64(f64::NAN).0;
+    assert_eq!(BatchHeader::decode(&no_clock.try_into().expect("16 bytes")).map_err(|e| e.at), Err(8));
+}
+
+#[test]
+fn instances_start_and_stop() {
+    let opened = one(1070, of().u16(9).u64(77).u32(2).text(b"{}")).expect("a start").0;
+    assert_eq!(opened, Input::Open { instance: 9, seed: 77, settings: b"{}".to_vec() });
+    assert_eq!(one(1110, of().u16(9)).expect("a stop").0, Input::PowerOff { instance: 9 });
+}
+
+#[test]
+fn lists_and_their_kinds() {
+    let rows = of().u32(3).u32(3).text(&[entry(0).0, entry(1).0, entry(2).0].concat());
+    let phases = [Phase::Gone, Phase::Ready, Phase::Draining];
+    let expected = Input::DefineList { list: 3, rows: phases.map(member).to_vec() };
+    assert_eq!(one(1100, rows).expect("a list").0, expected);
+    let kinds = [ListKind::Changes, ListKind::Complete, ListKind::Complete, ListKind::Failed];
+    for (n, kind) in kinds.into_iter().enumerate() {
+        let told = one(1040, of().u16(9).u64(1).u8(n as u8).u32(3)).expect("a list").0;
+        assert_eq!(told, Input::Fleet { instance: 9, kind, list: 3 });
+    }
+}
+
+#[test]
+fn requests_and_what_ends_them() {
+    let fields = of().u16(9).u64(42).f32(3.0).u8(6).u16(1).f32(12.0).f32(11.0).u32(0).u64(99).f64(240.0);
+    let request = Request {
+        id: RequestId(42),
+        object: ObjectId(99),
+        part: 3,
+        group: 11,
+        class: 1,
+        size_kb: 12.0,
+        repeat: true,
+        write: true,
+        budget: 240.0,
+    };
+    assert_eq!(event(1090, fields), Event::Request(request));
+    let attempt = AttemptId { request: RequestId(42), number: 2 };
+    assert_eq!(event(1010, of().u16(9).u64(42).cache().u8(2).f64(1.0)), Event::Started(attempt));
+    assert_eq!(event(1020, of().u16(9).u64(42)), Event::Gone(RequestId(42)));
+    assert_eq!(event(1030, of().u16(9).u32(77)), Event::Timer(77));
+}
+
+#[test]
+fn purges_of_objects_and_groups() {
+    let purge = |object| event(1060, of().u16(9).u64(object).u16(11).f64(85.0));
+    assert_eq!(purge(5), Event::Purged { object: Some(ObjectId(5)), group: 11, ago: 85.0 });
+    assert_eq!(purge(0), Event::Purged { object: None, group: 11, ago: 85.0 });
+}
+
+#[test]
+fn every_outcome_and_note() {
+    use Status::*;
+    let codes = [200, 500, 503, 504, 502, 598, 499, 410, 404];
+    let statuses = [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Miss];
+    let notes = {
+        use Note::*;
+        let told = [Hit, Filled, FilledByOrigin, Joined, Stale, SourceRefused, SourceUnreached, SourceLacks];
+        told.into_iter().chain([NoPlace, OriginFailed])
+    };
+    let notes: Vec<Option<Note>> = std::iter::once(None).chain(notes.map(Some)).collect();
+    for (code, status) in codes.into_iter().zip(statuses) {
+        for (n, note) in notes.iter().enumerate() {
+            let fields = of().u16(9).u64(42).u8(1).u16(code).cache().f64(9.5).f64(18.5).u32(n as u32).u8(1);
+            let fields = fields.u8(2).f32(0.5).f32(3.0);
+            let (input, report) = one(1080, fields).expect("an outcome");
+            let outcome = Outcome {
+                attempt: AttemptId { request: RequestId(42), number: 1 },
+                cache: CACHE,
+                status,
+                settled: true,
+                took: 18.5,
+                waited: 9.5,
+                note: *note,
+                load: Load::default(),
+            };
+            assert_eq!(input, Input::Event { instance: 9, event: Event::Outcome(outcome) });
+            assert_eq!(report, [0.5, 3.0]);
+        }
+    }
+}
+
+#[test]
+fn probes_reports_and_messages() {
+    let fields = of().u16(9).f64(2.0).u16(200).cache().u8(1).f32(4.0);
+    let (input, report) = one(1000, fields).expect("a probe's result");
+    let event = Event::Probed { cache: CACHE, ok: true, load: Load::default() };
+    assert_eq!((input, report), (Input::Event { instance: 9, event }, vec![4.0]));
+    let names =
+        [LoadField::Busy, LoadField::Other, LoadField::Link, LoadField::HitShare, LoadField::InFlight];
+    let told = load(&[0.25, 9.0, 1.5, 0.75], &names);
+    let expected = Load { busy: Some(0.25), link: Some(1.5), hit_share: Some(0.75), in_flight: None };
+    assert_eq!(told, expected);
+    let message = one(1050, of().u16(9).u32(1).u16(3).text(b"abc")).expect("a message").0;
+    assert_eq!(message, Input::Datagram { instance: 9 });
+}
+
+#[test]
+fn malformed_records_say_what_and_where() {
+    let wrong = |result: Result<(Input, Vec<f64>)>| result.expect_err("malformed").to_string();
+    assert_eq!(wrong(one(7, of())), "unknown code 7 at byte 16 of the batch");
+    assert_eq!(
+        wrong(one(1030, of().u16(9).u16(1))),
+        "a field of 4 bytes where 2 are left at byte 24 of the batch"
+    );
+    assert_eq!(
+        wrong(one(1030, of().u16(9).u32(1).u8(1))),
+        "1 bytes too many in a record at byte 28 of the batch"
+    );
+    assert!(wrong(one(1100, of().u32(16).u32(0))).starts_with("list number 16"));
+    assert!(wrong(one(1100, of().u32(1).u32(2).text(&entry(1).0))).starts_with("2 entries in 24 bytes"));
+    assert!(wrong(one(1100, of().u32(1).u32(1).text(&entry(3).0))).starts_with("unknown phase 3"));
+    assert!(wrong(one(1040, of().u16(9).u64(1).u8(4).u32(3))).starts_with("unknown kind of list 4"));
+    let verdict = of().u16(9).u64(42).u8(1).u16(201).cache();
+    assert!(wrong(one(1080, verdict)).starts_with("unknown outcome 201"));
+    let noted = of().u16(9).u64(42).u8(1).u16(200).cache().f64(0.0).f64(1.0).u32(11).u8(1).u8(0);
+    assert!(wrong(one(1080, noted)).starts_with("unknown note 11"));
+    assert!(
+        wrong(one(1060, of().u16(9).u64(1).u16(1).f64(f64::NAN))).starts_with("a value that is no number")
+    );
+    let too_long = of().u16(1030).u32(50).u16(9).0;
+    assert!(batch(&[too_long]).is_err());
+    let header = BatchHeader { records: 1, length: 13, now: 0.0 };
+    let body = [record(1030, of().u16(9).u32(1)), vec![0]].concat();
+    assert!(decode_batch(header, &body).is_err(), "bytes after the last record");
+}
+
+/// The fields of the one record that an action goes out as, without the instance.
+fn fields_of(action: &Action) -> (u16, Vec<u8>) {
+    let mut reply = Reply::default();
+    reply.push(9, action);
+    let frame = reply.frame();
+    let length = frame.len();
+    assert_eq!(frame[..8], of().u32(1).u32(length as u32 - 8).0);
+    assert_eq!(frame[10..16], of().u32(length as u32 - 14).u16(9).0);
+    (u16::from_le_bytes([frame[8], frame[9]]), frame[16..].to_vec())
+}
+
+#[test]
+fn every_action() {
+    let request = RequestId(42);
+    let ask = Action::Ask { request, cache: CACHE, timeout: 80.0 };
+    assert_eq!(fields_of(&ask), (1000, of().u64(42).f64(80.0).cache().0));
+    let fill = Fill { source: CACHE, rank: 2, max_age: 360.0, join: true, only_held: false, renew: true };
+    let fetch = |fill| Action::Fetch { request, cache: CACHE, timeout: 80.0, fill };
+    let fields = |bits| of().u64(42).cache().f64(80.0).cache().u8(2).f64(360.0).u8(bits).0;
+    assert_eq!(fields_of(&fetch(fill)), (1120, fields(9)));
+    let held = Fill { join: false, only_held: true, renew: false, ..fill };
+    assert_eq!(fields_of(&fetch(held)), (1120, fields(2)));
+    let cancel = Action::Cancel(AttemptId { request, number: 3 });
+    assert_eq!(fields_of(&cancel), (1030, of().u64(42).u8(3).0));
+    let refuse = Action::Refuse { request, retry_after: 250.0 };
+    assert_eq!(fields_of(&refuse), (1010, of().u64(42).f64(250.0).0));
+    assert_eq!(fields_of(&Action::Fail(request)), (1020, of().u64(42).0));
+    let timer = Action::Timer { at: 1000.5, token: 7 };
+    assert_eq!(fields_of(&timer), (1040, of().f64(1000.5).u32(7).0));
+    assert_eq!(fields_of(&Action::Probe(CACHE)), (1050, of().cache().0));
+    assert_eq!(fields_of(&Action::Watch), (1100, of().u8(1).0));
+    assert_eq!(fields_of(&Action::Log("so".into())), (1080, of().u16(2).text(b"so").0));
+}
+
+#[test]
+fn a_fault_and_an_empty_reply() {
+    let mut reply = Reply::default();
+    assert_eq!(reply.frame(), [0; 8]);
+    reply.fault(9, "it broke");
+    assert_eq!(reply.frame()[8..], record(1090, of().u16(9).u16(8).text(b"it broke")));
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -276,3 +276,76 @@
         stale_worth: nth(&family.old_copy_worth, n, 1.0),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn absent_keys_are_defaulted_and_unknown_ones_passed_over() {
+        let (settings, fields) = decode(br#"{"colour": "red", "allowed": {"magic": 1}}"#).expect("settings");
+        assert!(fields.is_empty() && settings.classes.is_empty());
+        assert_eq!((settings.parent_kind, settings.origin_kind), (None, None));
+        assert!(!settings.ask_for_list && settings.tells == Tells::Nothing);
+        assert_eq!(settings.class(3).effect, Effect::Unsafe);
+    }
+
+    #[test]
+    fn every_setting_finds_its_place() {
+        let text = br#"{
+            "allowed": {"max-attempts": 6, "may-cancel": true, "parallel-tries": true, "probes": true,
+                        "retry-after": true, "max-retry-after": 900.0},
+            "balancers": 5, "discovery": "on_request", "locality": 1, "resolution": 2.0,
+            "family-info": {"bypass-allowed": true, "cleared-within": 6000, "flow-kb-per-s": 7000,
+                "grace-for": [0, 20000], "inlet-kb-per-s": [0, 800], "max-age": [0, 12000],
+                "merges-fills": true, "notice-time": 1000, "old-copy-worth": [1, 0.7],
+                "parent-fall-multiple": 2, "parent-floor": 0.07, "parent-warms-in": 22000,
+                "pass-on": [true, false], "peers-fill": "any", "seats-by-zone": [0, 3],
+                "second-tier-kind": 1, "store-kind": 2, "tells": "hit"},
+            "grades": [
+                {"objective": 400, "deadline": 5000, "effect": "idempotency_key", "dedup-scope": "zone",
+                 "window": 3000, "worth": 3, "late-worth": 0.2, "aim-stretch": 1.5, "streamed": true},
+                {"objective": 300, "deadline": 2500, "effect": "read_like", "worth": 1}],
+            "report": {"fields": ["outstanding", "utilization", "x1", "x0", "backlog"]},
+            "rules": {"cold": 16000, "drain-grace": 250, "fall": 3000, "fall-multiple": 3,
+                      "start-capacity": 0.23}}"#;
+        let (settings, fields) = decode(text).expect("settings");
+        use LoadField::*;
+        assert_eq!(fields, [InFlight, Busy, Link, HitShare, Other]);
+        let keyed = Class {
+            effect: Effect::Keyed { group: Group::Zone, window: 3000.0 },
+            write: true,
+            stream: true,
+            aim: 400.0,
+            aim_stretch: 1.5,
+            deadline: 5000.0,
+            worth: 3.0,
+            late_worth: 0.2,
+            ..Class::default()
+        };
+        assert_eq!(settings.class(0), keyed);
+        let class = settings.class(1);
+        assert_eq!((class.effect, class.write), (Effect::Safe, false));
+        assert_eq!((class.fresh, class.grace, class.stale_worth), (12_000.0, 20_000.0, 0.7));
+        assert!(settings.ask_for_list && settings.may_cancel && settings.may_probe && settings.retry_after);
+        assert!(settings.parallel_attempts && settings.direct && settings.joins);
+        assert_eq!((settings.routers, settings.zone, settings.max_attempts), (5, 1, 6));
+        assert_eq!((settings.tick, settings.max_retry_after, settings.drain_grace), (2.0, 900.0, 250.0));
+        assert_eq!((settings.parent_kind, settings.origin_kind), (Some(1), Some(2)));
+        assert_eq!((settings.siblings, settings.tells), (Siblings::Any, Tells::Hit));
+        assert_eq!((settings.flow_kb_per_s, settings.link_kb_per_s), (7000.0, 800.0));
+        assert_eq!((settings.purge_grace, settings.purge_done), (1000.0, 6000.0));
+        assert_eq!(settings.routers_by_zone, [0, 3]);
+        let cold = ColdStart { from: 0.23, warm_in: 16_000.0, fall_multiple: 3.0, window: 3000.0 };
+        assert_eq!(settings.cache_cold, cold);
+        let cold = ColdStart { from: 0.07, warm_in: 22_000.0, fall_multiple: 2.0, window: 3000.0 };
+        assert_eq!(settings.parent_cold, cold);
+    }
+
+    #[test]
+    fn what_is_not_valid_is_an_error() {
+        for text in ["", "[", "{\"grades\": 3}", "{\"discovery\": \"by pigeon\"}"] {
+            assert!(decode(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,10 +8,12 @@
 use std::collections::BTreeMap;
 
 use crate::filter::TwoGenerations;
+use crate::health::HealthRule;
 use crate::interface::*;
-use crate::measure::{Allowance, Gate, GateRule, Mean, Shares};
+use crate::measure::{Gate, GateRule, Mean, Shares};
 use crate::purges::Purges;
 use crate::ring::{fraction, mix, Ring};
+use crate::state::{Attempt, Open, Route, Server};
 
 /// Bits and hash functions of one generation of a cache's filter: some 2,000 objects' parts are asked
 /// of a cache in a rotation, at 8 bits each under 3% are wrongly found.
@@ -52,16 +54,12 @@
 const SILENT: Ms = 300.0;
 const SILENT_GAPS: f64 = 6.0;
 const SILENT_OVERDUE: usize = 2;
-/// Share of failures, of about the last seven outcomes, at which a server is taken out.
-const BAD_SHARE: f64 = 0.35;
-const BAD_WEIGHT: f64 = 0.15;
 /// A cache that turns away more than this share of what it holds is full.
 const FULL_SHARE: f64 = 0.15;
-/// First and longest time that a bad server is left alone; doubled for each failed way back.
-const OUT_FIRST: Ms = 500.0;
-const OUT_LONGEST: Ms = 3_000.0;
-/// Good trials in a row, one at a time, after which a server is trusted again.
-const TRIALS: u32 = 4;
+/// A server is taken out at that share of failures, of about the last seven outcomes; it is left alone for
+/// half a second, for longer after each failed way back, and trusted after some good trials in a row.
+const HEALTH: HealthRule =
+    HealthRule { weight: 0.15, bad: 0.35, out_first: 500.0, out_longest: 3_000.0, trials: 4 };
 
 /// Share of what a cold server can do that all routers together may ask of it.
 const COLD_LOAD: f64 = 0.8;
@@ -108,114 +106,6 @@
 /// Weight of a late fill in what late fills are put down to.
 const LATE_WEIGHT: f64 = 0.1;
 
-/// Whether a server does its work, as far as this router sees.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Health {
-    Up,
-    /// Left alone until then, for so long.
-    Out {
-        until: Ms,
-        span: Ms,
-    },
-    /// On its way back: good trials so far, whether one is out, and the span if it fails.
-    Trial {
-        good: u32,
-        out: bool,
-        span: Ms,
-    },
-}
-
-/// A cache, a parent or the origin.
-#[derive(Debug)]
-struct Server {
-    member: Member,
-    health: Health,
-    bad: Mean,
-    /// Share of what it was known to hold that it turned away.
-    full: Mean,
-    heard: Ms,
-    /// Usual time between its answers.
-    gap: Mean,
-    in_flight: u32,
-    /// What it showed to hold.
-    filter: TwoGenerations,
-    /// Work that may be asked of it while it is cold.
-    allowance: Allowance,
-}
-
-impl Server {
-    fn new(member: Member, now: Ms) -> Self {
-        Self {
-            member,
-            health: Health::Up,
-            bad: Mean::new(0.0),
-            full: Mean::new(0.0),
-            heard: now,
-            gap: Mean::new(0.0),
-            in_flight: 0,
-            filter: TwoGenerations::new(FILTER_BITS, FILTER_HASHES, member.id.0),
-            allowance: Allowance::empty(now),
-        }
-    }
-
-    /// Notes an answer, of whatever kind.
-    fn hear(&mut self, now: Ms) {
-        self.gap.blend(now - self.heard, BAD_WEIGHT);
-        self.heard = now;
-    }
-}
-
-/// One attempt that is out.
-#[derive(Debug, Clone, Copy)]
-struct Attempt {
-    cache: CacheId,
-    source: Option<CacheId>,
-    sent: Ms,
-    class: u16,
-    work: Ms,
-    /// Wanted within this time.
-    aim: Ms,
-    keeps: bool,
-    /// Filled from another cache of the location.
-    sibling: bool,
-    /// Likely to fill from above the location, by its link; and how much of that is under way.
-    fills: bool,
-    filling: Ms,
-    /// A filter's name for what was asked for.
-    item: u64,
-    /// Cancelled by this router.
-    called_off: bool,
-    /// Known to be late while it is still out.
-    late: bool,
-}
-
-/// A request that is owed its final answer.
-#[derive(Debug)]
-struct Open {
-    request: Request,
-    work: Ms,
-    deadline: Ms,
-    sent: u32,
-    out: u32,
-    /// When the first attempt that may have run was sent, and where.
-    may_have_run: Option<(Ms, CacheId)>,
-    /// Servers that failed this request.
-    avoid: Vec<CacheId>,
-    /// A sibling fill missed: only the owner will do.
-    owner_only: bool,
-    /// Asked only for what is held, and that was nothing.
-    lacking: bool,
-    /// Drawn once: whether its miss may go on to the origin.
-    draw: f64,
-    started: bool,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Route {
-    cache: CacheId,
-    fill: Option<Fill>,
-}
-
 /// The decisions of one router.
 #[derive(Debug)]
 pub struct Brain {
@@ -334,12 +224,14 @@
             }
             ListKind::Failed | ListKind::Changes => {}
         }
+        let empty = |id: CacheId| TwoGenerations::new(FILTER_BITS, FILTER_HASHES, id.0);
         for member in members {
-            let server = self.servers.entry(member.id).or_insert_with(|| Server::new(*member, self.now));
+            let fresh = || Server::new(*member, self.now, empty(member.id));
+            let server = self.servers.entry(member.id).or_insert_with(fresh);
             // A restart empties it: a filter can't forget, and its health starts anew.
             if member.since > server.member.since {
                 let in_flight = server.in_flight;
-                *server = Server { in_flight, ..Server::new(*member, self.now) };
+                *server = Server { in_flight, ..fresh() };
             }
             server.member = *member;
         }
@@ -420,19 +312,8 @@
         }
         self.heat.add(request.object, work);
         self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
-        let open = Open {
-            request: *request,
-            work,
-            deadline: self.now + request.budget,
-            sent: 0,
-            out: 0,
-            may_have_run: None,
-            avoid: Vec::new(),
-            owner_only: false,
-            lacking: false,
-            draw: self.draw(),
-            started: false,
-        };
+        let draw = self.draw();
+        let open = Open::new(*request, work, self.now + request.budget, draw);
         self.open.insert(request.id, open);
         self.place(request.id);
     }
@@ -501,7 +382,9 @@
         let most = self.set.max_attempts.max(1);
         let class = self.set.class(request.class);
         let write = class.write || request.write;
-        if left <= 0.0 || sent >= most || (sent > 0 && left < work) || open.lacking {
+        // What may not even go again to where it went before is answered at once.
+        let barred = open.may_have_run.is_some_and(|(_, first)| !self.may_repeat(open, first));
+        if left <= 0.0 || sent >= most || (sent > 0 && left < work) || open.lacking || barred {
             return self.give_up(id);
         }
         if sent > 0 && !write {
@@ -568,8 +451,8 @@
             self.charge(source, if known { mean * COLD_HIT } else { mean.max(work) });
         }
         for server in [Some(route.cache), source].into_iter().flatten() {
-            if let Some(Health::Trial { out, .. }) = self.servers.get_mut(&server).map(|s| &mut s.health) {
-                *out = true;
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.health.asked();
             }
         }
         if let Some(server) = self.servers.get_mut(&route.cache) {
@@ -736,13 +619,10 @@
     /// Whether a server may be sent something now, or be named as a source.
     fn usable(&self, id: CacheId) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
-        let sound = match server.health {
-            Health::Up => true,
-            Health::Out { until, .. } => self.now >= until,
-            Health::Trial { out, .. } => !out,
-        };
         let bears = |(rate, most)| server.allowance.left(self.now, rate, most) >= 0.0;
-        server.member.phase == Phase::Ready && sound && self.cold_rate(server).is_none_or(bears)
+        server.member.phase == Phase::Ready
+            && server.health.admits()
+            && self.cold_rate(server).is_none_or(bears)
     }
 
     // ---- Outcomes and health.
@@ -753,10 +633,10 @@
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
             server.in_flight = server.in_flight.saturating_sub(1);
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
-                server.hear(self.now);
+                server.hear(self.now, HEALTH.weight);
             }
             if !attempt.fills && matches!(outcome.status, Status::Ok | Status::Full) {
-                server.full.blend(f64::from(u8::from(outcome.status == Status::Full)), BAD_WEIGHT);
+                server.full.blend(f64::from(u8::from(outcome.status == Status::Full)), HEALTH.weight);
             }
         }
         let id = outcome.attempt.request;
@@ -798,7 +678,7 @@
         let told = self.set.tells;
         let asked = self.servers.get(&attempt.cache);
         let heard = asked.is_some_and(|s| s.heard > attempt.sent);
-        let up = asked.is_some_and(|s| s.health == Health::Up);
+        let up = asked.is_some_and(|s| s.health.is_up());
         let full = asked.is_some_and(|s| s.full.value > FULL_SHARE);
         let (cache, source) = match (outcome.status, outcome.note) {
             (Ok, Some(Filled | FilledByOrigin | Joined)) => (Some(true), Some(true)),
@@ -872,32 +752,11 @@
 
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
     fn judge(&mut self, id: CacheId, good: Option<bool>) {
-        let now = self.now;
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if let Some(good) = good {
-            server.bad.blend(f64::from(u8::from(!good)), BAD_WEIGHT);
-            if good && server.heard < now {
-                server.hear(now);
-            }
+        if good == Some(true) && server.heard < self.now {
+            server.hear(self.now, HEALTH.weight);
         }
-        server.health = match (server.health, good) {
-            (Health::Up, Some(false)) if server.bad.value > BAD_SHARE => {
-                Health::Out { until: now + OUT_FIRST, span: OUT_FIRST }
-            }
-            (Health::Trial { good, span, .. }, Some(true)) if good + 1 < TRIALS => {
-                Health::Trial { good: good + 1, out: false, span }
-            }
-            (Health::Trial { .. }, Some(true)) => {
-                server.bad = Mean::new(0.0);
-                Health::Up
-            }
-            (Health::Trial { span, .. }, Some(false)) => {
-                let span = (span * 2.0).min(OUT_LONGEST);
-                Health::Out { until: now + span, span }
-            }
-            (Health::Trial { good, span, .. }, None) => Health::Trial { good, out: false, span },
-            (health, _) => health,
-        };
+        server.health.judge(self.now, good, &HEALTH);
     }
 
     // ---- Looking round: silence, the way back, and forgetting.
@@ -905,13 +764,7 @@
     fn look_round(&mut self) {
         self.out.push(Action::Timer { at: self.now + LOOK_EVERY, token: LOOK });
         let now = self.now;
-        for server in self.servers.values_mut() {
-            if let Health::Out { until, span } = server.health {
-                if now >= until {
-                    server.health = Health::Trial { good: 0, out: false, span };
-                }
-            }
-        }
+        self.servers.values_mut().for_each(|server| server.health.look(now));
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let mut late = 0;
@@ -956,14 +809,10 @@
         let mut silent = Vec::new();
         for (id, count) in overdue {
             let Some(server) = self.servers.get_mut(&id) else { continue };
-            let span = match server.health {
-                Health::Up if count >= SILENT_OVERDUE => OUT_FIRST,
-                Health::Trial { span, .. } => (span * 2.0).min(OUT_LONGEST),
-                _ => continue,
-            };
             let still = now - server.heard > SILENT.max(server.gap.value * SILENT_GAPS);
-            if still && !self.set.is_origin(&server.member) {
-                server.health = Health::Out { until: now + span, span };
+            let enough = count >= SILENT_OVERDUE || server.health.on_trial();
+            if still && enough && !server.health.is_out() && !self.set.is_origin(&server.member) {
+                server.health.take_out(now, &HEALTH);
                 silent.push(id);
             }
         }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,114 @@
+//! What a router remembers of servers, requests and attempts: records only, without any decision.
+
+use crate::filter::TwoGenerations;
+use crate::health::Health;
+use crate::interface::{CacheId, Fill, Member, Ms, Request};
+use crate::measure::{Allowance, Mean};
+
+/// A cache, a parent or the origin.
+#[derive(Debug)]
+pub struct Server {
+    pub member: Member,
+    pub health: Health,
+    /// Share of what it was known to hold that it turned away.
+    pub full: Mean,
+    pub heard: Ms,
+    /// Usual time between its answers.
+    pub gap: Mean,
+    pub in_flight: u32,
+    /// What it showed to hold.
+    pub filter: TwoGenerations,
+    /// Work that may be asked of it while it is cold.
+    pub allowance: Allowance,
+}
+
+impl Server {
+    pub fn new(member: Member, now: Ms, filter: TwoGenerations) -> Self {
+        Self {
+            member,
+            health: Health::default(),
+            full: Mean::new(0.0),
+            heard: now,
+            gap: Mean::new(0.0),
+            in_flight: 0,
+            filter,
+            allowance: Allowance::empty(now),
+        }
+    }
+
+    /// Notes an answer, of whatever kind.
+    pub fn hear(&mut self, now: Ms, weight: f64) {
+        self.gap.blend(now - self.heard, weight);
+        self.heard = now;
+    }
+}
+
+/// One attempt that is out.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt {
+    pub cache: CacheId,
+    pub source: Option<CacheId>,
+    pub sent: Ms,
+    pub class: u16,
+    pub work: Ms,
+    /// Wanted within this time.
+    pub aim: Ms,
+    pub keeps: bool,
+    /// Filled from another cache of the location.
+    pub sibling: bool,
+    /// Likely to fill from above the location, by its link; and how much of that is under way.
+    pub fills: bool,
+    pub filling: Ms,
+    /// A filter's name for what was asked for.
+    pub item: u64,
+    /// Cancelled by this router.
+    pub called_off: bool,
+    /// Known to be late while it is still out.
+    pub late: bool,
+}
+
+/// A request that is owed its final answer.
+#[derive(Debug)]
+pub struct Open {
+    pub request: Request,
+    pub work: Ms,
+    pub deadline: Ms,
+    pub sent: u32,
+    pub out: u32,
+    /// When the first attempt that may have run was sent, and where.
+    pub may_have_run: Option<(Ms, CacheId)>,
+    /// Servers that failed this request.
+    pub avoid: Vec<CacheId>,
+    /// A sibling fill missed: only the owner will do.
+    pub owner_only: bool,
+    /// Asked only for what is held, and that was nothing.
+    pub lacking: bool,
+    /// Drawn once, from 0 up to 1.
+    pub draw: f64,
+    pub started: bool,
+}
+
+impl Open {
+    pub fn new(request: Request, work: Ms, deadline: Ms, draw: f64) -> Self {
+        Self {
+            request,
+            work,
+            deadline,
+            sent: 0,
+            out: 0,
+            may_have_run: None,
+            avoid: Vec::new(),
+            owner_only: false,
+            lacking: false,
+            draw,
+            started: false,
+        }
+    }
+}
+
+/// Where an attempt goes, and what is to be filled.
+#[derive(Debug, Clone, Copy)]
+pub struct Route {
+    pub cache: CacheId,
+    pub fill: Option<Fill>,
+}
--- /dev/null
+++ b/tests/design.rs
@@ -0,0 +1,88 @@
+//! The ordinary path, as the design has it.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use linnethook::interface::*;
+
+#[test]
+fn an_object_has_one_owner_which_keeps_its_misses_and_fills_from_a_parent() {
+    let mut world = World::new(settings());
+    for object in 0..50 {
+        let first = world.serve(SAFE, object, Note::Filled);
+        let again = world.serve(SAFE, object, Note::Hit);
+        assert_eq!(first.cache, again.cache);
+        let fill = first.fill.expect("a fill");
+        assert!(CACHES.contains(&first.cache) && PARENTS.contains(&fill.source));
+        assert!(fill.rank > 0 && !fill.only_held);
+    }
+}
+
+#[test]
+fn owners_and_parents_are_spread_and_every_router_finds_the_same() {
+    let mut one = World::new(settings());
+    let mut two = World::with(Settings { routers: 3, ..settings() }, everyone().into_iter().rev().collect());
+    let mut owners = BTreeMap::new();
+    let mut parents = BTreeMap::new();
+    for object in 0..300 {
+        let a = one.serve(SAFE, object, Note::Filled);
+        let b = two.serve(SAFE, object, Note::Filled);
+        assert_eq!((a.cache, a.fill.map(|f| f.source)), (b.cache, b.fill.map(|f| f.source)));
+        *owners.entry(a.cache).or_insert(0) += 1;
+        *parents.entry(a.fill.expect("a fill").source).or_insert(0) += 1;
+    }
+    assert!(owners.len() == 3 && owners.values().all(|&n| n > 60), "{owners:?}");
+    assert!(parents.len() == 2 && parents.values().all(|&n| n > 100), "{parents:?}");
+}
+
+#[test]
+fn a_far_busier_owner_hands_what_it_holds_to_the_least_busy_cache() {
+    let mut world = World::new(settings());
+    let owned = world.owned(CACHES[0]);
+    let handed = world.crowd(CACHES[0], &owned).expect("a cache that is less busy");
+    let fill = handed.fill.expect("a fill");
+    assert_eq!((fill.source, fill.rank, fill.only_held), (CACHES[0], 0, true));
+    // What the filter lacks goes to the owner all the same.
+    let unknown = (1000..).find(|&n| World::new(settings()).serve(SAFE, n, Note::Hit).cache == CACHES[0]);
+    assert_eq!(world.ask(SAFE, unknown.expect("an object")).expect("an attempt").cache, CACHES[0]);
+    // If the owner turns out not to hold it, the request is tried again at the owner, which keeps it.
+    let retried = world.end(handed, Status::Miss, Some(Note::SourceLacks)).expect("a further attempt");
+    assert_eq!(retried.cache, CACHES[0]);
+    assert!(retried.fill.is_some_and(|fill| PARENTS.contains(&fill.source) && fill.rank > 0));
+}
+
+#[test]
+fn the_second_parent_comes_in_while_the_first_fails_and_the_origin_without_any() {
+    let mut world = World::new(settings());
+    let first = world.ask(SAFE, 9).expect("an attempt");
+    let home = first.fill.expect("a fill").source;
+    let second = world.end(first, Status::Full, Some(Note::SourceUnreached)).expect("a further attempt");
+    let other = second.fill.expect("a fill").source;
+    assert!(second.cache == first.cache && other != home && PARENTS.contains(&other));
+    for parent in PARENTS {
+        world.list(Member { phase: Phase::Gone, ..member(parent) });
+    }
+    let last = world.ask(SAFE, 9).expect("an attempt");
+    assert_eq!(last.fill.expect("a fill").source, THE_ORIGIN);
+}
+
+#[test]
+fn a_hot_object_gets_several_holders() {
+    let mut world = World::new(settings());
+    for object in 0..60 {
+        world.serve(SAFE, object, Note::Hit);
+    }
+    // The paper's remedy: an object that would drain its owner's link is held by the next ones too.
+    let holders: Vec<CacheId> = (0..60).map(|_| world.ask(SAFE, 7).expect("an attempt").cache).collect();
+    assert!(CACHES.iter().all(|cache| holders.contains(cache)), "{holders:?}");
+}
+
+#[test]
+fn what_tells_no_hits_is_learnt_from_kept_fills() {
+    let mut world = World::new(Settings { tells: Tells::Nothing, ..settings() });
+    let owned = world.owned(CACHES[1]);
+    let handed = world.crowd(CACHES[1], &owned).expect("a cache that is less busy");
+    assert_eq!(handed.fill.expect("a fill").source, CACHES[1]);
+}
