Ask of a cold server half of what makes it fall over

The figure follows from each deployment's own multiple. Might hurt where a server has only the least capacity told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -61,8 +61,9 @@
 const HEALTH: HealthRule =
     HealthRule { weight: 0.15, bad: 0.35, out_first: 500.0, out_longest: 3_000.0, trials: 4 };
 
-/// Share of what a cold server can do that all routers together may ask of it.
-const COLD_LOAD: f64 = 0.8;
+/// Part of what makes a cold server fall over that all routers together may ask of it. The capacity that
+/// this reckons with is the least that it can have, and work may warm it faster.
+const COLD_PART: f64 = 0.5;
 /// Part of the rules' window that may be spent in one go.
 const COLD_BURST: f64 = 0.2;
 /// Weight of a likely hit among the fills that reach a cold parent.
@@ -585,19 +586,20 @@
 
     // ---- Cold servers: all routers together ask less of them than they can do.
 
-    /// The part of its capacity that a server that has just started has by now at least.
+    /// The part of its capacity that may be asked of a server that has just started.
     fn cold_share(&self, server: &Server) -> Option<f64> {
         let cold = self.set.cold_start(&server.member);
         let age = self.now - server.member.since;
         let started = server.member.since > 0.0 && age < cold.warm_in;
-        started.then(|| cold.from + (1.0 - cold.from) * (age / cold.warm_in).max(0.0))
+        let least = cold.from + (1.0 - cold.from) * (age / cold.warm_in).max(0.0);
+        started.then_some(least * cold.fall_multiple * COLD_PART)
     }
 
     /// Work a millisecond that this router may ask of a cold server, where the others may ask as much,
     /// and the most at once; `None` where there is no limit.
     fn cold_rate(&self, server: &Server) -> Option<(f64, f64)> {
         let routers = f64::from(self.set.routers_for(&server.member));
-        let rate = COLD_LOAD * self.cold_share(server)? * server.member.weight / routers;
+        let rate = self.cold_share(server)? * server.member.weight / routers;
         Some((rate, rate * self.set.cold_start(&server.member).window * COLD_BURST))
     }
 
