--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 const BUSY_MORE: f64 = 8.0;
 /// An object with this part of a cache's fair share of the work gets a further holder, and one more
 /// for each such part.
-const HOT_SHARE: f64 = 0.3;
+const HOT_SHARE: f64 = 0.15;
 /// Work seen before an object's share of it means anything, in requests of mean size.
 const HOT_SEEN: f64 = 40.0;
 /// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
