--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,6 +37,8 @@
 /// An object with this part of a cache's fair share of the work gets a further holder, and one more
 /// for each such part.
 const HOT_SHARE: f64 = 0.15;
+/// A hot object's next holder comes in while the ones before it have their links that full.
+const CROWDED: f64 = 0.7;
 /// Work seen before an object's share of it means anything, in requests of mean size.
 const HOT_SEEN: f64 = 40.0;
 /// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
@@ -494,7 +496,9 @@
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
         let several = self.holders(request, order.len());
-        let owner = holders.iter().take(several).copied().reduce(|a, b| self.less_busy(a, b));
+        let several = &holders[..several.min(holders.len())];
+        let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
+        let owner = several.iter().copied().find(|&id| self.crowding(id) < CROWDED).or(least);
         let Some(owner) = owner else {
             // No cache is left in the location: past them, straight to the source.
             let source = self.fill_source(open)?;
@@ -504,7 +508,7 @@
             return Some(Route { cache: source, fill: Some(self.fill(request, source, 0, stale)) });
         };
         let known = self.servers[&owner].filter.contains(self.item(request));
-        if known && !open.owner_only && several == 1 && self.set.siblings != Siblings::Off {
+        if known && !open.owner_only && several.len() == 1 && self.set.siblings != Siblings::Off {
             if let Some(cache) = self.far_less_busy(owner, holders) {
                 let fill = Fill { only_held: true, ..self.fill(request, owner, 0, stale) };
                 return Some(Route { cache, fill: Some(fill) });
@@ -566,6 +570,12 @@
         self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / s.member.weight.max(0.01))
     }
 
+    /// How full a cache's link is, taking the location's other routers to send as much.
+    fn crowding(&self, id: CacheId) -> f64 {
+        let routers = self.servers.get(&id).map_or(1, |s| self.set.routers_for(&s.member));
+        self.load(id) * f64::from(routers)
+    }
+
     fn less_busy(&self, a: CacheId, b: CacheId) -> CacheId {
         if self.load(b) < self.load(a) {
             b
