--- a/src/brain.rs
+++ b/src/brain.rs
@@ -507,7 +507,9 @@
             }
             return Some(Route { cache: source, fill: Some(self.fill(request, source, 0, stale)) });
         };
-        let known = self.servers[&owner].filter.contains(self.item(request));
+        let item = self.item(request);
+        let shows = |id: &CacheId| self.servers[id].filter.contains(item);
+        let known = shows(&owner);
         if known && !open.owner_only && several.len() == 1 && self.set.siblings != Siblings::Off {
             if let Some(cache) = self.far_less_busy(owner, holders) {
                 let fill = Fill { only_held: true, ..self.fill(request, owner, 0, stale) };
@@ -520,6 +522,9 @@
         let source = self.fill_source(open).filter(|&source| {
             (known || self.link_bears(open.work)) && (to_origin || Some(source) != self.origin())
         });
+        // Short of the link, what a stand-in of the owner holds is had from there.
+        let elsewhere = || holders.iter().copied().find(|id| shows(id) && self.crowding(*id) < CROWDED);
+        let owner = if source.is_some() { owner } else { elsewhere().unwrap_or(owner) };
         let fill = self.fill(request, source.unwrap_or(owner), 1, stale);
         let renew = fill.renew && origin_sound;
         Some(Route { cache: owner, fill: Some(Fill { only_held: !to_origin, renew, ..fill }) })
