Refuse at once what a cache whose hits come late would serve too late

How crowded a cache may be is now cut while many of its hits are late. Might hurt where sizes are neither told nor learnt.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -106,6 +106,10 @@
 const LINK_GATE: GateRule =
     GateRule { weight: 0.08, borne: 0.25, cut: 0.85, every: 200.0, raise: 1.0, least: 1.0, most: 2.0 };
 
+/// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
+/// hits are late. `most` lets a short pause fill up its waiting room.
+const SEND_GATE: GateRule =
+    GateRule { weight: 0.1, borne: 0.3, cut: 0.85, every: 200.0, raise: 0.03, least: 1.0, most: 6.0 };
 /// Weight of a late fill in what late fills are put down to.
 const LATE_WEIGHT: f64 = 0.1;
 
@@ -229,7 +233,7 @@
         }
         let empty = |id: CacheId| TwoGenerations::new(FILTER_BITS, FILTER_HASHES, id.0);
         for member in members {
-            let fresh = || Server::new(*member, self.now, empty(member.id));
+            let fresh = || Server::new(*member, self.now, empty(member.id), SEND_GATE.most);
             let server = self.servers.entry(member.id).or_insert_with(fresh);
             // A restart empties it: a filter can't forget, and its health starts anew.
             if member.since > server.member.since {
@@ -518,6 +522,9 @@
         }
         // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
         // what is held, here or at the parent, and is refused at once if that is nothing.
+        if self.crowding(owner) > self.servers[&owner].gate.limit {
+            return None;
+        }
         let to_origin = known || open.draw < self.origin_gate.limit;
         let source = self.fill_source(open).filter(|&source| {
             (known || self.link_bears(open.work)) && (to_origin || Some(source) != self.origin())
@@ -668,6 +675,12 @@
             self.learn_work(attempt.class, size);
         }
         self.judge_ways(&attempt, outcome);
+        let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
+        if !attempt.fills && attempt.source.is_some() && (late || outcome.status == Status::Ok) {
+            if let Some(server) = self.servers.get_mut(&attempt.cache) {
+                server.gate.report(self.now, late, &SEND_GATE);
+            }
+        }
         let to_avoid = self.judge_servers(&attempt, outcome);
         let Some(open) = self.open.get_mut(&id) else { return };
         open.out = open.out.saturating_sub(1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::filter::TwoGenerations;
 use crate::health::Health;
 use crate::interface::{CacheId, Fill, Member, Ms, Request};
-use crate::measure::{Allowance, Mean};
+use crate::measure::{Allowance, Gate, Mean};
 
 /// A cache, a parent or the origin.
 #[derive(Debug)]
@@ -16,6 +16,8 @@
     /// Usual time between its answers.
     pub gap: Mean,
     pub in_flight: u32,
+    /// How crowded it may be.
+    pub gate: Gate,
     /// What it showed to hold.
     pub filter: TwoGenerations,
     /// Work that may be asked of it while it is cold.
@@ -23,7 +25,7 @@
 }
 
 impl Server {
-    pub fn new(member: Member, now: Ms, filter: TwoGenerations) -> Self {
+    pub fn new(member: Member, now: Ms, filter: TwoGenerations, gate: f64) -> Self {
         Self {
             member,
             health: Health::default(),
@@ -31,6 +33,7 @@
             heard: now,
             gap: Mean::new(0.0),
             in_flight: 0,
+            gate: Gate::new(gate),
             filter,
             allowance: Allowance::empty(now),
         }
