--- a/src/brain.rs
+++ b/src/brain.rs
@@ -573,7 +573,8 @@
     /// Meets all that slows fills down: a thinner or crowded link, empty caches, bursts. Without it, fills
     /// that are late hold the slots of their cache until even what it holds comes late.
     fn link_bears(&self, work: Ms) -> bool {
-        let mean = self.works.iter().map(|mean| mean.value).fold(0.0, f64::max);
+        let seen = self.works.iter().filter(|mean| mean.seen > 0.0).map(|mean| mean.value);
+        let mean = seen.reduce(f64::max).unwrap_or(WORK_GUESS);
         self.filling <= 0.0 || self.filling + work <= self.link_gate.limit * mean
     }
 
--- /dev/null
+++ b/tests/trouble.rs
@@ -0,0 +1,220 @@
+//! Answers when things fail: each guard, and odd but legal rounds.
+
+mod common;
+
+use common::*;
+use linnethook::interface::*;
+
+/// Serves so many objects, that sizes, filters and gaps are known.
+fn warmed() -> World {
+    let mut world = World::new(settings());
+    for object in 0..200 {
+        world.pass(20.0);
+        world.serve(SAFE, object, Note::Hit);
+    }
+    world
+}
+
+fn owned_by(world: &mut World, cache: CacheId) -> Vec<u64> {
+    (0..200).filter(|&n| world.serve(SAFE, n, Note::Hit).cache == cache).collect()
+}
+
+/// A fast-failing cache has the fewest requests in flight and would draw all of them.
+#[test]
+fn a_cache_that_fails_fast_is_taken_out_and_comes_back_by_trials() {
+    let mut world = warmed();
+    let owned = owned_by(&mut world, CACHES[0]);
+    for &object in &owned[..8] {
+        let mut sent = world.ask(SAFE, object).expect("an attempt");
+        if sent.cache == CACHES[0] {
+            sent = world.end(sent, Status::Error, None).expect("a further attempt");
+            assert_ne!(sent.cache, CACHES[0]);
+        }
+        world.end_after(sent, Status::Ok, Some(Note::Filled), 100.0);
+    }
+    assert_ne!(world.serve(SAFE, owned[9], Note::Filled).cache, CACHES[0], "it is left alone");
+    world.pass(600.0);
+    let trial = world.ask(SAFE, owned[9]).expect("an attempt");
+    assert_eq!(trial.cache, CACHES[0], "one trial at a time");
+    assert_ne!(world.ask(SAFE, owned[10]).expect("an attempt").cache, CACHES[0]);
+    world.end_after(trial, Status::Ok, Some(Note::Hit), 100.0);
+    for &object in &owned[11..14] {
+        assert_eq!(world.serve(SAFE, object, Note::Hit).cache, CACHES[0]);
+    }
+    let both = [owned[14], owned[15]].map(|object| world.ask(SAFE, object).map(|sent| sent.cache));
+    assert_eq!(both, [Some(CACHES[0]); 2], "it is trusted again");
+}
+
+/// A hung or vanished cache answers nothing, and stays on the list for seconds.
+#[test]
+fn what_waits_for_a_silent_cache_is_called_off_and_tried_elsewhere() {
+    let mut world = warmed();
+    let owned = owned_by(&mut world, CACHES[0]);
+    let stuck: Vec<Sent> = owned[..4].iter().filter_map(|&object| world.ask(SAFE, object)).collect();
+    world.pass(1500.0);
+    assert!(stuck.iter().all(|sent| world.cancelled.contains(&sent.attempt)), "{:?}", world.cancelled);
+    let again = world.end(stuck[0], Status::Cancelled, None).expect("a further attempt");
+    assert_ne!(again.cache, CACHES[0]);
+}
+
+/// Without this a slow origin takes the parents out, and everybody goes straight to it until it stops.
+#[test]
+fn parents_that_wait_for_a_slow_origin_stay_in() {
+    let mut world = warmed();
+    for object in 1000..1060 {
+        world.pass(30.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        if sent.fill.is_some_and(|fill| fill.only_held || fill.source == sent.cache) {
+            world.end(sent, Status::Miss, None);
+            continue;
+        }
+        assert!(sent.fill.is_some_and(|fill| PARENTS.contains(&fill.source)));
+        let id = sent.attempt.request;
+        world.tell(Event::Outcome(Outcome {
+            attempt: AttemptId { request: id, number: 0 },
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: 1500.0,
+            waited: 1400.0,
+            note: Some(Note::FilledByOrigin),
+            load: Load::default(),
+        }));
+    }
+    let held = (2000..2100)
+        .filter_map(|object| world.ask(SAFE, object))
+        .filter(|sent| sent.fill.is_some_and(|fill| fill.only_held && PARENTS.contains(&fill.source)));
+    assert!(held.count() > 20, "most misses ask the parents only for what they hold");
+}
+
+/// Late fills hold the slots of their caches until even hits come late.
+#[test]
+fn fills_that_come_late_are_held_back_and_hits_go_on() {
+    let mut world = warmed();
+    let late: Vec<Sent> = (1000..1030).filter_map(|object| world.ask(SAFE, object)).collect();
+    for sent in late {
+        world.tell(Event::Outcome(Outcome {
+            attempt: sent.attempt,
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: 2500.0,
+            waited: 20.0,
+            note: Some(Note::Filled),
+            load: Load::default(),
+        }));
+        world.pass(250.0);
+    }
+    let fills = |sent: &&Sent| sent.fill.is_some_and(|fill| fill.source != sent.cache);
+    let tried: Vec<Sent> = (2000..2030).filter_map(|object| world.ask(SAFE, object)).collect();
+    assert!(tried.iter().filter(fills).count() < 10, "few new fills");
+    assert!(!tried.iter().all(|sent| fills(&sent)), "the others ask for what is held");
+    let miss = tried.iter().find(|sent| !fills(sent)).copied().expect("one that only asks");
+    assert_eq!(world.end(miss, Status::Miss, None), None);
+    assert!(matches!(world.finals.last(), Some(Action::Refuse { .. })), "refused at once");
+}
+
+/// A trouble that fails all requests must not be multiplied by further attempts.
+#[test]
+fn further_attempts_are_bounded() {
+    let mut world = warmed();
+    let before = world.sent.len();
+    for object in 0..300 {
+        let mut last = world.ask(SAFE, object % 100);
+        while let Some(sent) = last {
+            last = world.end(sent, Status::Full, None);
+        }
+    }
+    let sent = world.sent.len() - before;
+    assert!(sent < 300 + 20 + 60, "{sent} attempts for 300 requests");
+    assert_eq!(world.finals.len(), 300);
+}
+
+#[test]
+fn a_write_that_never_ran_is_tried_again_and_no_refusal_waits() {
+    let mut world = warmed();
+    let sent = world.ask(UNSAFE, 4).expect("an attempt");
+    assert_eq!(world.end(sent, Status::ConnectFailed, None), None, "it waits for a moment");
+    world.pass(200.0);
+    let again = world.sent.last().copied().expect("an attempt");
+    assert_eq!((again.cache, again.attempt.number), (THE_ORIGIN, 1));
+    world.end(again, Status::Timeout, None);
+    assert_eq!(world.finals, [Action::Fail(sent.attempt.request)]);
+}
+
+#[test]
+fn a_cache_that_vanished_and_returned_between_two_lists_is_taken_for_new() {
+    let mut world = warmed();
+    let owned = owned_by(&mut world, CACHES[0]);
+    let back = Member { since: world.now - 100.0, ..member(CACHES[0]) };
+    let members = everyone().into_iter().map(|m| if m.id == back.id { back } else { m }).collect();
+    world.tell(Event::List { kind: ListKind::Complete, members });
+    let to_it =
+        owned.iter().filter(|&&object| world.serve(SAFE, object, Note::Filled).cache == back.id).count();
+    assert!(to_it < owned.len() / 2, "it is cold: {to_it} of {}", owned.len());
+}
+
+#[test]
+fn without_caches_parents_or_both_every_request_is_still_answered() {
+    let gone = |ids: &[CacheId]| {
+        let mut world = World::new(settings());
+        for &id in ids {
+            world.list(Member { phase: Phase::Gone, ..member(id) });
+        }
+        world
+    };
+    let straight = gone(&CACHES).ask(SAFE, 4).expect("an attempt");
+    assert!(PARENTS.contains(&straight.cache) && straight.fill.is_some_and(|f| f.source == straight.cache));
+    let all_but_origin = [&CACHES[..], &PARENTS].concat();
+    let origin = gone(&all_but_origin).ask(SAFE, 4).expect("an attempt");
+    assert_eq!(origin.cache, THE_ORIGIN);
+    let everything = [&all_but_origin[..], &[THE_ORIGIN]].concat();
+    for class in [SAFE, FRESH, KEYED, UNSAFE, 77] {
+        let mut world = gone(&everything);
+        assert_eq!(world.ask(class, 4), None);
+        assert_eq!(world.finals.len(), 1, "class {class}");
+    }
+    let mut empty = World::with(settings(), Vec::new());
+    assert_eq!((empty.ask(SAFE, 4), empty.finals.len()), (None, 1));
+}
+
+#[test]
+fn zero_and_missing_sizes_and_weights_do_no_harm() {
+    for weight in [0.0, 1.0] {
+        let members = everyone().into_iter().map(|m| Member { weight, ..m }).collect();
+        let mut world = World::with(settings(), members);
+        for object in 0..50 {
+            let request = Request { size_kb: 0.0, ..world.request(SAFE, object) };
+            let sent = world.submit(request).expect("an attempt");
+            assert!(sent.timeout.is_finite() && sent.timeout > 0.0);
+            world.end_after(sent, Status::Ok, Some(Note::Filled), 80.0);
+        }
+    }
+    let mut none = World::new(Settings { flow_kb_per_s: 0.0, tick: 0.0, ..settings() });
+    assert!(none.ask(SAFE, 4).is_some());
+}
+
+#[test]
+fn a_restarted_router_needs_nothing_but_its_first_list() {
+    let mut old = warmed();
+    let mut new = World::new(settings());
+    for object in 0..100 {
+        assert_eq!(old.serve(SAFE, object, Note::Hit).cache, new.serve(SAFE, object, Note::Hit).cache);
+    }
+}
+
+#[test]
+fn identical_events_give_identical_actions() {
+    let play = || {
+        let mut world = World::new(settings());
+        for object in 0..300 {
+            world.pass(7.0);
+            if let Some(sent) = world.ask(SAFE, object % 90) {
+                let status = if object % 5 == 0 { Status::Error } else { Status::Ok };
+                world.end_after(sent, status, Some(Note::Filled), 60.0);
+            }
+        }
+        (world.sent, world.finals, world.cancelled)
+    };
+    assert_eq!(play(), play());
+}
