--- a/src/brain.rs
+++ b/src/brain.rs
@@ -110,8 +110,10 @@
 /// hits are late. `most` lets a short pause fill up its waiting room.
 const SEND_GATE: GateRule =
     GateRule { weight: 0.1, borne: 0.3, cut: 0.85, every: 200.0, raise: 0.03, least: 1.0, most: 6.0 };
-/// Weight of a late fill in what late fills are put down to.
-const LATE_WEIGHT: f64 = 0.1;
+/// Weight of a fill by way of the origin in the share that waited longer than a client would for a small
+/// answer, and the share at which what is late is put down to the origin.
+const WAIT_WEIGHT: f64 = 0.15;
+const WAIT_BLAMED: f64 = 0.25;
 
 /// The decisions of one router.
 #[derive(Debug)]
@@ -140,7 +142,7 @@
     retries: f64,
     origin_gate: Gate,
     link_gate: Gate,
-    /// Share of late fills that had waited long for their first byte: the origin's doing, not the link's.
+    /// Share of fills by way of the origin that waited long for their first byte.
     waits: Mean,
     /// Work of the fills that are under way.
     filling: Ms,
@@ -300,6 +302,12 @@
         }
     }
 
+    /// The mean sending time of the class with the largest answers: one transfer of the link's limit.
+    fn mean_size(&self) -> Ms {
+        let seen = self.works.iter().filter(|mean| mean.seen > 0.0).map(|mean| mean.value);
+        seen.reduce(f64::max).unwrap_or(WORK_GUESS).max(1.0)
+    }
+
     fn learn_work(&mut self, class: u16, work: Ms) {
         if let Some(mean) = self.works.get_mut(usize::from(class)) {
             mean.add(work, LEARN);
@@ -573,9 +581,7 @@
     /// Meets all that slows fills down: a thinner or crowded link, empty caches, bursts. Without it, fills
     /// that are late hold the slots of their cache until even what it holds comes late.
     fn link_bears(&self, work: Ms) -> bool {
-        let seen = self.works.iter().filter(|mean| mean.seen > 0.0).map(|mean| mean.value);
-        let mean = seen.reduce(f64::max).unwrap_or(WORK_GUESS);
-        self.filling <= 0.0 || self.filling + work <= self.link_gate.limit * mean
+        self.filling <= 0.0 || self.filling + work <= self.link_gate.limit * self.mean_size()
     }
 
     /// This router's requests in flight at a cache, for its size.
@@ -678,8 +684,9 @@
         self.judge_ways(&attempt, outcome);
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
         if !attempt.fills && attempt.source.is_some() && (late || outcome.status == Status::Ok) {
+            let crowding = self.crowding(attempt.cache);
             if let Some(server) = self.servers.get_mut(&attempt.cache) {
-                server.gate.report(self.now, late, &SEND_GATE);
+                server.gate.report(self.now, late, crowding, &SEND_GATE);
             }
         }
         let to_avoid = self.judge_servers(&attempt, outcome);
@@ -751,7 +758,7 @@
     /// a link that can't carry the fills. Might hurt by refusing misses that would have been just in time.
     fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome) {
         if outcome.note == Some(Note::OriginFailed) {
-            self.origin_gate.report(self.now, true, &ORIGIN_GATE);
+            self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
         if !attempt.fills || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
@@ -759,11 +766,10 @@
         }
         let late = lost || outcome.took > attempt.aim;
         let waited = outcome.waited > attempt.aim / 2.0;
-        if late && !lost {
-            self.waits.blend(f64::from(u8::from(waited)), LATE_WEIGHT);
-        }
         if outcome.note == Some(Note::FilledByOrigin) {
-            self.origin_gate.report(self.now, late && waited, &ORIGIN_GATE);
+            let long = outcome.waited > self.set.class(attempt.class).aim;
+            self.waits.blend(f64::from(u8::from(long)), WAIT_WEIGHT);
+            self.origin_gate.report(self.now, late && waited, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         if !attempt.late && !waited {
             self.judge_fill(late);
@@ -772,13 +778,14 @@
 
     /// Counts a fill whose wait is not known, or was not long.
     fn judge_fill(&mut self, late: bool) {
-        if late && self.waits.value > 0.5 {
-            return self.origin_gate.report(self.now, true, &ORIGIN_GATE);
+        if late && self.waits.value > WAIT_BLAMED {
+            return self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         let most = LINK_GATE.most * self.at_once.max(1.0);
         self.link_gate.limit = self.link_gate.limit.min(most);
+        let used = self.filling / self.mean_size();
         let raise = LINK_GATE.raise / self.link_gate.limit.max(1.0);
-        self.link_gate.report(self.now, late, &GateRule { most, raise, ..LINK_GATE });
+        self.link_gate.report(self.now, late, used, &GateRule { most, raise, ..LINK_GATE });
     }
 
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
@@ -803,7 +810,7 @@
             attempt.late = true;
             late += 1;
             // What waits for the origin does not use the link.
-            if self.waits.value > 0.5 {
+            if self.waits.value > WAIT_BLAMED {
                 self.filling = (self.filling - attempt.filling).max(0.0);
                 attempt.filling = 0.0;
             }
@@ -833,7 +840,8 @@
         for attempt in self.attempts.values().filter(|a| late(a)) {
             *overdue.entry(attempt.cache).or_default() += 1;
             // A parent that waits for a slow origin is not silent: without it all would go to the origin.
-            if let Some(source) = attempt.source.filter(|_| attempt.fills && self.waits.value <= 0.5) {
+            if let Some(source) = attempt.source.filter(|_| attempt.fills && self.waits.value <= WAIT_BLAMED)
+            {
                 *overdue.entry(source).or_default() += 1;
             }
         }
