--- a/src/brain.rs
+++ b/src/brain.rs
@@ -78,6 +78,9 @@
 /// How far a new answer moves what is known of a mean.
 const LEARN: f64 = 0.02;
 
+/// How far a request that is worth much for its work may pass a gate's limit, and one that is worth
+/// little has to stay below it.
+const DEAR_MOST: f64 = 2.0;
 /// A purge is taken to be this much younger than told, to be safe from rounding.
 const PURGE_SLACK: Ms = 2.0;
 /// Older copies are looked out for this long after the rule says they are gone.
@@ -130,6 +133,9 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     /// By class: the mean sending time.
     works: Vec<Mean>,
+    /// The mean worth and work of a request.
+    worth: Mean,
+    work: Mean,
     /// Where sizes are not told: the shortest that an object's parts, which are alike, took.
     sizes: BTreeMap<ObjectId, Ms>,
     heat: Shares<ObjectId>,
@@ -165,6 +171,8 @@
             at_once: 0.0,
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            worth: Mean::new(0.0),
+            work: Mean::new(0.0),
             sizes: BTreeMap::new(),
             heat: Shares::default(),
             purges: Purges::default(),
@@ -326,6 +334,8 @@
             self.learn_work(request.class, work);
         }
         self.heat.add(request.object, work);
+        self.worth.add(self.set.class(request.class).worth, LEARN);
+        self.work.add(work, LEARN);
         self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
         let draw = self.draw();
         let open = Open::new(*request, work, self.now + request.budget, draw);
@@ -530,7 +540,7 @@
         }
         // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
         // what is held, here or at the parent, and is refused at once if that is nothing.
-        if self.crowding(owner) > self.servers[&owner].gate.limit {
+        if self.crowding(owner) > self.servers[&owner].gate.limit * self.dearness(open) {
             return None;
         }
         let to_origin = known || open.draw < self.origin_gate.limit;
@@ -595,6 +605,17 @@
         self.load(id) * f64::from(routers)
     }
 
+    /// How far a request may pass a gate's limit: the more worth it brings for its work, the further.
+    fn dearness(&self, open: &Open) -> f64 {
+        let usual = self.worth.value / self.work.value.max(1.0);
+        let own = self.set.class(open.request.class).worth / open.work.max(1.0);
+        if usual > 0.0 {
+            (own / usual).sqrt().clamp(1.0 / DEAR_MOST, DEAR_MOST)
+        } else {
+            1.0
+        }
+    }
+
     fn less_busy(&self, a: CacheId, b: CacheId) -> CacheId {
         if self.load(b) < self.load(a) {
             b
