--- a/src/brain.rs
+++ b/src/brain.rs
@@ -80,7 +80,7 @@
 
 /// How far a request that is worth much for its work may pass a gate's limit, and one that is worth
 /// little has to stay below it.
-const DEAR_MOST: f64 = 2.0;
+const DEAR_MOST: f64 = 4.0;
 /// A purge is taken to be this much younger than told, to be safe from rounding.
 const PURGE_SLACK: Ms = 2.0;
 /// Older copies are looked out for this long after the rule says they are gone.
