--- a/src/brain.rs
+++ b/src/brain.rs
@@ -117,6 +117,8 @@
 /// answer, and the share at which what is late is put down to the origin.
 const WAIT_WEIGHT: f64 = 0.15;
 const WAIT_BLAMED: f64 = 0.25;
+/// What an answer takes to the client, at the least.
+const WAY_BACK: Ms = 10.0;
 
 /// The decisions of one router.
 #[derive(Debug)]
@@ -550,7 +552,11 @@
         // Short of the link, what a stand-in of the owner holds is had from there.
         let elsewhere = || holders.iter().copied().find(|id| shows(id) && self.crowding(*id) < CROWDED);
         let owner = if source.is_some() { owner } else { elsewhere().unwrap_or(owner) };
-        let fill = self.fill(request, source.unwrap_or(owner), 1, stale);
+        // An ageing copy now is worth more than a fresh one late, where the way to the origin is that long.
+        let class = self.set.class(request.class);
+        let aim = class.aim + class.aim_stretch * open.work;
+        let far = source.is_some_and(|id| self.servers[&id].wait.value + open.work + WAY_BACK > aim);
+        let fill = self.fill(request, source.unwrap_or(owner), 1, stale || far);
         let renew = fill.renew && origin_sound;
         Some(Route { cache: owner, fill: Some(Fill { only_held: !to_origin, renew, ..fill }) })
     }
@@ -786,6 +792,14 @@
             return;
         }
         let late = lost || outcome.took > attempt.aim;
+        let wait = match self.set.tells {
+            Tells::All => outcome.note.filter(|&note| note == Note::FilledByOrigin).map(|_| outcome.waited),
+            _ => Some(outcome.took - attempt.work),
+        };
+        let source = attempt.source.and_then(|id| self.servers.get_mut(&id));
+        if let (Some(source), Some(wait), false) = (source, wait, lost) {
+            source.wait.add(wait, WAIT_WEIGHT);
+        }
         let waited = outcome.waited > attempt.aim / 2.0;
         if outcome.note == Some(Note::FilledByOrigin) {
             let long = outcome.waited > self.set.class(attempt.class).aim;
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,8 @@
     /// Usual time between its answers.
     pub gap: Mean,
     pub in_flight: u32,
+    /// As a source: the time to the first byte of what it had to get from the origin.
+    pub wait: Mean,
     /// How crowded it may be.
     pub gate: Gate,
     /// What it showed to hold.
@@ -33,6 +35,7 @@
             heard: now,
             gap: Mean::new(0.0),
             in_flight: 0,
+            wait: Mean::new(0.0),
             gate: Gate::new(gate),
             filter,
             allowance: Allowance::empty(now),
