Skip a parent whose fills are late far more often than another's

A parent whose fills are late three times as often as the best one's is clearly slow in the design's sense: the next in order comes in, a few requests still try it, and its lateness no longer counts against the link. Should also hold against lost answers and hung parents. Might hurt a parent whose objects are larger.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -117,6 +117,12 @@
 /// answer, and the share at which what is late is put down to the origin.
 const WAIT_WEIGHT: f64 = 0.15;
 const WAIT_BLAMED: f64 = 0.25;
+/// A parent is clearly slow while that share of its fills is late, and that many times the share of the
+/// best one; the weight of a fill in it, and the share of requests that try it all the same.
+const SLOW_SHARE: f64 = 0.25;
+const SLOW_RATIO: f64 = 3.0;
+const SLOW_WEIGHT: f64 = 0.1;
+const SLOW_TRIAL: f64 = 0.04;
 /// What an answer takes to the client, at the least.
 const WAY_BACK: Ms = 10.0;
 
@@ -578,11 +584,27 @@
         let listed = self.servers.values().filter(|s| self.set.is_parent(&s.member));
         let mut order: Vec<CacheId> = listed.map(|s| s.member.id).collect();
         order.sort_by_key(|id| mix(object, id.0 ^ SALT_PARENT));
-        let sound =
-            |id: &&CacheId| !open.avoid.contains(id) && self.usable(**id) && self.ramped(**id, &open.request);
+        // A slow one still gets a few, so that it is seen when it has come back.
+        let trial = open.draw < SLOW_TRIAL;
+        let sound = |id: &&CacheId| {
+            let fit = self.usable(**id) && self.ramped(**id, &open.request);
+            fit && !open.avoid.contains(id) && (trial || !self.clearly_slow(**id))
+        };
         order.iter().find(sound).copied().or_else(|| self.origin())
     }
 
+    /// Whether fills from a parent are late far more often than from another: its own doing then, not that of
+    /// the link or the origin. Meets a thin or crowded link of a parent, lost answers, and one that hangs now
+    /// and then. Might hurt a parent whose objects are larger than the others'.
+    fn clearly_slow(&self, id: CacheId) -> bool {
+        let late = |s: &Server| s.late.value;
+        let parents =
+            self.servers.values().filter(|s| self.set.is_parent(&s.member) && self.ready(s.member.id));
+        let best = parents.map(late).fold(f64::INFINITY, f64::min);
+        let own = self.servers.get(&id).filter(|s| self.set.is_parent(&s.member)).map_or(0.0, late);
+        own > SLOW_SHARE && own > best * SLOW_RATIO
+    }
+
     /// How many caches hold the object. One, but for an object that draws so much of the work that its
     /// owner's link would be drained: then as many as share it out (the paper's several holders).
     fn holders(&self, request: &Request, caches: usize) -> usize {
@@ -792,13 +814,10 @@
             return;
         }
         let late = lost || outcome.took > attempt.aim;
-        let wait = match self.set.tells {
-            Tells::All => outcome.note.filter(|&note| note == Note::FilledByOrigin).map(|_| outcome.waited),
-            _ => Some(outcome.took - attempt.work),
-        };
-        let source = attempt.source.and_then(|id| self.servers.get_mut(&id));
-        if let (Some(source), Some(wait), false) = (source, wait, lost) {
-            source.wait.add(wait, WAIT_WEIGHT);
+        if outcome.note == Some(Note::FilledByOrigin) {
+            if let Some(source) = attempt.source.and_then(|id| self.servers.get_mut(&id)) {
+                source.wait.add(outcome.waited, WAIT_WEIGHT);
+            }
         }
         let waited = outcome.waited > attempt.aim / 2.0;
         if outcome.note == Some(Note::FilledByOrigin) {
@@ -807,15 +826,21 @@
             self.origin_gate.report(self.now, late && waited, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         if !attempt.late && !waited {
-            self.judge_fill(late);
+            self.judge_fill(attempt.source, late);
         }
     }
 
     /// Counts a fill whose wait is not known, or was not long.
-    fn judge_fill(&mut self, late: bool) {
+    fn judge_fill(&mut self, source: Option<CacheId>, late: bool) {
         if late && self.waits.value > WAIT_BLAMED {
             return self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
+        if let Some(server) = source.and_then(|id| self.servers.get_mut(&id)) {
+            server.late.blend(f64::from(u8::from(late)), SLOW_WEIGHT);
+        }
+        if late && source.is_some_and(|id| self.clearly_slow(id)) {
+            return;
+        }
         let most = LINK_GATE.most * self.at_once.max(1.0);
         self.link_gate.limit = self.link_gate.limit.min(most);
         let used = self.filling / self.mean_size();
@@ -840,17 +865,17 @@
         self.servers.values_mut().for_each(|server| server.health.look(now));
         self.find_silent();
         // What is overdue for its client is late before it ends.
-        let mut late = 0;
+        let mut late = Vec::new();
         for attempt in self.attempts.values_mut().filter(|a| a.fills && !a.late && now - a.sent > a.aim) {
             attempt.late = true;
-            late += 1;
+            late.push(attempt.source);
             // What waits for the origin does not use the link.
             if self.waits.value > WAIT_BLAMED {
                 self.filling = (self.filling - attempt.filling).max(0.0);
                 attempt.filling = 0.0;
             }
         }
-        (0..late).for_each(|_| self.judge_fill(true));
+        late.into_iter().for_each(|source| self.judge_fill(source, true));
         self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
         if now >= self.next_fade {
             self.next_fade = now + HOT_EVERY;
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,8 @@
     /// Usual time between its answers.
     pub gap: Mean,
     pub in_flight: u32,
+    /// As a source: the share of late fills.
+    pub late: Mean,
     /// As a source: the time to the first byte of what it had to get from the origin.
     pub wait: Mean,
     /// How crowded it may be.
@@ -35,6 +37,7 @@
             heard: now,
             gap: Mean::new(0.0),
             in_flight: 0,
+            late: Mean::new(0.0),
             wait: Mean::new(0.0),
             gate: Gate::new(gate),
             filter,
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -110,6 +110,30 @@
     assert!(matches!(world.finals.last(), Some(Action::Refuse { .. })), "refused at once");
 }
 
+/// Its late fills would close the link for those of the other parents.
+#[test]
+fn a_parent_whose_fills_are_late_is_passed_by_and_tried_now_and_then() {
+    let mut world = warmed();
+    for object in 1000..1200 {
+        world.pass(40.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        let slow = sent.fill.is_some_and(|fill| fill.source == PARENTS[0]);
+        world.end_after(sent, Status::Ok, Some(Note::Filled), if slow { 1500.0 } else { 100.0 });
+    }
+    let from: Vec<CacheId> = (2000..2200)
+        .filter_map(|object| world.ask(SAFE, object).map(|sent| (sent, object)))
+        .map(|(sent, _)| {
+            world.end_after(sent, Status::Ok, Some(Note::Filled), 100.0);
+            sent.fill.expect("a fill").source
+        })
+        .take(60)
+        .collect();
+    let slow = from.iter().filter(|&&source| source == PARENTS[0]).count();
+    assert!(slow < 10, "{slow} of {} fills from the slow parent", from.len());
+    let fills = from.iter().filter(|source| PARENTS.contains(source)).count();
+    assert!(fills > 50, "the link stays open for the other: {fills}");
+}
+
 /// A trouble that fails all requests must not be multiplied by further attempts.
 #[test]
 fn further_attempts_are_bounded() {
