The origin's share counts for renewals too

Others ruled out: first bytes from parents stayed at 88 ms, so it was not they; going round them made it worse. Should also hold against mass purges of aging classes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -462,7 +462,8 @@
         let known = self.servers.get(&route.cache).is_some_and(|s| s.filter.contains(item));
         let source = route.fill.map(|fill| fill.source).filter(|&source| source != route.cache);
         let sibling = source.and_then(|id| self.servers.get(&id)).is_some_and(|s| self.set.is_own(&s.member));
-        let fills = !known && source.is_some() && !sibling;
+        let above = source.is_some() && !sibling;
+        let fills = above && !known;
         let attempt = Attempt {
             cache: route.cache,
             source,
@@ -473,6 +474,7 @@
             keeps: route.fill.is_some_and(|fill| fill.rank > 0),
             sibling,
             fills,
+            renews: above && known && self.set.class(request.class).fresh > 0.0,
             filling: if fills { work } else { 0.0 },
             item,
             called_off: false,
@@ -551,7 +553,9 @@
         if self.crowding(owner) > self.servers[&owner].gate.limit * self.dearness(open) {
             return None;
         }
-        let to_origin = known || open.draw < self.origin_gate.limit;
+        // What the filter shows may still be past its fresh time, and then has to be renewed at the origin.
+        let ages = self.set.class(request.class).fresh > 0.0;
+        let to_origin = (known && !ages) || open.draw < self.origin_gate.limit;
         let source = self.fill_source(open).filter(|&source| {
             (known || self.link_bears(open.work)) && (to_origin || Some(source) != self.origin())
         });
@@ -810,7 +814,8 @@
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
-        if !attempt.fills || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
+        let may_fill = attempt.fills || attempt.renews;
+        if !may_fill || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
             return;
         }
         let late = lost || outcome.took > attempt.aim;
@@ -826,19 +831,20 @@
             self.origin_gate.report(self.now, late && waited, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         if !attempt.late && !waited {
-            self.judge_fill(attempt.source, late);
+            self.judge_fill(attempt, late);
         }
     }
 
     /// Counts a fill whose wait is not known, or was not long.
-    fn judge_fill(&mut self, source: Option<CacheId>, late: bool) {
+    fn judge_fill(&mut self, attempt: &Attempt, late: bool) {
         if late && self.waits.value > WAIT_BLAMED {
             return self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
-        if let Some(server) = source.and_then(|id| self.servers.get_mut(&id)) {
+        let Some(source) = attempt.source.filter(|_| attempt.fills) else { return };
+        if let Some(server) = self.servers.get_mut(&source) {
             server.late.blend(f64::from(u8::from(late)), SLOW_WEIGHT);
         }
-        if late && source.is_some_and(|id| self.clearly_slow(id)) {
+        if late && self.clearly_slow(source) {
             return;
         }
         let most = LINK_GATE.most * self.at_once.max(1.0);
@@ -866,16 +872,17 @@
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let mut late = Vec::new();
-        for attempt in self.attempts.values_mut().filter(|a| a.fills && !a.late && now - a.sent > a.aim) {
+        let overdue = |a: &&mut Attempt| (a.fills || a.renews) && !a.late && now - a.sent > a.aim;
+        for attempt in self.attempts.values_mut().filter(overdue) {
             attempt.late = true;
-            late.push(attempt.source);
+            late.push(*attempt);
             // What waits for the origin does not use the link.
             if self.waits.value > WAIT_BLAMED {
                 self.filling = (self.filling - attempt.filling).max(0.0);
                 attempt.filling = 0.0;
             }
         }
-        late.into_iter().for_each(|source| self.judge_fill(source, true));
+        late.iter().for_each(|attempt| self.judge_fill(attempt, true));
         self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
         if now >= self.next_fade {
             self.next_fade = now + HOT_EVERY;
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     /// Likely to fill from above the location, by its link; and how much of that is under way.
     pub fills: bool,
     pub filling: Ms,
+    /// Shown by the filter, but its copy may be past its fresh time.
+    pub renews: bool,
     /// A filter's name for what was asked for.
     pub item: u64,
     /// Cancelled by this router.
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -87,6 +87,33 @@
     assert!(held.count() > 20, "most misses ask the parents only for what they hold");
 }
 
+/// What a filter shows may be past its fresh time; its renewals must not escape the origin's share.
+#[test]
+fn renewals_count_against_a_slow_origin_too() {
+    let mut world = warmed();
+    for object in 1000..1060 {
+        world.pass(30.0);
+        world.serve(FRESH, object, Note::Filled);
+    }
+    for object in 2000..2030 {
+        world.pass(30.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        world.tell(Event::Outcome(Outcome {
+            attempt: sent.attempt,
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: 1500.0,
+            waited: 1400.0,
+            note: Some(Note::FilledByOrigin),
+            load: Load::default(),
+        }));
+    }
+    let asked: Vec<Sent> = (1000..1060).filter_map(|object| world.ask(FRESH, object)).collect();
+    let held = asked.iter().filter(|sent| sent.fill.is_some_and(|fill| fill.only_held)).count();
+    assert!(held > asked.len() / 2, "{held} of {} ask only for what is held", asked.len());
+}
+
 /// Late fills hold the slots of their caches until even hits come late.
 #[test]
 fn fills_that_come_late_are_held_back_and_hits_go_on() {
