Errors of untold origin are the parent's unless the cache fails with what it holds

Also, a location whose caches all seem out asks them all the same. Might hurt by asking dead caches where a whole location is lost.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,8 +56,8 @@
 const SILENT: Ms = 300.0;
 const SILENT_GAPS: f64 = 6.0;
 const SILENT_OVERDUE: usize = 2;
-/// A cache that turns away more than this share of what it holds is full.
-const FULL_SHARE: f64 = 0.15;
+/// A cache that fails more than this share of what it is known to hold fails by itself.
+const FAILS_SHARE: f64 = 0.15;
 /// A server is taken out at that share of failures, of about the last seven outcomes; it is left alone for
 /// half a second, for longer after each failed way back, and trusted after some good trials in a row.
 const HEALTH: HealthRule =
@@ -524,6 +524,11 @@
         let order = self.ring.successors(mix(request.object.0, SALT_OWNER));
         let mut usable = order.clone();
         usable.retain(|id| !open.avoid.contains(id) && self.usable(*id));
+        if usable.is_empty() {
+            // All out at once, as it seems: rather the fault of something behind them, or of the judgement.
+            usable = order.clone();
+            usable.retain(|id| !open.avoid.contains(id) && self.bears(*id));
+        }
         // A cold cache owns as much of its arc as it can bear; the next on the ring stands in for it.
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
@@ -702,11 +707,14 @@
 
     /// Whether a server may be sent something now, or be named as a source.
     fn usable(&self, id: CacheId) -> bool {
+        self.bears(id) && self.servers.get(&id).is_some_and(|server| server.health.admits())
+    }
+
+    /// Whether it is ready, and not too cold for it by the rule.
+    fn bears(&self, id: CacheId) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
         let bears = |(rate, most)| server.allowance.left(self.now, rate, most) >= 0.0;
-        server.member.phase == Phase::Ready
-            && server.health.admits()
-            && self.cold_rate(server).is_none_or(bears)
+        server.member.phase == Phase::Ready && self.cold_rate(server).is_none_or(bears)
     }
 
     // ---- Outcomes and health.
@@ -719,8 +727,8 @@
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
                 server.hear(self.now, HEALTH.weight);
             }
-            if !attempt.fills && matches!(outcome.status, Status::Ok | Status::Full) {
-                server.full.blend(f64::from(u8::from(outcome.status == Status::Full)), HEALTH.weight);
+            if !attempt.fills && matches!(outcome.status, Status::Ok | Status::Full | Status::Error) {
+                server.fails.blend(f64::from(u8::from(outcome.status != Status::Ok)), HEALTH.weight);
             }
         }
         let id = outcome.attempt.request;
@@ -770,14 +778,14 @@
         let asked = self.servers.get(&attempt.cache);
         let heard = asked.is_some_and(|s| s.heard > attempt.sent);
         let up = asked.is_some_and(|s| s.health.is_up());
-        let full = asked.is_some_and(|s| s.full.value > FULL_SHARE);
+        let failing = asked.is_some_and(|s| s.fails.value > FAILS_SHARE);
         let (cache, source) = match (outcome.status, outcome.note) {
             (Ok, Some(Filled | FilledByOrigin | Joined)) => (Some(true), Some(true)),
             (Ok, _) => (Some(true), (told == Tells::Nothing && attempt.fills).then_some(true)),
             (_, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
             (_, Some(OriginFailed | NoPlace)) => (None, None),
-            // Where it is not told who turned it away: the cache, if it does so with what it holds too.
-            (Full, _) if told != Tells::All && attempt.fills && !full => (None, Some(false)),
+            // Where it is not told whose doing it was: the cache's, if it fails with what it holds too.
+            (Full | Error, _) if told != Tells::All && attempt.fills && !failing => (None, Some(false)),
             // Turned away as full is a matter of load, not of health: taking the cache out would only
             // push its load onto the next.
             (Full, _) => (None, None),
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,8 +10,8 @@
 pub struct Server {
     pub member: Member,
     pub health: Health,
-    /// Share of what it was known to hold that it turned away.
-    pub full: Mean,
+    /// Share of what it was known to hold that it failed or turned away.
+    pub fails: Mean,
     pub heard: Ms,
     /// Usual time between its answers.
     pub gap: Mean,
@@ -33,7 +33,7 @@
         Self {
             member,
             health: Health::default(),
-            full: Mean::new(0.0),
+            fails: Mean::new(0.0),
             heard: now,
             gap: Mean::new(0.0),
             in_flight: 0,
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -45,6 +45,41 @@
     assert_eq!(both, [Some(CACHES[0]); 2], "it is trusted again");
 }
 
+/// Where nothing is told of an error's origin, a failing parent must not take all caches out.
+#[test]
+fn errors_of_fills_are_the_parents_where_the_caches_serve_what_they_hold() {
+    let mut world = World::new(Settings { tells: Tells::Nothing, ..settings() });
+    for object in 0..200 {
+        world.pass(20.0);
+        world.serve(SAFE, object, Note::Hit);
+    }
+    for object in 1000..1100 {
+        world.pass(20.0);
+        let mut last = world.ask(SAFE, object);
+        while let Some(sent) = last {
+            let failing = sent.fill.is_some_and(|fill| fill.source == PARENTS[0]);
+            last = world.end_after(sent, if failing { Status::Error } else { Status::Ok }, None, 100.0);
+        }
+        world.serve(SAFE, object % 200, Note::Hit);
+    }
+    assert!(world.finals.len() < 10, "{} requests given up", world.finals.len());
+    let parents = (2000..2030).map(|n| world.serve(SAFE, n, Note::Filled).fill.expect("a fill").source);
+    assert!(parents.filter(|&source| source == PARENTS[0]).count() < 5);
+}
+
+/// All out at once is more likely a fault of the judgement than of all caches.
+#[test]
+fn with_every_cache_judged_bad_requests_still_go_out() {
+    let mut world = warmed();
+    for object in 0..60 {
+        world.pass(5.0);
+        if let Some(sent) = world.ask(SAFE, object) {
+            world.end(sent, Status::Reset, None);
+        }
+    }
+    assert!((60..70).filter_map(|object| world.ask(SAFE, object)).count() == 10);
+}
+
 /// A hung or vanished cache answers nothing, and stays on the list for seconds.
 #[test]
 fn what_waits_for_a_silent_cache_is_called_off_and_tried_elsewhere() {
