--- a/src/brain.rs
+++ b/src/brain.rs
@@ -676,8 +676,10 @@
     /// The part of its capacity that may be asked of a server that has just started.
     fn cold_share(&self, server: &Server) -> Option<f64> {
         let cold = self.set.cold_start(&server.member);
-        let age = self.now - server.member.since;
-        let started = server.member.since > 0.0 && age < cold.warm_in;
+        // One that took no connection may come back cold before the list tells of its start.
+        let since = server.member.since.max(server.down);
+        let age = self.now - since;
+        let started = since > 0.0 && age < cold.warm_in;
         let least = cold.from + (1.0 - cold.from) * (age / cold.warm_in).max(0.0);
         started.then_some(least * cold.fall_multiple * COLD_PART)
     }
@@ -795,6 +797,9 @@
             (Miss | Cancelled | Moot, _) => (None, None),
         };
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
+            if outcome.status == ConnectFailed && !server.health.is_up() {
+                server.down = self.now;
+            }
             if outcome.status == Ok && (attempt.keeps || outcome.note == Some(Hit)) {
                 server.filter.insert(attempt.item);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,8 @@
     /// Share of what it was known to hold that it failed or turned away.
     pub fails: Mean,
     pub heard: Ms,
+    /// When it last took no connection while it was judged bad; 0 = not yet.
+    pub down: Ms,
     /// Usual time between its answers.
     pub gap: Mean,
     pub in_flight: u32,
@@ -35,6 +37,7 @@
             health: Health::default(),
             fails: Mean::new(0.0),
             heard: now,
+            down: 0.0,
             gap: Mean::new(0.0),
             in_flight: 0,
             late: Mean::new(0.0),
