Where no cache of the location is usable, ask the home parent straight

Should also hold where caches are wrongly judged. Might hurt by loading parents while all caches of a location are cold.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -524,8 +524,8 @@
         let order = self.ring.successors(mix(request.object.0, SALT_OWNER));
         let mut usable = order.clone();
         usable.retain(|id| !open.avoid.contains(id) && self.usable(*id));
-        if usable.is_empty() {
-            // All out at once, as it seems: rather the fault of something behind them, or of the judgement.
+        if usable.is_empty() && !self.set.direct {
+            // All out at once is more likely a fault of something behind them, or of the judgement.
             usable = order.clone();
             usable.retain(|id| !open.avoid.contains(id) && self.bears(*id));
         }
@@ -537,12 +537,10 @@
         let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
         let owner = several.iter().copied().find(|&id| self.crowding(id) < CROWDED).or(least);
         let Some(owner) = owner else {
-            // No cache is left in the location: past them, straight to the source.
-            let source = self.fill_source(open)?;
-            if !self.set.direct || open.avoid.contains(&source) || order.iter().any(|&id| self.ready(id)) {
-                return None;
-            }
-            return Some(Route { cache: source, fill: Some(self.fill(request, source, 0, stale)) });
+            // No cache is left in the location, by the list or by what this router sees: past them.
+            let parent = self.fill_source(open).filter(|_| self.set.direct && self.link_bears(open.work))?;
+            let source = self.origin().unwrap_or(parent);
+            return Some(Route { cache: parent, fill: Some(self.fill(request, source, 0, stale)) });
         };
         let item = self.item(request);
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
