--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,7 +38,7 @@
 /// for each such part.
 const HOT_SHARE: f64 = 0.15;
 /// A hot object's next holder comes in while the ones before it have their links that full.
-const CROWDED: f64 = 1.5;
+const CROWDED: f64 = 2.2;
 /// Work seen before an object's share of it means anything, in requests of mean size.
 const HOT_SEEN: f64 = 40.0;
 /// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
