--- a/src/brain.rs
+++ b/src/brain.rs
@@ -902,6 +902,7 @@
         if now >= self.next_rotation {
             self.next_rotation = now + FILTER_ROTATION;
             self.servers.values_mut().for_each(|server| server.filter.rotate());
+            self.servers.retain(|_, server| server.member.phase != Phase::Gone || server.in_flight > 0);
             // Kept for as long as a filter may hold what was there before the purge.
             self.purges.forget_before(now - self.set.purge_done.max(3.0 * FILTER_ROTATION) - PURGE_LONGER);
         }
