What waits for a silent cache is not its parent's silence; bound reads straight to the origin

Should also hold against parents and caches that fail together. Might leave a hung parent in a little longer where its caches are hardly asked.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -540,6 +540,9 @@
             // No cache is left in the location, by the list or by what this router sees: past them.
             let parent = self.fill_source(open).filter(|_| self.set.direct && self.link_bears(open.work))?;
             let source = self.origin().unwrap_or(parent);
+            if parent == source && open.draw >= self.origin_gate.limit {
+                return None;
+            }
             return Some(Route { cache: parent, fill: Some(self.fill(request, source, 0, stale)) });
         };
         let item = self.item(request);
@@ -825,6 +828,11 @@
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
+        let straight = Some(attempt.cache) == self.origin() && !self.set.class(attempt.class).write;
+        if straight && !matches!(outcome.status, Status::Moot) {
+            let late = outcome.status != Status::Ok || outcome.took > attempt.aim;
+            self.origin_gate.report(self.now, late, ORIGIN_GATE.most, &ORIGIN_GATE);
+        }
         let may_fill = attempt.fills || attempt.renews;
         if !may_fill || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
             return;
@@ -918,9 +926,11 @@
         let mut overdue: BTreeMap<CacheId, usize> = BTreeMap::new();
         for attempt in self.attempts.values().filter(|a| late(a)) {
             *overdue.entry(attempt.cache).or_default() += 1;
-            // A parent that waits for a slow origin is not silent: without it all would go to the origin.
-            if let Some(source) = attempt.source.filter(|_| attempt.fills && self.waits.value <= WAIT_BLAMED)
-            {
+            // The source's silence, only if the cache itself has answered since: else all that waits for a silent
+            // cache would count against the parents. One that waits for a slow origin is not silent either.
+            let heard = self.servers.get(&attempt.cache).is_some_and(|s| s.heard > attempt.sent);
+            let its_own = attempt.fills && heard && self.waits.value <= WAIT_BLAMED;
+            if let Some(source) = attempt.source.filter(|_| its_own) {
                 *overdue.entry(source).or_default() += 1;
             }
         }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -125,6 +125,43 @@
     assert_ne!(again.cache, CACHES[0]);
 }
 
+/// A lost location must not take the parents for silent too: then all of it would go straight to the origin.
+#[test]
+fn what_waits_for_silent_caches_does_not_count_against_the_parents() {
+    let mut world = warmed();
+    for object in 1000..1030 {
+        let _ = world.ask(SAFE, object);
+        world.pass(20.0);
+    }
+    let before = world.sent.len();
+    for _ in 0..15 {
+        world.pass(100.0);
+        for attempt in std::mem::take(&mut world.cancelled) {
+            let sent = world.sent.iter().find(|sent| sent.attempt == attempt).copied().expect("an attempt");
+            world.end(sent, Status::Cancelled, None);
+        }
+    }
+    let straight: Vec<CacheId> = world.sent[before..].iter().map(|sent| sent.cache).collect();
+    assert!(straight.iter().any(|cache| PARENTS.contains(cache)), "{straight:?}");
+    assert!(!straight.contains(&THE_ORIGIN), "{straight:?}");
+}
+
+/// Where the caches and the parents are gone, the origin must not be pushed until it stops.
+#[test]
+fn reads_straight_to_the_origin_are_bounded_by_what_it_answers() {
+    let gone = CACHES.into_iter().chain(PARENTS).map(|id| Member { phase: Phase::Gone, ..member(id) });
+    let mut world = World::with(settings(), gone.chain([member(THE_ORIGIN)]).collect());
+    for object in 0..150 {
+        world.pass(150.0);
+        if let Some(sent) = world.ask(SAFE, object) {
+            assert_eq!(sent.cache, THE_ORIGIN);
+            world.end(sent, Status::Timeout, None);
+        }
+    }
+    let sent = (200..300).filter_map(|object| world.ask(SAFE, object)).count();
+    assert!(sent < 60, "{sent} of 100 go on to an origin that answers none");
+}
+
 /// Without this a slow origin takes the parents out, and everybody goes straight to it until it stops.
 #[test]
 fn parents_that_wait_for_a_slow_origin_stay_in() {
