--- a/src/brain.rs
+++ b/src/brain.rs
@@ -926,8 +926,8 @@
         let mut overdue: BTreeMap<CacheId, usize> = BTreeMap::new();
         for attempt in self.attempts.values().filter(|a| late(a)) {
             *overdue.entry(attempt.cache).or_default() += 1;
-            // The source's silence, only if the cache itself has answered since: else all that waits for a silent
-            // cache would count against the parents. One that waits for a slow origin is not silent either.
+            // The source's silence, only if the cache itself has answered since: else all that waits for a
+            // silent cache would count against the parents. Nor is one silent that waits for a slow origin.
             let heard = self.servers.get(&attempt.cache).is_some_and(|s| s.heard > attempt.sent);
             let its_own = attempt.fills && heard && self.waits.value <= WAIT_BLAMED;
             if let Some(source) = attempt.source.filter(|_| its_own) {
