Parents that refuse or time out behind a slow origin are not bad

Should also hold against a stopped origin. Might keep a refusing parent in for as long as the origin is slow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -781,10 +781,15 @@
         let asked = self.servers.get(&attempt.cache);
         let heard = asked.is_some_and(|s| s.heard > attempt.sent);
         let up = asked.is_some_and(|s| s.health.is_up());
+        let troubled = self.origin_gate.limit < ORIGIN_SOUND;
         let failing = asked.is_some_and(|s| s.fails.value > FAILS_SHARE);
         let (cache, source) = match (outcome.status, outcome.note) {
             (Ok, Some(Filled | FilledByOrigin | Joined)) => (Some(true), Some(true)),
             (Ok, _) => (Some(true), (told == Tells::Nothing && attempt.fills).then_some(true)),
+            // A parent whose places are taken by what waits for a slow origin refuses, or keeps a fill
+            // waiting until the cache gives it up. Taken out for that, it would send all to the origin.
+            (_, Some(SourceRefused)) if troubled => (None, None),
+            (_, Some(SourceUnreached)) if troubled && outcome.waited > attempt.aim / 2.0 => (None, None),
             (_, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
             (_, Some(OriginFailed | NoPlace)) => (None, None),
             // Where it is not told whose doing it was: the cache's, if it fails with what it holds too.
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -125,6 +125,30 @@
     assert_ne!(again.cache, CACHES[0]);
 }
 
+/// Fills that waited long for the origin, behind parents.
+fn slow_origin(world: &mut World) {
+    for object in 1000..1060 {
+        world.pass(30.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        if sent.fill.is_some_and(|fill| fill.only_held || fill.source == sent.cache) {
+            world.end(sent, Status::Miss, None);
+            continue;
+        }
+        assert!(sent.fill.is_some_and(|fill| PARENTS.contains(&fill.source)));
+        let id = sent.attempt.request;
+        world.tell(Event::Outcome(Outcome {
+            attempt: AttemptId { request: id, number: 0 },
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: 1500.0,
+            waited: 1400.0,
+            note: Some(Note::FilledByOrigin),
+            load: Load::default(),
+        }));
+    }
+}
+
 /// A lost location must not take the parents for silent too: then all of it would go straight to the origin.
 #[test]
 fn what_waits_for_silent_caches_does_not_count_against_the_parents() {
@@ -146,6 +170,30 @@
     assert!(!straight.contains(&THE_ORIGIN), "{straight:?}");
 }
 
+/// Parents whose places are taken by what waits for the origin refuse more; they are not to be taken out.
+#[test]
+fn parents_that_refuse_behind_a_slow_origin_stay_in() {
+    for note in [Note::SourceRefused, Note::SourceUnreached] {
+        let mut world = warmed();
+        slow_origin(&mut world);
+        for object in 3000..3040 {
+            let Some(sent) = world.ask(SAFE, object) else { continue };
+            world.tell(Event::Outcome(Outcome {
+                attempt: sent.attempt,
+                cache: sent.cache,
+                status: Status::Full,
+                settled: false,
+                took: 1900.0,
+                waited: 1800.0,
+                note: Some(note),
+                load: Load::default(),
+            }));
+        }
+        let sources = (4000..4040).filter_map(|object| world.ask(SAFE, object)).filter_map(|sent| sent.fill);
+        assert!(sources.filter(|fill| PARENTS.contains(&fill.source)).count() > 10, "{note:?}");
+    }
+}
+
 /// Where the caches and the parents are gone, the origin must not be pushed until it stops.
 #[test]
 fn reads_straight_to_the_origin_are_bounded_by_what_it_answers() {
@@ -166,26 +214,7 @@
 #[test]
 fn parents_that_wait_for_a_slow_origin_stay_in() {
     let mut world = warmed();
-    for object in 1000..1060 {
-        world.pass(30.0);
-        let Some(sent) = world.ask(SAFE, object) else { continue };
-        if sent.fill.is_some_and(|fill| fill.only_held || fill.source == sent.cache) {
-            world.end(sent, Status::Miss, None);
-            continue;
-        }
-        assert!(sent.fill.is_some_and(|fill| PARENTS.contains(&fill.source)));
-        let id = sent.attempt.request;
-        world.tell(Event::Outcome(Outcome {
-            attempt: AttemptId { request: id, number: 0 },
-            cache: sent.cache,
-            status: Status::Ok,
-            settled: true,
-            took: 1500.0,
-            waited: 1400.0,
-            note: Some(Note::FilledByOrigin),
-            load: Load::default(),
-        }));
-    }
+    slow_origin(&mut world);
     let held = (2000..2100)
         .filter_map(|object| world.ask(SAFE, object))
         .filter(|sent| sent.fill.is_some_and(|fill| fill.only_held && PARENTS.contains(&fill.source)));
