--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -299,7 +299,7 @@
             "family-info": {"bypass-allowed": true, "cleared-within": 6000, "flow-kb-per-s": 7000,
                 "grace-for": [0, 20000], "inlet-kb-per-s": [0, 800], "max-age": [0, 12000],
                 "merges-fills": true, "notice-time": 1000, "old-copy-worth": [1, 0.7],
-                "parent-fall-multiple": 2, "parent-floor": 0.07, "parent-warms-in": 22000,
+                "parent-fall-multiple": 2, "parent-floor": 0.1, "parent-warms-in": 20000,
                 "pass-on": [true, false], "peers-fill": "any", "seats-by-zone": [0, 3],
                 "second-tier-kind": 1, "store-kind": 2, "tells": "hit"},
             "grades": [
@@ -307,8 +307,8 @@
                  "window": 3000, "worth": 3, "late-worth": 0.2, "aim-stretch": 1.5, "streamed": true},
                 {"objective": 300, "deadline": 2500, "effect": "read_like", "worth": 1}],
             "report": {"fields": ["outstanding", "utilization", "x1", "x0", "backlog"]},
-            "rules": {"cold": 16000, "drain-grace": 250, "fall": 3000, "fall-multiple": 3,
-                      "start-capacity": 0.23}}"#;
+            "rules": {"cold": 15000, "drain-grace": 250, "fall": 3000, "fall-multiple": 3,
+                      "start-capacity": 0.25}}"#;
         let (settings, fields) = decode(text).expect("settings");
         use LoadField::*;
         assert_eq!(fields, [InFlight, Busy, Link, HitShare, Other]);
@@ -336,9 +336,9 @@
         assert_eq!((settings.flow_kb_per_s, settings.link_kb_per_s), (7000.0, 800.0));
         assert_eq!((settings.purge_grace, settings.purge_done), (1000.0, 6000.0));
         assert_eq!(settings.routers_by_zone, [0, 3]);
-        let cold = ColdStart { from: 0.23, warm_in: 16_000.0, fall_multiple: 3.0, window: 3000.0 };
+        let cold = ColdStart { from: 0.25, warm_in: 15_000.0, fall_multiple: 3.0, window: 3000.0 };
         assert_eq!(settings.cache_cold, cold);
-        let cold = ColdStart { from: 0.07, warm_in: 22_000.0, fall_multiple: 2.0, window: 3000.0 };
+        let cold = ColdStart { from: 0.1, warm_in: 20_000.0, fall_multiple: 2.0, window: 3000.0 };
         assert_eq!(settings.parent_cold, cold);
     }
 
