--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,8 @@
 /// An object with this part of a cache's fair share of the work gets a further holder, and one more
 /// for each such part.
 const HOT_SHARE: f64 = 0.15;
-/// A hot object's next holder comes in while the ones before it have their links that full.
+/// A hot object's next holder comes in while the ones before it have that many times as many transfers in
+/// hand as fill their links: wanted times bear more, and each further holder costs fills.
 const CROWDED: f64 = 2.2;
 /// Work seen before an object's share of it means anything, in requests of mean size.
 const HOT_SEEN: f64 = 40.0;
@@ -554,12 +555,14 @@
                 return Some(Route { cache, fill: Some(fill) });
             }
         }
-        // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
-        // what is held, here or at the parent, and is refused at once if that is nothing.
+        // What a crowded cache would answer too late is refused, the least worth for its work first. Meets
+        // bursts, lost neighbours and slow caches; might hurt where sizes are neither told nor learnt.
         if self.crowding(owner) > self.servers[&owner].gate.limit * self.dearness(open) {
             return None;
         }
-        // What the filter shows may still be past its fresh time, and then has to be renewed at the origin.
+        // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
+        // what is held, here or at the parent, and is refused at once if that is nothing. What the filter
+        // shows may still be past its fresh time, and then has to be renewed at the origin.
         let ages = self.set.class(request.class).fresh > 0.0;
         let to_origin = (known && !ages) || open.draw < self.origin_gate.limit;
         let source = self.fill_source(open).filter(|&source| {
