--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,6 +29,7 @@
 const SALT_PARENT: u64 = 0x7061_7265;
 const SALT_RAMP: u64 = 0x7261_6d70;
 const SALT_PART: u64 = 0x7061_7274;
+const SALT_DEAL: u64 = 0x6465_616c;
 
 /// The owner is far busier when it has this multiple of the others' mean in flight and so many more.
 /// A sibling fill drains the owner's link as much as an answer does, so this is set high.
@@ -41,7 +42,7 @@
 /// hand as fill their links: wanted times bear more, and each further holder costs fills.
 const CROWDED: f64 = 2.2;
 /// Work seen before an object's share of it means anything, in requests of mean size.
-const HOT_SEEN: f64 = 40.0;
+const HOT_SEEN: f64 = 4.0;
 /// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
 const HOT_KEPT: f64 = 0.8;
 const HOT_LEAST: f64 = 1e-4;
@@ -533,10 +534,16 @@
         // A cold cache owns as much of its arc as it can bear; the next on the ring stands in for it.
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
-        let several = self.holders(request, order.len());
-        let several = &holders[..several.min(holders.len())];
+        let mut several = holders[..self.holders(request, order.len()).min(holders.len())].to_vec();
+        let item = self.item(request);
+        if request.part > 0 {
+            // Its parts are dealt out among the holders, so that these cost no further fills.
+            several.sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
+        }
+        let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
-        let owner = several.iter().copied().find(|&id| self.crowding(id) < CROWDED).or(least);
+        let fit = || several.iter().copied().filter(|&id| self.crowding(id) < CROWDED);
+        let owner = fit().find(shows).or_else(|| fit().next()).or(least);
         let Some(owner) = owner else {
             // No cache is left in the location, by the list or by what this router sees: past them.
             let parent = self.fill_source(open).filter(|_| self.set.direct && self.link_bears(open.work))?;
@@ -546,8 +553,6 @@
             }
             return Some(Route { cache: parent, fill: Some(self.fill(request, source, 0, stale)) });
         };
-        let item = self.item(request);
-        let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let known = shows(&owner);
         if known && !open.owner_only && several.len() == 1 && self.set.siblings != Siblings::Off {
             if let Some(cache) = self.far_less_busy(owner, holders) {
