Five holders of a watched object, found alike by all routers, share its parts

Cause: each router saw another heat for the same object, so that a part stood at two caches and cost two fills.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,9 @@
 /// An object with this part of a cache's fair share of the work gets a further holder, and one more
 /// for each such part.
 const HOT_SHARE: f64 = 0.15;
+/// Holders of an object that is asked for part after part: one who watches it takes a good part of a cache's
+/// link for as long as it lasts. All routers find the same ones, however few requests each sees.
+const WATCHED_HOLDERS: usize = 5;
 /// A hot object's next holder comes in while the ones before it have that many times as many transfers in
 /// hand as fill their links: wanted times bear more, and each further holder costs fills.
 const CROWDED: f64 = 2.2;
@@ -534,11 +537,13 @@
         // A cold cache owns as much of its arc as it can bear; the next on the ring stands in for it.
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
-        let mut several = holders[..self.holders(request, order.len()).min(holders.len())].to_vec();
+        let several = self.holders(request, order.len()).min(holders.len());
+        let mut several = holders[..several].to_vec();
         let item = self.item(request);
+        // The parts of a watched object are dealt out among its holders, so that these cost no further fills.
+        let dealt = several.len().min(WATCHED_HOLDERS);
         if request.part > 0 {
-            // Its parts are dealt out among the holders, so that these cost no further fills.
-            several.sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
+            several[..dealt].sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
         }
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
@@ -626,10 +631,11 @@
     /// How many caches hold the object. One, but for an object that draws so much of the work that its
     /// owner's link would be drained: then as many as share it out (the paper's several holders).
     fn holders(&self, request: &Request, caches: usize) -> usize {
+        let least = if request.part > 0 { WATCHED_HOLDERS } else { 1 };
         if self.heat.sum < HOT_SEEN * self.mean_work(request.class) {
-            return 1;
+            return least;
         }
-        1 + (self.heat.share(&request.object) * caches as f64 / HOT_SHARE) as usize
+        least.max(1 + (self.heat.share(&request.object) * caches as f64 / HOT_SHARE) as usize)
     }
 
     /// Whether the location's link bears another fill of that size. Large ones are held back first.
