Tell crowding from own requests and the usual number of the others'

Cause: own requests in flight times the routers is a guess in steps of one router's share: with seven routers two requests at a cache of four transfers made it crowded.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,8 @@
 /// A hot object's next holder comes in while the ones before it have that many times as many transfers in
 /// hand as fill their links: wanted times bear more, and each further holder costs fills.
 const CROWDED: f64 = 2.2;
+/// Over so long a router takes the mean of what it has in flight at a cache for what each other one has there.
+const USUAL: Ms = 2_000.0;
 /// Work seen before an object's share of it means anything, in requests of mean size.
 const HOT_SEEN: f64 = 4.0;
 /// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
@@ -496,6 +498,7 @@
             }
         }
         if let Some(server) = self.servers.get_mut(&route.cache) {
+            server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
             server.in_flight += 1;
         }
         self.filling += attempt.filling;
@@ -651,10 +654,12 @@
         self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / s.member.weight.max(0.01))
     }
 
-    /// How full a cache's link is, taking the location's other routers to send as much.
+    /// How full a cache's link is, taking the location's other routers to hold there what this one usually does.
     fn crowding(&self, id: CacheId) -> f64 {
-        let routers = self.servers.get(&id).map_or(1, |s| self.set.routers_for(&s.member));
-        self.load(id) * f64::from(routers)
+        self.servers.get(&id).map_or(0.0, |s| {
+            let others = f64::from(self.set.routers_for(&s.member) - 1);
+            (f64::from(s.in_flight) + others * s.usual.mean) / s.member.weight.max(0.01)
+        })
     }
 
     /// How far a request may pass a gate's limit: the more worth it brings for its work, the further.
@@ -740,6 +745,7 @@
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
         self.filling = (self.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
+            server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
             server.in_flight = server.in_flight.saturating_sub(1);
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
                 server.hear(self.now, HEALTH.weight);
@@ -906,7 +912,10 @@
     fn look_round(&mut self) {
         self.out.push(Action::Timer { at: self.now + LOOK_EVERY, token: LOOK });
         let now = self.now;
-        self.servers.values_mut().for_each(|server| server.health.look(now));
+        for server in self.servers.values_mut() {
+            server.health.look(now);
+            server.usual.pass(now, f64::from(server.in_flight), USUAL);
+        }
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let mut late = Vec::new();
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -29,6 +29,25 @@
     }
 }
 
+/// The mean over time of a level that moves in steps, in which the past fades.
+#[derive(Debug, Clone, Copy)]
+pub struct Level {
+    pub mean: f64,
+    at: Ms,
+}
+
+impl Level {
+    pub fn new(now: Ms) -> Self {
+        Self { mean: 0.0, at: now }
+    }
+
+    /// Takes in that the level was `held` from the last call until now; `span` is how far back the mean goes.
+    pub fn pass(&mut self, now: Ms, held: f64, span: Ms) {
+        self.mean += (held - self.mean) * (1.0 - (-(now - self.at) / span).exp());
+        self.at = now;
+    }
+}
+
 /// How much of the whole each of many draws, fading as time goes by.
 #[derive(Debug, Clone)]
 pub struct Shares<K> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::filter::TwoGenerations;
 use crate::health::Health;
 use crate::interface::{CacheId, Fill, Member, Ms, Request};
-use crate::measure::{Allowance, Gate, Mean};
+use crate::measure::{Allowance, Gate, Level, Mean};
 
 /// A cache, a parent or the origin.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     /// Usual time between its answers.
     pub gap: Mean,
     pub in_flight: u32,
+    /// Its usual number in flight.
+    pub usual: Level,
     /// As a source: the share of late fills.
     pub late: Mean,
     /// As a source: the time to the first byte of what it had to get from the origin.
@@ -40,6 +42,7 @@
             down: 0.0,
             gap: Mean::new(0.0),
             in_flight: 0,
+            usual: Level::new(now),
             late: Mean::new(0.0),
             wait: Mean::new(0.0),
             gate: Gate::new(gate),
