The link's limit counts the fills of all the location's routers, as estimated

Cause: each router held its own fills alone against a limit of its own, starting at twice what all caches of the location can send, so that seven together let through seven times as much.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 use crate::filter::TwoGenerations;
 use crate::health::HealthRule;
 use crate::interface::*;
-use crate::measure::{Gate, GateRule, Mean, Shares};
+use crate::measure::{Gate, GateRule, Level, Mean, Shares};
 use crate::purges::Purges;
 use crate::ring::{fraction, mix, Ring};
 use crate::state::{Attempt, Open, Route, Server};
@@ -167,6 +167,7 @@
     waits: Mean,
     /// Work of the fills that are under way.
     filling: Ms,
+    usual_filling: Level,
     out: Vec<Action>,
     looking: bool,
 }
@@ -200,6 +201,7 @@
             link_gate: Gate::new(f64::INFINITY),
             waits: Mean::new(0.0),
             filling: 0.0,
+            usual_filling: Level::new(0.0),
             out: Vec::new(),
             looking: false,
         }
@@ -501,6 +503,7 @@
             server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
             server.in_flight += 1;
         }
+        self.usual_filling.pass(self.now, self.filling, USUAL);
         self.filling += attempt.filling;
         let Some(open) = self.open.get_mut(&id) else { return };
         self.attempts.insert(AttemptId { request: id, number: open.sent as u8 }, attempt);
@@ -646,7 +649,15 @@
     /// Meets all that slows fills down: a thinner or crowded link, empty caches, bursts. Without it, fills
     /// that are late hold the slots of their cache until even what it holds comes late.
     fn link_bears(&self, work: Ms) -> bool {
-        self.filling <= 0.0 || self.filling + work <= self.link_gate.limit * self.mean_size()
+        let filling = self.all_filling();
+        filling <= 0.0 || filling + work <= self.link_gate.limit * self.mean_size()
+    }
+
+    /// Work of the fills under way through the location's link, taking its other routers to have there what this
+    /// one usually does.
+    fn all_filling(&self) -> Ms {
+        let here = self.set.routers_by_zone.get(usize::from(self.set.zone)).copied().unwrap_or(1);
+        self.filling + f64::from(here.max(1) - 1) * self.usual_filling.mean
     }
 
     /// This router's requests in flight at a cache, for its size.
@@ -743,6 +754,7 @@
 
     fn on_outcome(&mut self, outcome: &Outcome) {
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
+        self.usual_filling.pass(self.now, self.filling, USUAL);
         self.filling = (self.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
             server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
@@ -893,7 +905,7 @@
         }
         let most = LINK_GATE.most * self.at_once.max(1.0);
         self.link_gate.limit = self.link_gate.limit.min(most);
-        let used = self.filling / self.mean_size();
+        let used = self.all_filling() / self.mean_size();
         let raise = LINK_GATE.raise / self.link_gate.limit.max(1.0);
         self.link_gate.report(self.now, late, used, &GateRule { most, raise, ..LINK_GATE });
     }
@@ -916,6 +928,7 @@
             server.health.look(now);
             server.usual.pass(now, f64::from(server.in_flight), USUAL);
         }
+        self.usual_filling.pass(now, self.filling, USUAL);
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let mut late = Vec::new();
