Refuse at a crowded cache what its crowding and size would bring late, by a learned factor

Merges the gate on crowding and the weighing of worth: what counts is whether the answer would still be in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -85,9 +85,6 @@
 /// How far a new answer moves what is known of a mean.
 const LEARN: f64 = 0.02;
 
-/// How far a request that is worth much for its work may pass a gate's limit, and one that is worth
-/// little has to stay below it.
-const DEAR_MOST: f64 = 4.0;
 /// A purge is taken to be this much younger than told, to be safe from rounding.
 const PURGE_SLACK: Ms = 2.0;
 /// Older copies are looked out for this long after the rule says they are gone.
@@ -119,7 +116,7 @@
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
 const SEND_GATE: GateRule =
-    GateRule { weight: 0.1, borne: 0.3, cut: 0.85, every: 200.0, raise: 0.03, least: 1.0, most: 6.0 };
+    GateRule { weight: 0.1, borne: 0.2, cut: 0.85, every: 200.0, raise: 0.02, least: 0.4, most: 1.5 };
 /// Weight of a fill by way of the origin in the share that waited longer than a client would for a small
 /// answer, and the share at which what is late is put down to the origin.
 const WAIT_WEIGHT: f64 = 0.15;
@@ -573,7 +570,9 @@
         }
         // What a crowded cache would answer too late is refused, the least worth for its work first. Meets
         // bursts, lost neighbours and slow caches; might hurt where sizes are neither told nor learnt.
-        if self.crowding(owner) > self.servers[&owner].gate.limit * self.dearness(open) {
+        let class = self.set.class(request.class);
+        let aim = class.aim + class.aim_stretch * open.work;
+        if self.crowding(owner) * open.work > self.servers[&owner].gate.limit * aim {
             return None;
         }
         // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
@@ -588,8 +587,6 @@
         let elsewhere = || holders.iter().copied().find(|id| shows(id) && self.crowding(*id) < CROWDED);
         let owner = if source.is_some() { owner } else { elsewhere().unwrap_or(owner) };
         // An ageing copy now is worth more than a fresh one late, where the way to the origin is that long.
-        let class = self.set.class(request.class);
-        let aim = class.aim + class.aim_stretch * open.work;
         let far = source.is_some_and(|id| self.servers[&id].wait.value + open.work + WAY_BACK > aim);
         let fill = self.fill(request, source.unwrap_or(owner), 1, stale || far);
         let renew = fill.renew && origin_sound;
@@ -673,17 +670,6 @@
         })
     }
 
-    /// How far a request may pass a gate's limit: the more worth it brings for its work, the further.
-    fn dearness(&self, open: &Open) -> f64 {
-        let usual = self.worth.value / self.work.value.max(1.0);
-        let own = self.set.class(open.request.class).worth / open.work.max(1.0);
-        if usual > 0.0 {
-            (own / usual).sqrt().clamp(1.0 / DEAR_MOST, DEAR_MOST)
-        } else {
-            1.0
-        }
-    }
-
     fn less_busy(&self, a: CacheId, b: CacheId) -> CacheId {
         if self.load(b) < self.load(a) {
             b
@@ -779,10 +765,11 @@
         }
         self.judge_ways(&attempt, outcome);
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
-        if !attempt.fills && attempt.source.is_some() && (late || outcome.status == Status::Ok) {
-            let crowding = self.crowding(attempt.cache);
+        let held = outcome.note == Some(Note::Hit) || !attempt.fills && attempt.source.is_some();
+        if held && (late || outcome.status == Status::Ok) {
+            let used = self.crowding(attempt.cache) * attempt.work / attempt.aim.max(1.0);
             if let Some(server) = self.servers.get_mut(&attempt.cache) {
-                server.gate.report(self.now, late, crowding, &SEND_GATE);
+                server.gate.report(self.now, late, used, &SEND_GATE);
             }
         }
         let to_avoid = self.judge_servers(&attempt, outcome);
