--- a/src/brain.rs
+++ b/src/brain.rs
@@ -145,8 +145,7 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     /// By class: the mean sending time.
     works: Vec<Mean>,
-    /// The mean worth and work of a request.
-    worth: Mean,
+    /// The mean work of a request.
     work: Mean,
     /// Where sizes are not told: the shortest that an object's parts, which are alike, took.
     sizes: BTreeMap<ObjectId, Ms>,
@@ -184,7 +183,6 @@
             at_once: 0.0,
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            worth: Mean::new(0.0),
             work: Mean::new(0.0),
             sizes: BTreeMap::new(),
             heat: Shares::default(),
@@ -348,7 +346,6 @@
             self.learn_work(request.class, work);
         }
         self.heat.add(request.object, work);
-        self.worth.add(self.set.class(request.class).worth, LEARN);
         self.work.add(work, LEARN);
         self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
         let draw = self.draw();
