Put late fills down to their cache while the link is told to have room

Reports count while under 2 s old. Also meant for thin clients' lines and slow caches; may hurt where reports come late.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -113,6 +113,12 @@
 const LINK_GATE: GateRule =
     GateRule { weight: 0.08, borne: 0.25, cut: 0.85, every: 200.0, raise: 1.0, least: 1.0, most: 2.0 };
 
+/// Weight of a new report of the link, for how long one holds, and how full it may be told to be, in transfers
+/// over those that fit at full pace, to have room. Reports lag, so that it is well below what slows clients.
+const LINK_TOLD_WEIGHT: f64 = 0.25;
+const LINK_TOLD_FOR: Ms = 2_000.0;
+const LINK_ROOM: f64 = 0.8;
+
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
 const SEND_GATE: GateRule =
@@ -164,6 +170,9 @@
     /// Work of the fills that are under way.
     filling: Ms,
     usual_filling: Level,
+    /// How full the link is told to be, and when it was told.
+    link_told: Mean,
+    link_told_at: Ms,
     out: Vec<Action>,
     looking: bool,
 }
@@ -197,6 +206,8 @@
             waits: Mean::new(0.0),
             filling: 0.0,
             usual_filling: Level::new(0.0),
+            link_told: Mean::new(0.0),
+            link_told_at: f64::NEG_INFINITY,
             out: Vec::new(),
             looking: false,
         }
@@ -223,7 +234,7 @@
             }
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
-            Event::Probed { .. } => {}
+            Event::Probed { cache, load, .. } => self.note_load(*cache, load),
             Event::Timer(LOOK) => self.look_round(),
             Event::Timer(token) => {
                 if let Some(id) = self.waiting.remove(token) {
@@ -737,6 +748,7 @@
 
     fn on_outcome(&mut self, outcome: &Outcome) {
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
+        self.note_load(outcome.cache, &outcome.load);
         self.usual_filling.pass(self.now, self.filling, USUAL);
         self.filling = (self.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
@@ -887,6 +899,15 @@
         if late && self.clearly_slow(source) {
             return;
         }
+        // The link itself is told to have room: what is late is crowded out at the cache.
+        let crowded_out = late && self.link_has_room();
+        if crowded_out {
+            let used = self.crowding(attempt.cache) * attempt.work / attempt.aim.max(1.0);
+            if let Some(server) = self.servers.get_mut(&attempt.cache) {
+                server.gate.report(self.now, true, used, &SEND_GATE);
+            }
+        }
+        let late = late && !crowded_out;
         let most = LINK_GATE.most * self.at_once.max(1.0);
         self.link_gate.limit = self.link_gate.limit.min(most);
         let used = self.all_filling() / self.mean_size();
@@ -894,6 +915,19 @@
         self.link_gate.report(self.now, late, used, &GateRule { most, raise, ..LINK_GATE });
     }
 
+    /// Takes in what a cache of the location tells of the link that all its caches share.
+    fn note_load(&mut self, id: CacheId, load: &Load) {
+        let own = self.servers.get(&id).is_some_and(|s| self.set.is_own(&s.member));
+        if let Some(link) = load.link.filter(|_| own) {
+            self.link_told.add(link, LINK_TOLD_WEIGHT);
+            self.link_told_at = self.now;
+        }
+    }
+
+    fn link_has_room(&self) -> bool {
+        self.now - self.link_told_at < LINK_TOLD_FOR && self.link_told.value < LINK_ROOM
+    }
+
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
     fn judge(&mut self, id: CacheId, good: Option<bool>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
