--- a/src/brain.rs
+++ b/src/brain.rs
@@ -118,6 +118,8 @@
 const LINK_TOLD_WEIGHT: f64 = 0.25;
 const LINK_TOLD_FOR: Ms = 2_000.0;
 const LINK_ROOM: f64 = 0.8;
+/// Where reports come only by probing, so often one is had.
+const PROBE_EVERY: Ms = 400.0;
 
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
@@ -173,6 +175,9 @@
     /// How full the link is told to be, and when it was told.
     link_told: Mean,
     link_told_at: Ms,
+    /// Probes are of use; when the last one was sent.
+    probing: bool,
+    probed_at: Ms,
     out: Vec<Action>,
     looking: bool,
 }
@@ -208,6 +213,8 @@
             usual_filling: Level::new(0.0),
             link_told: Mean::new(0.0),
             link_told_at: f64::NEG_INFINITY,
+            probing: true,
+            probed_at: f64::NEG_INFINITY,
             out: Vec::new(),
             looking: false,
         }
@@ -234,7 +241,10 @@
             }
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
-            Event::Probed { cache, load, .. } => self.note_load(*cache, load),
+            Event::Probed { cache, ok, load } => {
+                self.probing &= !ok || load.link.is_some();
+                self.note_load(*cache, load);
+            }
             Event::Timer(LOOK) => self.look_round(),
             Event::Timer(token) => {
                 if let Some(id) = self.waiting.remove(token) {
@@ -924,6 +934,24 @@
         }
     }
 
+    /// Asks a warm cache of the location for its report, one after another, where none has come by itself.
+    fn probe(&mut self) {
+        if !self.set.may_probe
+            || !self.probing
+            || self.now - self.link_told_at.max(self.probed_at) < PROBE_EVERY
+        {
+            return;
+        }
+        let fit = |s: &&Server| {
+            self.set.is_own(&s.member) && self.usable(s.member.id) && self.cold_share(s).is_none()
+        };
+        let caches: Vec<CacheId> = self.servers.values().filter(fit).map(|s| s.member.id).collect();
+        if let Some(&cache) = caches.get((self.draw() * caches.len() as f64) as usize) {
+            self.probed_at = self.now;
+            self.out.push(Action::Probe(cache));
+        }
+    }
+
     fn link_has_room(&self) -> bool {
         self.now - self.link_told_at < LINK_TOLD_FOR && self.link_told.value < LINK_ROOM
     }
@@ -947,6 +975,7 @@
             server.usual.pass(now, f64::from(server.in_flight), USUAL);
         }
         self.usual_filling.pass(now, self.filling, USUAL);
+        self.probe();
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let mut late = Vec::new();
