--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,7 +10,7 @@
 use crate::filter::TwoGenerations;
 use crate::health::HealthRule;
 use crate::interface::*;
-use crate::measure::{Gate, GateRule, Level, Mean, Shares};
+use crate::measure::{Gate, GateRule, Level, Mean};
 use crate::purges::Purges;
 use crate::ring::{fraction, mix, Ring};
 use crate::state::{Attempt, Open, Route, Server};
@@ -31,27 +31,18 @@
 const SALT_PART: u64 = 0x7061_7274;
 const SALT_DEAL: u64 = 0x6465_616c;
 
-/// The owner is far busier when it has this multiple of the others' mean in flight and so many more.
-/// A sibling fill drains the owner's link as much as an answer does, so this is set high.
+/// The owner is far busier when it has this multiple of the others' mean in flight, and more by so many times
+/// this router's part of what fills its link. A sibling fill drains that link as much as an answer does.
 const BUSY_RATIO: f64 = 3.0;
-const BUSY_MORE: f64 = 8.0;
-/// An object with this part of a cache's fair share of the work gets a further holder, and one more
-/// for each such part.
-const HOT_SHARE: f64 = 0.15;
+const BUSY_MORE: f64 = 1.6;
 /// Holders of an object that is asked for part after part: one who watches it takes a good part of a cache's
 /// link for as long as it lasts. All routers find the same ones, however few requests each sees.
 const WATCHED_HOLDERS: usize = 5;
 /// A hot object's next holder comes in while the ones before it have that many times as many transfers in
 /// hand as fill their links: wanted times bear more, and each further holder costs fills.
 const CROWDED: f64 = 2.2;
-/// Over so long a router takes the mean of what it has in flight at a cache for what each other one has there.
+/// Over so long a router takes the mean of what it has in flight for what each of the others has.
 const USUAL: Ms = 2_000.0;
-/// Work seen before an object's share of it means anything, in requests of mean size.
-const HOT_SEEN: f64 = 4.0;
-/// How fast the memory of what is hot fades, a second, and the share below which it is dropped.
-const HOT_KEPT: f64 = 0.8;
-const HOT_LEAST: f64 = 1e-4;
-const HOT_EVERY: Ms = 1000.0;
 
 /// How often the module looks round.
 const LOOK_EVERY: Ms = 50.0;
@@ -113,8 +104,8 @@
 const LINK_GATE: GateRule =
     GateRule { weight: 0.08, borne: 0.25, cut: 0.85, every: 200.0, raise: 1.0, least: 1.0, most: 2.0 };
 
-/// Weight of a new report of the link, for how long one holds, and how full it may be told to be, in transfers
-/// over those that fit at full pace, to have room. Reports lag, so that it is well below what slows clients.
+/// Weight of a new report of the link, for how long one holds, and how full, in transfers over those that
+/// fit at full pace, a link with room is told to be. Reports lag: it is well below what slows clients.
 const LINK_TOLD_WEIGHT: f64 = 0.25;
 const LINK_TOLD_FOR: Ms = 2_000.0;
 const LINK_ROOM: f64 = 0.8;
@@ -157,12 +148,10 @@
     work: Mean,
     /// Where sizes are not told: the shortest that an object's parts, which are alike, took.
     sizes: BTreeMap<ObjectId, Ms>,
-    heat: Shares<ObjectId>,
     purges: Purges,
     waiting: BTreeMap<u32, RequestId>,
     token: u32,
     next_rotation: Ms,
-    next_fade: Ms,
     /// Further attempts that may be made.
     retries: f64,
     origin_gate: Gate,
@@ -199,12 +188,10 @@
             attempts: BTreeMap::new(),
             work: Mean::new(0.0),
             sizes: BTreeMap::new(),
-            heat: Shares::default(),
             purges: Purges::default(),
             waiting: BTreeMap::new(),
             token: LOOK,
             next_rotation: 0.0,
-            next_fade: 0.0,
             retries: RETRY_SAVED,
             origin_gate: Gate::new(ORIGIN_GATE.most),
             link_gate: Gate::new(f64::INFINITY),
@@ -275,7 +262,9 @@
             ListKind::Failed | ListKind::Changes => {}
         }
         let empty = |id: CacheId| TwoGenerations::new(FILTER_BITS, FILTER_HASHES, id.0);
-        for member in members {
+        // Caches of other locations are none of this router's business, and most of a large fleet.
+        let near = |m: &&Member| self.set.is_own(m) || self.set.is_parent(m) || self.set.is_origin(m);
+        for member in members.iter().filter(near) {
             let fresh = || Server::new(*member, self.now, empty(member.id), SEND_GATE.most);
             let server = self.servers.entry(member.id).or_insert_with(fresh);
             // A restart empties it: a filter can't forget, and its health starts anew.
@@ -366,7 +355,6 @@
         if told {
             self.learn_work(request.class, work);
         }
-        self.heat.add(request.object, work);
         self.work.add(work, LEARN);
         self.retries = (self.retries + RETRY_PART).min(RETRY_SAVED);
         let draw = self.draw();
@@ -558,14 +546,12 @@
         // A cold cache owns as much of its arc as it can bear; the next on the ring stands in for it.
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
-        let several = self.holders(request, order.len()).min(holders.len());
+        // The parts of a watched object are dealt out among its holders, so that these cost no further fills.
+        let several =
+            if request.part > 0 { WATCHED_HOLDERS.min(holders.len()) } else { 1.min(holders.len()) };
         let mut several = holders[..several].to_vec();
         let item = self.item(request);
-        // The parts of a watched object are dealt out among its holders, so that these cost no further fills.
-        let dealt = several.len().min(WATCHED_HOLDERS);
-        if request.part > 0 {
-            several[..dealt].sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
-        }
+        several.sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
         let fit = || several.iter().copied().filter(|&id| self.crowding(id) < CROWDED);
@@ -580,7 +566,7 @@
             return Some(Route { cache: parent, fill: Some(self.fill(request, source, 0, stale)) });
         };
         let known = shows(&owner);
-        if known && !open.owner_only && several.len() == 1 && self.set.siblings != Siblings::Off {
+        if known && !open.owner_only && self.set.siblings != Siblings::Off {
             if let Some(cache) = self.far_less_busy(owner, holders) {
                 let fill = Fill { only_held: true, ..self.fill(request, owner, 0, stale) };
                 return Some(Route { cache, fill: Some(fill) });
@@ -622,43 +608,33 @@
         }
     }
 
+    fn parents(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|s| self.set.is_parent(&s.member))
+    }
+
     /// The first parent in the object's order over all listed ones that is up; the origin without any.
     fn fill_source(&self, open: &Open) -> Option<CacheId> {
-        let object = open.request.object.0;
-        let listed = self.servers.values().filter(|s| self.set.is_parent(&s.member));
-        let mut order: Vec<CacheId> = listed.map(|s| s.member.id).collect();
-        order.sort_by_key(|id| mix(object, id.0 ^ SALT_PARENT));
         // A slow one still gets a few, so that it is seen when it has come back.
         let trial = open.draw < SLOW_TRIAL;
-        let sound = |id: &&CacheId| {
-            let fit = self.usable(**id) && self.ramped(**id, &open.request);
-            fit && !open.avoid.contains(id) && (trial || !self.clearly_slow(**id))
+        let sound = |&id: &CacheId| {
+            let fit = self.usable(id) && self.ramped(id, &open.request);
+            fit && !open.avoid.contains(&id) && (trial || !self.clearly_slow(id))
         };
-        order.iter().find(sound).copied().or_else(|| self.origin())
+        let place = |id: &CacheId| mix(open.request.object.0, id.0 ^ SALT_PARENT);
+        self.parents().map(|s| s.member.id).filter(sound).min_by_key(place).or_else(|| self.origin())
     }
 
     /// Whether fills from a parent are late far more often than from another: its own doing then, not that of
     /// the link or the origin. Meets a thin or crowded link of a parent, lost answers, and one that hangs now
     /// and then. Might hurt a parent whose objects are larger than the others'.
     fn clearly_slow(&self, id: CacheId) -> bool {
-        let late = |s: &Server| s.late.value;
-        let parents =
-            self.servers.values().filter(|s| self.set.is_parent(&s.member) && self.ready(s.member.id));
-        let best = parents.map(late).fold(f64::INFINITY, f64::min);
-        let own = self.servers.get(&id).filter(|s| self.set.is_parent(&s.member)).map_or(0.0, late);
+        let ready = self.parents().filter(|s| s.member.phase == Phase::Ready);
+        let best = ready.map(|s| s.late.value).fold(f64::INFINITY, f64::min);
+        let own =
+            self.servers.get(&id).filter(|s| self.set.is_parent(&s.member)).map_or(0.0, |s| s.late.value);
         own > SLOW_SHARE && own > best * SLOW_RATIO
     }
 
-    /// How many caches hold the object. One, but for an object that draws so much of the work that its
-    /// owner's link would be drained: then as many as share it out (the paper's several holders).
-    fn holders(&self, request: &Request, caches: usize) -> usize {
-        let least = if request.part > 0 { WATCHED_HOLDERS } else { 1 };
-        if self.heat.sum < HOT_SEEN * self.mean_work(request.class) {
-            return least;
-        }
-        least.max(1 + (self.heat.share(&request.object) * caches as f64 / HOT_SHARE) as usize)
-    }
-
     /// Whether the location's link bears another fill of that size. Large ones are held back first.
     ///
     /// Meets all that slows fills down: a thinner or crowded link, empty caches, bursts. Without it, fills
@@ -668,8 +644,7 @@
         filling <= 0.0 || filling + work <= self.link_gate.limit * self.mean_size()
     }
 
-    /// Work of the fills under way through the location's link, taking its other routers to have there what this
-    /// one usually does.
+    /// Work of the fills under way through the location's link, those of its other routers as estimated.
     fn all_filling(&self) -> Ms {
         let here = self.set.routers_by_zone.get(usize::from(self.set.zone)).copied().unwrap_or(1);
         self.filling + f64::from(here.max(1) - 1) * self.usual_filling.mean
@@ -680,7 +655,7 @@
         self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / s.member.weight.max(0.01))
     }
 
-    /// How full a cache's link is, taking the location's other routers to hold there what this one usually does.
+    /// How full a cache's link is, with what the location's other routers usually have there.
     fn crowding(&self, id: CacheId) -> f64 {
         self.servers.get(&id).map_or(0.0, |s| {
             let others = f64::from(self.set.routers_for(&s.member) - 1);
@@ -703,7 +678,9 @@
         let mean = others.iter().map(|&id| self.load(id)).sum::<f64>() / others.len() as f64;
         let even = mean * self.servers[&owner].member.weight;
         let mine = f64::from(self.servers[&owner].in_flight);
-        (mine > even * BUSY_RATIO && mine > even + BUSY_MORE).then_some(least)
+        let routers = f64::from(self.set.routers_for(&self.servers[&owner].member));
+        let more = BUSY_MORE * self.servers[&owner].member.weight / routers;
+        (mine > even * BUSY_RATIO && mine > even + more).then_some(least)
     }
 
     // ---- Cold servers: all routers together ask less of them than they can do.
@@ -991,10 +968,6 @@
         }
         late.iter().for_each(|attempt| self.judge_fill(attempt, true));
         self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
-        if now >= self.next_fade {
-            self.next_fade = now + HOT_EVERY;
-            self.heat.fade(HOT_KEPT, HOT_LEAST);
-        }
         if now >= self.next_rotation {
             self.next_rotation = now + FILTER_ROTATION;
             self.servers.values_mut().for_each(|server| server.filter.rotate());
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,7 +1,5 @@
 //! Measures of what was seen: mechanical, with every figure given by whoever uses them.
 
-use std::collections::BTreeMap;
-
 use crate::interface::Ms;
 
 /// A mean of what was seen lately.
@@ -48,44 +46,6 @@
     }
 }
 
-/// How much of the whole each of many draws, fading as time goes by.
-#[derive(Debug, Clone)]
-pub struct Shares<K> {
-    parts: BTreeMap<K, f64>,
-    pub sum: f64,
-}
-
-impl<K: Ord> Default for Shares<K> {
-    fn default() -> Self {
-        Self { parts: BTreeMap::new(), sum: 0.0 }
-    }
-}
-
-impl<K: Ord> Shares<K> {
-    pub fn add(&mut self, key: K, amount: f64) {
-        *self.parts.entry(key).or_insert(0.0) += amount;
-        self.sum += amount;
-    }
-
-    pub fn share(&self, key: &K) -> f64 {
-        if self.sum > 0.0 {
-            self.parts.get(key).map_or(0.0, |part| part / self.sum)
-        } else {
-            0.0
-        }
-    }
-
-    /// Leaves `kept` of every part and drops those below `least` of the whole.
-    pub fn fade(&mut self, kept: f64, least: f64) {
-        self.sum *= kept;
-        let least = self.sum * least;
-        self.parts.retain(|_, part| {
-            *part *= kept;
-            *part > least
-        });
-    }
-}
-
 /// An allowance that fills at a rate up to a most, and may be overdrawn.
 #[derive(Debug, Clone, Copy)]
 pub struct Allowance {
@@ -178,15 +138,4 @@
         allowance.spend(100.0, 2.0, 10.0, 14.0);
         assert_eq!(allowance.left(101.0, 2.0, 10.0), -2.0);
     }
-
-    #[test]
-    fn shares_fade_and_forget() {
-        let mut shares = Shares::default();
-        shares.add(1, 99.0);
-        shares.add(2, 1.0);
-        assert_eq!(shares.share(&1), 0.99);
-        shares.fade(0.5, 0.02);
-        assert_eq!(shares.share(&1), 0.99);
-        assert_eq!(shares.share(&2), 0.0);
-    }
 }
