--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,10 +10,10 @@
 use crate::filter::TwoGenerations;
 use crate::health::HealthRule;
 use crate::interface::*;
-use crate::measure::{Gate, GateRule, Level, Mean};
+use crate::measure::{Gate, GateRule, Mean};
 use crate::purges::Purges;
 use crate::ring::{fraction, mix, Ring};
-use crate::state::{Attempt, Open, Route, Server};
+use crate::state::{Attempt, Link, Open, Route, Server};
 
 /// Bits and hash functions of one generation of a cache's filter: some 2,000 objects' parts are asked
 /// of a cache in a rotation, at 8 bits each under 3% are wrongly found.
@@ -158,15 +158,7 @@
     link_gate: Gate,
     /// Share of fills by way of the origin that waited long for their first byte.
     waits: Mean,
-    /// Work of the fills that are under way.
-    filling: Ms,
-    usual_filling: Level,
-    /// How full the link is told to be, and when it was told.
-    link_told: Mean,
-    link_told_at: Ms,
-    /// Probes are of use; when the last one was sent.
-    probing: bool,
-    probed_at: Ms,
+    link: Link,
     out: Vec<Action>,
     looking: bool,
 }
@@ -196,12 +188,7 @@
             origin_gate: Gate::new(ORIGIN_GATE.most),
             link_gate: Gate::new(f64::INFINITY),
             waits: Mean::new(0.0),
-            filling: 0.0,
-            usual_filling: Level::new(0.0),
-            link_told: Mean::new(0.0),
-            link_told_at: f64::NEG_INFINITY,
-            probing: true,
-            probed_at: f64::NEG_INFINITY,
+            link: Link::default(),
             out: Vec::new(),
             looking: false,
         }
@@ -229,7 +216,7 @@
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Probed { cache, ok, load } => {
-                self.probing &= !ok || load.link.is_some();
+                self.link.untold |= *ok && load.link.is_none();
                 self.note_load(*cache, load);
             }
             Event::Timer(LOOK) => self.look_round(),
@@ -278,22 +265,16 @@
         let ready: Vec<Member> = all.filter(|m| m.phase == Phase::Ready && self.set.is_own(m)).collect();
         self.at_once = ready.iter().map(|m| m.weight).sum();
         let mean = self.at_once / ready.len() as f64;
-        let points = |m: &Member| match mean > 0.0 {
-            true => (RING_POINTS * m.weight / mean).clamp(1.0, RING_POINTS * 4.0) as u32,
-            false => RING_POINTS as u32,
-        };
+        let size = |m: &Member| if mean > 0.0 { m.weight / mean } else { 1.0 };
+        let points = |m: &Member| (RING_POINTS * size(m)).clamp(1.0, RING_POINTS * 4.0) as u32;
         self.ring = Ring::new(ready.iter().map(|m| (m.id, points(m))), |id, n| {
             mix(id.0, SALT_POINT.wrapping_add(u64::from(n)))
         });
     }
 
-    fn ready(&self, id: CacheId) -> bool {
-        self.servers.get(&id).is_some_and(|s| s.member.phase == Phase::Ready)
-    }
-
     fn origin(&self) -> Option<CacheId> {
-        let found = self.servers.values().find(|s| self.set.is_origin(&s.member) && self.ready(s.member.id));
-        found.map(|s| s.member.id)
+        let up = |s: &&Server| self.set.is_origin(&s.member) && s.member.phase == Phase::Ready;
+        self.servers.values().find(up).map(|s| s.member.id)
     }
 
     // ---- Purges: heeded from the moment they are told, at every attempt.
@@ -365,18 +346,15 @@
 
     /// Nothing is owed any more: calls off what is still out.
     fn close(&mut self, id: RequestId) {
-        if self.open.remove(&id).is_some_and(|open| open.out > 0) {
-            self.call_off(|attempt, _| attempt.request == id);
-        }
+        let Some(open) = self.open.remove(&id).filter(|open| open.out > 0) else { return };
+        (0..open.sent as u8).for_each(|number| self.call_off(AttemptId { request: id, number }));
     }
 
-    fn call_off(&mut self, which: impl Fn(&AttemptId, &Attempt) -> bool) {
-        if !self.set.may_cancel {
-            return;
-        }
-        for (id, attempt) in self.attempts.iter_mut().filter(|(id, a)| !a.called_off && which(id, a)) {
+    fn call_off(&mut self, id: AttemptId) {
+        let out = self.attempts.get_mut(&id).filter(|attempt| !attempt.called_off);
+        if let Some(attempt) = out.filter(|_| self.set.may_cancel) {
             attempt.called_off = true;
-            self.out.push(Action::Cancel(*id));
+            self.out.push(Action::Cancel(id));
         }
     }
 
@@ -497,17 +475,16 @@
         if let Some(source) = source {
             self.charge(source, if known { mean * COLD_HIT } else { mean.max(work) });
         }
-        for server in [Some(route.cache), source].into_iter().flatten() {
-            if let Some(server) = self.servers.get_mut(&server) {
-                server.health.asked();
-            }
+        if let Some(source) = source.and_then(|id| self.servers.get_mut(&id)) {
+            source.health.asked();
         }
         if let Some(server) = self.servers.get_mut(&route.cache) {
-            server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
+            server.health.asked();
+            server.pass(self.now, USUAL);
             server.in_flight += 1;
         }
-        self.usual_filling.pass(self.now, self.filling, USUAL);
-        self.filling += attempt.filling;
+        self.link.usual.pass(self.now, self.link.filling, USUAL);
+        self.link.filling += attempt.filling;
         let Some(open) = self.open.get_mut(&id) else { return };
         self.attempts.insert(AttemptId { request: id, number: open.sent as u8 }, attempt);
         open.sent += 1;
@@ -588,8 +565,9 @@
             (known || self.link_bears(open.work)) && (to_origin || Some(source) != self.origin())
         });
         // Short of the link, what a stand-in of the owner holds is had from there.
-        let elsewhere = || holders.iter().copied().find(|id| shows(id) && self.crowding(*id) < CROWDED);
-        let owner = if source.is_some() { owner } else { elsewhere().unwrap_or(owner) };
+        let held = |id: &CacheId| shows(id) && self.crowding(*id) < CROWDED;
+        let elsewhere = if source.is_none() { holders.iter().copied().find(held) } else { None };
+        let owner = elsewhere.unwrap_or(owner);
         // An ageing copy now is worth more than a fresh one late, where the way to the origin is that long.
         let far = source.is_some_and(|id| self.servers[&id].wait.value + open.work + WAY_BACK > aim);
         let fill = self.fill(request, source.unwrap_or(owner), 1, stale || far);
@@ -628,8 +606,11 @@
     /// the link or the origin. Meets a thin or crowded link of a parent, lost answers, and one that hangs now
     /// and then. Might hurt a parent whose objects are larger than the others'.
     fn clearly_slow(&self, id: CacheId) -> bool {
-        let ready = self.parents().filter(|s| s.member.phase == Phase::Ready);
-        let best = ready.map(|s| s.late.value).fold(f64::INFINITY, f64::min);
+        let best = self
+            .parents()
+            .filter(|s| s.member.phase == Phase::Ready)
+            .map(|s| s.late.value)
+            .fold(f64::INFINITY, f64::min);
         let own =
             self.servers.get(&id).filter(|s| self.set.is_parent(&s.member)).map_or(0.0, |s| s.late.value);
         own > SLOW_SHARE && own > best * SLOW_RATIO
@@ -647,7 +628,7 @@
     /// Work of the fills under way through the location's link, those of its other routers as estimated.
     fn all_filling(&self) -> Ms {
         let here = self.set.routers_by_zone.get(usize::from(self.set.zone)).copied().unwrap_or(1);
-        self.filling + f64::from(here.max(1) - 1) * self.usual_filling.mean
+        self.link.filling + f64::from(here.max(1) - 1) * self.link.usual.mean
     }
 
     /// This router's requests in flight at a cache, for its size.
@@ -736,10 +717,10 @@
     fn on_outcome(&mut self, outcome: &Outcome) {
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
         self.note_load(outcome.cache, &outcome.load);
-        self.usual_filling.pass(self.now, self.filling, USUAL);
-        self.filling = (self.filling - attempt.filling).max(0.0);
+        self.link.usual.pass(self.now, self.link.filling, USUAL);
+        self.link.filling = (self.link.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
-            server.usual.pass(self.now, f64::from(server.in_flight), USUAL);
+            server.pass(self.now, USUAL);
             server.in_flight = server.in_flight.saturating_sub(1);
             if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
                 server.hear(self.now, HEALTH.weight);
@@ -748,27 +729,23 @@
                 server.fails.blend(f64::from(u8::from(outcome.status != Status::Ok)), HEALTH.weight);
             }
         }
-        let id = outcome.attempt.request;
-        let untold = self.open.get(&id).filter(|open| open.request.size_kb <= 0.0);
+        let untold = self.open.get(&outcome.attempt.request).filter(|open| open.request.size_kb <= 0.0);
         if let Some(object) = untold.filter(|_| outcome.status == Status::Ok).map(|o| o.request.object) {
             if self.sizes.len() >= SIZES_KEPT {
                 self.sizes.clear();
             }
-            let size = self.sizes.entry(object).or_insert(outcome.took);
-            *size = size.min(outcome.took);
-            let size = *size;
+            let size = self.sizes.get(&object).map_or(outcome.took, |size| size.min(outcome.took));
+            self.sizes.insert(object, size);
             self.learn_work(attempt.class, size);
         }
         self.judge_ways(&attempt, outcome);
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
         let held = outcome.note == Some(Note::Hit) || !attempt.fills && attempt.source.is_some();
         if held && (late || outcome.status == Status::Ok) {
-            let used = self.crowding(attempt.cache) * attempt.work / attempt.aim.max(1.0);
-            if let Some(server) = self.servers.get_mut(&attempt.cache) {
-                server.gate.report(self.now, late, used, &SEND_GATE);
-            }
+            self.judge_sending(&attempt, late);
         }
         let to_avoid = self.judge_servers(&attempt, outcome);
+        let id = outcome.attempt.request;
         let Some(open) = self.open.get_mut(&id) else { return };
         open.out = open.out.saturating_sub(1);
         open.avoid.extend(to_avoid);
@@ -889,10 +866,7 @@
         // The link itself is told to have room: what is late is crowded out at the cache.
         let crowded_out = late && self.link_has_room();
         if crowded_out {
-            let used = self.crowding(attempt.cache) * attempt.work / attempt.aim.max(1.0);
-            if let Some(server) = self.servers.get_mut(&attempt.cache) {
-                server.gate.report(self.now, true, used, &SEND_GATE);
-            }
+            self.judge_sending(attempt, true);
         }
         let late = late && !crowded_out;
         let most = LINK_GATE.most * self.at_once.max(1.0);
@@ -902,20 +876,28 @@
         self.link_gate.report(self.now, late, used, &GateRule { most, raise, ..LINK_GATE });
     }
 
+    /// Counts an answer that only the cache's own crowding could make late.
+    fn judge_sending(&mut self, attempt: &Attempt, late: bool) {
+        let used = self.crowding(attempt.cache) * attempt.work / attempt.aim.max(1.0);
+        if let Some(server) = self.servers.get_mut(&attempt.cache) {
+            server.gate.report(self.now, late, used, &SEND_GATE);
+        }
+    }
+
     /// Takes in what a cache of the location tells of the link that all its caches share.
     fn note_load(&mut self, id: CacheId, load: &Load) {
         let own = self.servers.get(&id).is_some_and(|s| self.set.is_own(&s.member));
         if let Some(link) = load.link.filter(|_| own) {
-            self.link_told.add(link, LINK_TOLD_WEIGHT);
-            self.link_told_at = self.now;
+            self.link.told.add(link, LINK_TOLD_WEIGHT);
+            self.link.told_at = self.now;
         }
     }
 
     /// Asks a warm cache of the location for its report, one after another, where none has come by itself.
     fn probe(&mut self) {
         if !self.set.may_probe
-            || !self.probing
-            || self.now - self.link_told_at.max(self.probed_at) < PROBE_EVERY
+            || self.link.untold
+            || self.now - self.link.told_at.max(self.link.probed_at) < PROBE_EVERY
         {
             return;
         }
@@ -924,13 +906,14 @@
         };
         let caches: Vec<CacheId> = self.servers.values().filter(fit).map(|s| s.member.id).collect();
         if let Some(&cache) = caches.get((self.draw() * caches.len() as f64) as usize) {
-            self.probed_at = self.now;
+            self.link.probed_at = self.now;
             self.out.push(Action::Probe(cache));
         }
     }
 
     fn link_has_room(&self) -> bool {
-        self.now - self.link_told_at < LINK_TOLD_FOR && self.link_told.value < LINK_ROOM
+        let fresh = self.link.told.seen > 0.0 && self.now - self.link.told_at < LINK_TOLD_FOR;
+        fresh && self.link.told.value < LINK_ROOM
     }
 
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
@@ -946,23 +929,22 @@
 
     fn look_round(&mut self) {
         self.out.push(Action::Timer { at: self.now + LOOK_EVERY, token: LOOK });
-        let now = self.now;
+        let (now, mut late) = (self.now, Vec::new());
         for server in self.servers.values_mut() {
             server.health.look(now);
-            server.usual.pass(now, f64::from(server.in_flight), USUAL);
+            server.pass(now, USUAL);
         }
-        self.usual_filling.pass(now, self.filling, USUAL);
+        self.link.usual.pass(now, self.link.filling, USUAL);
         self.probe();
         self.find_silent();
         // What is overdue for its client is late before it ends.
-        let mut late = Vec::new();
         let overdue = |a: &&mut Attempt| (a.fills || a.renews) && !a.late && now - a.sent > a.aim;
         for attempt in self.attempts.values_mut().filter(overdue) {
             attempt.late = true;
             late.push(*attempt);
             // What waits for the origin does not use the link.
             if self.waits.value > WAIT_BLAMED {
-                self.filling = (self.filling - attempt.filling).max(0.0);
+                self.link.filling = (self.link.filling - attempt.filling).max(0.0);
                 attempt.filling = 0.0;
             }
         }
@@ -1016,12 +998,8 @@
         let waits = |a: &Attempt| {
             silent.contains(&a.cache) || (a.fills && a.source.is_some_and(|source| silent.contains(&source)))
         };
-        let stuck: Vec<AttemptId> = self
-            .attempts
-            .iter()
-            .filter(|(id, a)| waits(a) && late(a) && safe(id))
-            .map(|(id, _)| *id)
-            .collect();
-        self.call_off(|id, _| stuck.contains(id));
+        let stuck = self.attempts.iter().filter(|(id, a)| waits(a) && late(a) && safe(id));
+        let stuck: Vec<AttemptId> = stuck.map(|(id, _)| *id).collect();
+        stuck.into_iter().for_each(|id| self.call_off(id));
     }
 }
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -3,7 +3,7 @@
 use crate::interface::Ms;
 
 /// A mean of what was seen lately.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Mean {
     pub value: f64,
     pub seen: f64,
@@ -28,7 +28,7 @@
 }
 
 /// The mean over time of a level that moves in steps, in which the past fades.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Level {
     pub mean: f64,
     at: Ms,
--- a/src/state.rs
+++ b/src/state.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Lets time pass over what is in flight.
+    pub fn pass(&mut self, now: Ms, span: Ms) {
+        self.usual.pass(now, f64::from(self.in_flight), span);
+    }
+
     /// Notes an answer, of whatever kind.
     pub fn hear(&mut self, now: Ms, weight: f64) {
         self.gap.blend(now - self.heard, weight);
@@ -58,6 +63,20 @@
     }
 }
 
+/// What is known of the location's link for fills.
+#[derive(Debug, Default)]
+pub struct Link {
+    /// Work of this router's fills that are under way, and how much that usually is.
+    pub filling: Ms,
+    pub usual: Level,
+    /// How full it is told to be, and when it was told last.
+    pub told: Mean,
+    pub told_at: Ms,
+    pub probed_at: Ms,
+    /// Probes tell nothing of it.
+    pub untold: bool,
+}
+
 /// One attempt that is out.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempt {
