--- a/src/brain.rs
+++ b/src/brain.rs
@@ -111,6 +111,8 @@
 const LINK_ROOM: f64 = 0.8;
 /// Where reports come only by probing, so often one is had.
 const PROBE_EVERY: Ms = 400.0;
+/// So many probes that told nothing, since the last one that did, and they are given up.
+const PROBES_UNTOLD: u32 = 10;
 
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
@@ -216,7 +218,7 @@
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Probed { cache, ok, load } => {
-                self.link.untold |= *ok && load.link.is_none();
+                self.link.untold += u32::from(*ok && load.link.is_none());
                 self.note_load(*cache, load);
             }
             Event::Timer(LOOK) => self.look_round(),
@@ -889,16 +891,14 @@
         let own = self.servers.get(&id).is_some_and(|s| self.set.is_own(&s.member));
         if let Some(link) = load.link.filter(|_| own) {
             self.link.told.add(link, LINK_TOLD_WEIGHT);
-            self.link.told_at = self.now;
+            (self.link.told_at, self.link.untold) = (self.now, 0);
         }
     }
 
     /// Asks a warm cache of the location for its report, one after another, where none has come by itself.
     fn probe(&mut self) {
-        if !self.set.may_probe
-            || self.link.untold
-            || self.now - self.link.told_at.max(self.link.probed_at) < PROBE_EVERY
-        {
+        let since = self.now - self.link.told_at.max(self.link.probed_at);
+        if !self.set.may_probe || self.link.untold >= PROBES_UNTOLD || since < PROBE_EVERY {
             return;
         }
         let fit = |s: &&Server| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,8 +73,8 @@
     pub told: Mean,
     pub told_at: Ms,
     pub probed_at: Ms,
-    /// Probes tell nothing of it.
-    pub untold: bool,
+    /// Probes that told nothing of it, since the last one that did.
+    pub untold: u32,
 }
 
 /// One attempt that is out.
