--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,7 +65,7 @@
 /// this reckons with is the least that it can have, and work may warm it faster.
 const COLD_PART: f64 = 0.5;
 /// Part of the rules' window that may be spent in one go.
-const COLD_BURST: f64 = 0.2;
+const COLD_BURST: f64 = 0.5;
 /// Weight of a likely hit among the fills that reach a cold parent.
 const COLD_HIT: f64 = 0.3;
 /// A class's mean sending time before enough of its answers were seen, and how many are enough.
@@ -506,7 +506,7 @@
             return Some(Route { cache: origin, fill: None });
         }
         let order = self.ring.successors(mix(open.request.object.0, SALT_OWNER));
-        let cache = order.into_iter().find(|&id| !open.avoid.contains(&id) && self.usable(id))?;
+        let cache = order.into_iter().find(|&id| !open.avoid.contains(&id) && self.usable(id, open.work))?;
         Some(Route { cache, fill: Some(self.fill(&open.request, origin, 0, false)) })
     }
 
@@ -515,12 +515,13 @@
         let origin_sound = self.origin_gate.limit >= ORIGIN_SOUND;
         let stale = open.sent > 0 || !origin_sound;
         let order = self.ring.successors(mix(request.object.0, SALT_OWNER));
+        let mean = self.mean_work(request.class);
         let mut usable = order.clone();
-        usable.retain(|id| !open.avoid.contains(id) && self.usable(*id));
+        usable.retain(|id| !open.avoid.contains(id) && self.usable(*id, mean));
         if usable.is_empty() && !self.set.direct {
             // All out at once is more likely a fault of something behind them, or of the judgement.
             usable = order.clone();
-            usable.retain(|id| !open.avoid.contains(id) && self.bears(*id));
+            usable.retain(|id| !open.avoid.contains(id) && self.bears(*id, mean));
         }
         // A cold cache owns as much of its arc as it can bear; the next on the ring stands in for it.
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
@@ -597,7 +598,7 @@
         // A slow one still gets a few, so that it is seen when it has come back.
         let trial = open.draw < SLOW_TRIAL;
         let sound = |&id: &CacheId| {
-            let fit = self.usable(id) && self.ramped(id, &open.request);
+            let fit = self.usable(id, open.work) && self.ramped(id, &open.request);
             fit && !open.avoid.contains(&id) && (trial || !self.clearly_slow(id))
         };
         let place = |id: &CacheId| mix(open.request.object.0, id.0 ^ SALT_PARENT);
@@ -702,15 +703,19 @@
         share.is_none_or(|share| fraction(mix(request.object.0, id.0 ^ SALT_RAMP)) < share)
     }
 
-    /// Whether a server may be sent something now, or be named as a source.
-    fn usable(&self, id: CacheId) -> bool {
-        self.bears(id) && self.servers.get(&id).is_some_and(|server| server.health.admits())
+    /// Whether a server may be sent so much work now, or be named as a source of it.
+    fn usable(&self, id: CacheId, work: Ms) -> bool {
+        self.bears(id, work) && self.servers.get(&id).is_some_and(|server| server.health.admits())
     }
 
-    /// Whether it is ready, and not too cold for it by the rule.
-    fn bears(&self, id: CacheId) -> bool {
+    /// Whether it is ready, and not too cold for it by the rule. One router's allowance may be far less than one
+    /// request, and all would overdraw it at once: each does so by a chance that makes up for it, drawn anew in
+    /// each stretch of time.
+    fn bears(&self, id: CacheId, work: Ms) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
-        let bears = |(rate, most)| server.allowance.left(self.now, rate, most) >= 0.0;
+        let stretch = self.now / self.set.cold_start(&server.member).window.max(1.0);
+        let chance = || fraction(mix(id.0 ^ self.seed, stretch as u64));
+        let bears = |(rate, most)| server.allowance.left(self.now, rate, most) > chance() * work;
         server.member.phase == Phase::Ready && self.cold_rate(server).is_none_or(bears)
     }
 
@@ -902,7 +907,7 @@
             return;
         }
         let fit = |s: &&Server| {
-            self.set.is_own(&s.member) && self.usable(s.member.id) && self.cold_share(s).is_none()
+            self.set.is_own(&s.member) && self.usable(s.member.id, 0.0) && self.cold_share(s).is_none()
         };
         let caches: Vec<CacheId> = self.servers.values().filter(fit).map(|s| s.member.id).collect();
         if let Some(&cache) = caches.get((self.draw() * caches.len() as f64) as usize) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -93,8 +93,12 @@
     }
 
     pub fn with(settings: Settings, members: Vec<Member>) -> Self {
+        Self::seeded(settings, members, 7)
+    }
+
+    pub fn seeded(settings: Settings, members: Vec<Member>, seed: u64) -> Self {
         let mut world = Self {
-            brain: Brain::new(settings, 7),
+            brain: Brain::new(settings, seed),
             now: 100_000.0,
             timers: Vec::new(),
             sent: Vec::new(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -185,6 +185,35 @@
     }
 }
 
+/// With a hundred routers, one's part of what a cold parent bears is far less than one fill; if each overdrew it
+/// as soon as it is told of the start, all together would push it over.
+#[test]
+fn rule_4_a_hundred_routers_do_not_each_overdraw_a_cold_parents_allowance_at_once() {
+    let routers = 100;
+    let settings = Settings { routers, ..settings() };
+    let cold = settings.parent_cold;
+    let mut sent = 0.0;
+    for seed in 0..u64::from(routers) {
+        let mut world = World::seeded(settings.clone(), everyone(), seed);
+        (0..100).for_each(|object| {
+            world.serve(SAFE, object, Note::Filled);
+        });
+        world.list(Member { since: world.now, ..member(PARENTS[0]) });
+        let before = world.sent.len();
+        for object in 0..30 {
+            world.pass(cold.window / 30.0);
+            if let Some(sent) = world.ask(SAFE, 1000 + 100 * object + seed) {
+                world.end_after(sent, Status::Ok, Some(Note::Filled), 100.0);
+            }
+        }
+        let from_it = |sent: &&Sent| sent.fill.is_some_and(|fill| fill.source == PARENTS[0]);
+        sent += 100.0 * world.sent[before..].iter().filter(from_it).count() as f64;
+    }
+    let mean_share = cold.from + (1.0 - cold.from) * cold.window / cold.warm_in / 2.0;
+    let bears = cold.fall_multiple * mean_share * 10.0 * cold.window;
+    assert!(sent > 0.0 && sent < bears * 0.75, "sent {sent}, falls over at {bears}");
+}
+
 #[test]
 fn rule_5_a_purge_limits_the_age_of_copies_until_they_are_gone() {
     let mut world = World::new(settings());
