--- a/src/measure.rs
+++ b/src/measure.rs
@@ -73,6 +73,8 @@
 pub struct GateRule {
     /// Weight of a new one in the share of late ones, and the share that is borne.
     pub weight: f64,
+    /// A new one weighs more where they are so rare that the share would reach further back than this.
+    pub span: Ms,
     pub borne: f64,
     /// Factor of a cut, and the time between two.
     pub cut: f64,
@@ -88,17 +90,20 @@
 pub struct Gate {
     pub limit: f64,
     late: f64,
+    at: Ms,
     cut_at: Ms,
 }
 
 impl Gate {
     pub fn new(limit: f64) -> Self {
-        Self { limit, late: 0.0, cut_at: f64::NEG_INFINITY }
+        Self { limit, late: 0.0, at: f64::INFINITY, cut_at: f64::NEG_INFINITY }
     }
 
     /// Takes in how one ended, with so much of the limit in use. A cut starts from what is in use.
     pub fn report(&mut self, now: Ms, late: bool, used: f64, rule: &GateRule) {
-        self.late += (f64::from(u8::from(late)) - self.late) * rule.weight;
+        let weight = rule.weight.max(1.0 - (-(now - self.at).max(0.0) / rule.span).exp());
+        self.at = now;
+        self.late += (f64::from(u8::from(late)) - self.late) * weight;
         if !late {
             self.limit += rule.raise;
         } else if self.late > rule.borne && now - self.cut_at >= rule.every {
@@ -113,8 +118,16 @@
 mod tests {
     use super::*;
 
-    const RULE: GateRule =
-        GateRule { weight: 0.5, borne: 0.6, cut: 0.5, every: 100.0, raise: 1.0, least: 1.0, most: 10.0 };
+    const RULE: GateRule = GateRule {
+        weight: 0.5,
+        span: 1e6,
+        borne: 0.6,
+        cut: 0.5,
+        every: 100.0,
+        raise: 1.0,
+        least: 1.0,
+        most: 10.0,
+    };
 
     #[test]
     fn a_gate_bears_single_late_ones_and_then_shrinks_once_a_while() {
