Ask for no reports; use the link's report only where outcomes tell no hits

Where hits are told, lateness behind a miss is told from a crowded cache already; the link's limit then also stands in for short parents, which the link's report would have hidden.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -127,10 +127,6 @@
 const LINK_TOLD_WEIGHT: f64 = 0.25;
 const LINK_TOLD_FOR: Ms = 2_000.0;
 const LINK_ROOM: f64 = 0.8;
-/// Where reports come only by probing, so often one is had.
-const PROBE_EVERY: Ms = 400.0;
-/// So many probes that told nothing, since the last one that did, and they are given up.
-const PROBES_UNTOLD: u32 = 10;
 
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
@@ -243,10 +239,7 @@
             }
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
-            Event::Probed { cache, ok, load } => {
-                self.link.untold += u32::from(*ok && load.link.is_none());
-                self.note_load(*cache, load);
-            }
+            Event::Probed { cache, load, .. } => self.note_load(*cache, load),
             Event::Timer(LOOK) => self.look_round(),
             Event::Timer(token) => {
                 if let Some(id) = self.waiting.remove(token) {
@@ -897,7 +890,7 @@
             return;
         }
         // The link itself is told to have room: what is late is crowded out at the cache.
-        let crowded_out = late && self.link_has_room();
+        let crowded_out = late && self.set.tells != Tells::All && self.link_has_room();
         if crowded_out {
             self.judge_sending(attempt, true);
         }
@@ -922,23 +915,7 @@
         let own = self.servers.get(&id).is_some_and(|s| self.set.is_own(&s.member));
         if let Some(link) = load.link.filter(|_| own) {
             self.link.told.add(link, LINK_TOLD_WEIGHT);
-            (self.link.told_at, self.link.untold) = (self.now, 0);
-        }
-    }
-
-    /// Asks a warm cache of the location for its report, one after another, where none has come by itself.
-    fn probe(&mut self) {
-        let since = self.now - self.link.told_at.max(self.link.probed_at);
-        if !self.set.may_probe || self.link.untold >= PROBES_UNTOLD || since < PROBE_EVERY {
-            return;
-        }
-        let fit = |s: &&Server| {
-            self.set.is_own(&s.member) && self.usable(s.member.id, 0.0) && self.cold_share(s).is_none()
-        };
-        let caches: Vec<CacheId> = self.servers.values().filter(fit).map(|s| s.member.id).collect();
-        if let Some(&cache) = caches.get((self.draw() * caches.len() as f64) as usize) {
-            self.link.probed_at = self.now;
-            self.out.push(Action::Probe(cache));
+            self.link.told_at = self.now;
         }
     }
 
@@ -966,7 +943,6 @@
             server.pass(now, USUAL);
         }
         self.link.usual.pass(now, self.link.filling, USUAL);
-        self.probe();
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let overdue = |a: &&mut Attempt| (a.fills || a.renews) && !a.late && now - a.sent > a.aim;
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,9 +72,6 @@
     /// How full it is told to be, and when it was told last.
     pub told: Mean,
     pub told_at: Ms,
-    pub probed_at: Ms,
-    /// Probes that told nothing of it, since the last one that did.
-    pub untold: u32,
 }
 
 /// One attempt that is out.
