--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,36 +91,19 @@
 /// Advice to clients that were refused.
 const COME_BACK: Ms = 400.0;
 
-/// How far back what a gate goes by reaches at most: a thin stream must not take seconds to tell a trouble.
-const GATE_SPAN: Ms = 1_500.0;
 /// The share of misses that may go on to the origin: cut while late ones are many, and raised by each in
-/// time and a little at each look, so that it comes back when nothing is sent there any more.
-const ORIGIN_GATE: GateRule = GateRule {
-    weight: 0.15,
-    span: GATE_SPAN,
-    borne: 0.2,
-    cut: 0.8,
-    every: 100.0,
-    raise: 0.02,
-    least: 0.05,
-    most: 1.0,
-};
+/// time and a little at each look, so that it comes back when nothing is sent there any more. It looks back
+/// for a second and a half at most: a thin stream must not take longer to tell than the origin to stop.
+const ORIGIN_GATE: GateRule =
+    GateRule { part: 0.15, span: 1.5e3, bear: 0.2, cut: 0.8, gap: 1e2, raise: 0.02, least: 0.05, most: 1.0 };
 const ORIGIN_BACK: f64 = 0.004;
 /// Below this share ageing copies are served rather than renewed.
 const ORIGIN_SOUND: f64 = 0.8;
 /// The transfers of mean size that fills may have under way through the location's link. `most` is a
 /// multiple of what the location's caches can send at once, below which the link can't be the narrow
 /// point; a fill in time adds to the limit what a window of them makes one.
-const LINK_GATE: GateRule = GateRule {
-    weight: 0.08,
-    span: GATE_SPAN,
-    borne: 0.25,
-    cut: 0.85,
-    every: 200.0,
-    raise: 1.0,
-    least: 1.0,
-    most: 2.0,
-};
+const LINK_GATE: GateRule =
+    GateRule { part: 0.08, span: 5e3, bear: 0.25, cut: 0.85, gap: 2e2, raise: 1.0, least: 1.0, most: 2.0 };
 
 /// Weight of a new report of the link, for how long one holds, and how full, in transfers over those that
 /// fit at full pace, a link with room is told to be. Reports lag: it is well below what slows clients.
@@ -130,16 +113,8 @@
 
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
-const SEND_GATE: GateRule = GateRule {
-    weight: 0.1,
-    span: GATE_SPAN,
-    borne: 0.2,
-    cut: 0.85,
-    every: 200.0,
-    raise: 0.02,
-    least: 0.4,
-    most: 1.5,
-};
+const SEND_GATE: GateRule =
+    GateRule { part: 0.1, span: 5e3, bear: 0.2, cut: 0.85, gap: 2e2, raise: 0.02, least: 0.4, most: 1.5 };
 /// Weight of a fill by way of the origin in the share that waited longer than a client would for a small
 /// answer, and the share at which what is late is put down to the origin.
 const WAIT_WEIGHT: f64 = 0.15;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -72,13 +72,13 @@
 #[derive(Debug, Clone, Copy)]
 pub struct GateRule {
     /// Weight of a new one in the share of late ones, and the share that is borne.
-    pub weight: f64,
+    pub part: f64,
     /// A new one weighs more where they are so rare that the share would reach further back than this.
     pub span: Ms,
-    pub borne: f64,
+    pub bear: f64,
     /// Factor of a cut, and the time between two.
     pub cut: f64,
-    pub every: Ms,
+    pub gap: Ms,
     /// What one in time adds.
     pub raise: f64,
     pub least: f64,
@@ -101,12 +101,12 @@
 
     /// Takes in how one ended, with so much of the limit in use. A cut starts from what is in use.
     pub fn report(&mut self, now: Ms, late: bool, used: f64, rule: &GateRule) {
-        let weight = rule.weight.max(1.0 - (-(now - self.at).max(0.0) / rule.span).exp());
+        let weight = rule.part.max(1.0 - (-(now - self.at).max(0.0) / rule.span).exp());
         self.at = now;
         self.late += (f64::from(u8::from(late)) - self.late) * weight;
         if !late {
             self.limit += rule.raise;
-        } else if self.late > rule.borne && now - self.cut_at >= rule.every {
+        } else if self.late > rule.bear && now - self.cut_at >= rule.gap {
             self.limit = self.limit.min(used) * rule.cut;
             self.cut_at = now;
         }
