--- a/src/brain.rs
+++ b/src/brain.rs
@@ -95,7 +95,7 @@
 /// time and a little at each look, so that it comes back when nothing is sent there any more. It looks back
 /// for a second and a half at most: a thin stream must not take longer to tell than the origin to stop.
 const ORIGIN_GATE: GateRule =
-    GateRule { part: 0.15, span: 1.5e3, bear: 0.2, cut: 0.8, gap: 1e2, raise: 0.02, least: 0.05, most: 1.0 };
+    GateRule { part: 0.15, span: 1.5e3, bear: 0.2, cut: 0.8, gap: 1e2, raise: 0.02, least: 0.05, most: 1. };
 const ORIGIN_BACK: f64 = 0.004;
 /// Below this share ageing copies are served rather than renewed.
 const ORIGIN_SOUND: f64 = 0.8;
@@ -702,8 +702,8 @@
         self.bears(id, work) && self.servers.get(&id).is_some_and(|server| server.health.admits())
     }
 
-    /// Whether it is ready, and not too cold for it by the rule. One router's allowance may be far less than one
-    /// request, and all would overdraw it at once: each does so by a chance that makes up for it, drawn anew in
+    /// Whether it is ready, and not too cold for it by the rule. One router's allowance may be far less than
+    /// one request, and all would overdraw it at once: each may by a chance that makes up for it, drawn anew in
     /// each stretch of time.
     fn bears(&self, id: CacheId, work: Ms) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -119,11 +119,11 @@
     use super::*;
 
     const RULE: GateRule = GateRule {
-        weight: 0.5,
+        part: 0.5,
         span: 1e6,
-        borne: 0.6,
+        bear: 0.6,
         cut: 0.5,
-        every: 100.0,
+        gap: 100.0,
         raise: 1.0,
         least: 1.0,
         most: 10.0,
