--- a/src/brain.rs
+++ b/src/brain.rs
@@ -703,8 +703,8 @@
     }
 
     /// Whether it is ready, and not too cold for it by the rule. One router's allowance may be far less than
-    /// one request, and all would overdraw it at once: each may by a chance that makes up for it, drawn anew in
-    /// each stretch of time.
+    /// one request, and all would overdraw it at once: each may by a chance that makes up for it, drawn anew
+    /// in each stretch of time.
     fn bears(&self, id: CacheId, work: Ms) -> bool {
         let Some(server) = self.servers.get(&id) else { return false };
         let stretch = self.now / self.set.cold_start(&server.member).window.max(1.0);
