--- a/src/brain.rs
+++ b/src/brain.rs
@@ -525,7 +525,11 @@
             if request.part > 0 { WATCHED_HOLDERS.min(holders.len()) } else { 1.min(holders.len()) };
         let mut several = holders[..several].to_vec();
         let item = self.item(request);
-        several.sort_by_key(|id| mix(item, id.0 ^ SALT_DEAL));
+        // By rendezvous hash, in proportion to their weights.
+        let far = |id: &CacheId| {
+            -fraction(mix(item, id.0 ^ SALT_DEAL)).ln() / self.servers[id].member.weight.max(0.01)
+        };
+        several.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let least = several.iter().copied().reduce(|a, b| self.less_busy(a, b));
         let fit = || several.iter().copied().filter(|&id| self.crowding(id) < CROWDED);
