--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -339,7 +339,12 @@
     for &object in &owned {
         let sent = world.ask(SAFE, object).expect("an attempt");
         to_it += usize::from(sent.cache == CACHES[0]);
-        world.end_after(sent, Status::Ok, Some(Note::Hit), if sent.cache == CACHES[0] { 550.0 } else { 200.0 });
+        world.end_after(
+            sent,
+            Status::Ok,
+            Some(Note::Hit),
+            if sent.cache == CACHES[0] { 550.0 } else { 200.0 },
+        );
     }
     assert!(to_it > 0 && to_it < owned.len() * 8 / 10, "{to_it} of {} stay with it", owned.len());
 }
