Tell refused clients to come back after 0.05 s

Clients' tries are bounded, and refusals cost no server anything; where clients tried without end this would hurt.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -96,7 +96,7 @@
 const RETRY_PART: f64 = 0.15;
 const RETRY_SAVED: f64 = 20.0;
 /// Advice to clients that were refused.
-const COME_BACK: Ms = 150.0;
+const COME_BACK: Ms = 50.0;
 
 /// The share of misses that may go on to the origin: cut while late ones are many, and raised by each in
 /// time and a little at each look, so that it comes back when nothing is sent there any more. It looks back
