--- a/src/brain.rs
+++ b/src/brain.rs
@@ -121,7 +121,7 @@
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
 const SEND_GATE: GateRule =
-    GateRule { part: 0.1, span: 5e3, bear: 0.2, cut: 0.85, gap: 2e2, raise: 0.02, least: 0.4, most: 1.5 };
+    GateRule { part: 0.1, span: 5e3, bear: 0.1, cut: 0.85, gap: 2e2, raise: 0.02, least: 0.25, most: 1.5 };
 /// Weight of a fill by way of the origin in the share that waited longer than a client would for a small
 /// answer, and the share at which what is late is put down to the origin.
 const WAIT_WEIGHT: f64 = 0.15;
