Ask of cold servers up to 0.6 of what makes them fall over, saved up for 0.75 of the window

Cause: overdrawing by chance left a cold server half of its allowance unused, and half of the parents cold is what costs most at size. At worst 0.9 of the rule's figure is sent in one window.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,9 +70,9 @@
 
 /// Part of what makes a cold server fall over that all routers together may ask of it. The capacity that
 /// this reckons with is the least that it can have, and work may warm it faster.
-const COLD_PART: f64 = 0.5;
+const COLD_PART: f64 = 0.6;
 /// Part of the rules' window that may be spent in one go.
-const COLD_BURST: f64 = 0.5;
+const COLD_BURST: f64 = 0.75;
 /// Weight of a likely hit among the fills that reach a cold parent.
 const COLD_HIT: f64 = 0.3;
 /// A class's mean sending time before enough of its answers were seen, and how many are enough.
