--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,7 @@
 /// A server is taken out at that share of failures, of about the last seven outcomes; it is left alone for
 /// half a second, for longer after each failed way back, and trusted after some good trials in a row.
 const HEALTH: HealthRule =
-    HealthRule { weight: 0.15, bad: 0.35, out_first: 500.0, out_longest: 3_000.0, trials: 4 };
+    HealthRule { weight: 0.15, bad: 0.35, out_first: 500.0, longer: 2.0, out_longest: 3_000.0, trials: 4 };
 
 /// Part of what makes a cold server fall over that all routers together may ask of it. The capacity that
 /// this reckons with is the least that it can have, and work may warm it faster.
--- a/src/health.rs
+++ b/src/health.rs
@@ -9,8 +9,9 @@
     /// Weight of a new answer in the share of bad ones, and the share at which it is taken out.
     pub weight: f64,
     pub bad: f64,
-    /// How long it is left alone at first, and at the longest; doubled for each failed way back.
+    /// How long it is left alone at first, how many times longer for each failed way back, and at the longest.
     pub out_first: Ms,
+    pub longer: f64,
     pub out_longest: Ms,
     /// Good trials in a row, one at a time, after which it is trusted again.
     pub trials: u32,
@@ -72,7 +73,7 @@
     /// Takes it out: for longer if it was on its way back.
     pub fn take_out(&mut self, now: Ms, rule: &HealthRule) {
         let again = self.on_trial();
-        self.span = if again { (self.span * 2.0).min(rule.out_longest) } else { rule.out_first };
+        self.span = if again { (self.span * rule.longer).min(rule.out_longest) } else { rule.out_first };
         self.state = State::Out { until: now + self.span };
     }
 
@@ -106,7 +107,7 @@
     use super::*;
 
     const RULE: HealthRule =
-        HealthRule { weight: 0.5, bad: 0.6, out_first: 100.0, out_longest: 300.0, trials: 2 };
+        HealthRule { weight: 0.5, bad: 0.6, out_first: 100.0, longer: 2.0, out_longest: 300.0, trials: 2 };
 
     #[test]
     fn failures_take_it_out_and_good_trials_one_by_one_bring_it_back() {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -439,6 +439,47 @@
     assert_eq!((empty.ask(SAFE, 4), empty.finals.len()), (None, 1));
 }
 
+/// Caches taken away in waves: their replacements have new numbers, start cold, and what was kept is lost.
+#[test]
+fn a_list_that_changes_in_large_part_at_once_keeps_every_rule_and_every_answer() {
+    let new =
+        |id: u64, since: Ms| Member { id: CacheId(id), zone: ZONE, kind: 0, since, ..member(CACHES[0]) };
+    let mut world = warmed();
+    for wave in 0..3 {
+        let (leaving, id) = (CACHES[wave], 110 + wave as u64);
+        let start = world.now;
+        world.tell(Event::List {
+            kind: ListKind::Changes,
+            members: vec![Member { phase: Phase::Draining, ..member(leaving) }, new(id, start)],
+        });
+        world.list(Member { phase: Phase::Gone, ..member(PARENTS[wave % 2]) });
+        let before = world.sent.len();
+        for object in 0..60 {
+            world.pass(30.0);
+            if let Some(sent) = world.ask(SAFE, object) {
+                world.end_after(sent, Status::Ok, Some(Note::Filled), 100.0);
+            }
+        }
+        let named = |sent: &Sent| [Some(sent.cache), sent.fill.map(|fill| fill.source)];
+        let named: Vec<CacheId> = world.sent[before..].iter().flat_map(named).flatten().collect();
+        assert!(!named.is_empty() && !named.contains(&leaving), "wave {wave}");
+        world.list(Member { phase: Phase::Gone, ..member(leaving) });
+        world.list(Member { since: world.now, ..member(PARENTS[wave % 2]) });
+    }
+    // One is left, then none, then one is back under its old number.
+    for id in [111, 112] {
+        world.list(Member { phase: Phase::Gone, ..new(id, 0.0) });
+    }
+    world.pass(20_000.0);
+    assert_eq!(world.ask(SAFE, 7).expect("an attempt").cache, CacheId(110));
+    world.list(Member { phase: Phase::Gone, ..new(110, 0.0) });
+    assert!(PARENTS.contains(&world.ask(SAFE, 8).expect("an attempt").cache));
+    let back = new(110, world.now);
+    world.list(back);
+    world.pass(20_000.0);
+    assert_eq!(world.ask(SAFE, 9).expect("an attempt").cache, CacheId(110));
+}
+
 #[test]
 fn zero_and_missing_sizes_and_weights_do_no_harm() {
     for weight in [0.0, 1.0] {
