The limit on fills does not shrink with the caches that a location has lost

Cause: its upper end is a multiple of what the location's ready caches can send; with all of them restarted that was two fills a router, and it came back one fill at a time after they did. Also meant for rolling releases and lost shelves; may hurt where a location is made smaller on purpose, until restart.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -144,7 +144,7 @@
     now: Ms,
     servers: BTreeMap<CacheId, Server>,
     ring: Ring<CacheId>,
-    /// What the ready caches of the location can send at once, in transfers at full pace.
+    /// What the location's caches could send at once at most: its link does not shrink with those lost.
     at_once: f64,
     open: BTreeMap<RequestId, Open>,
     attempts: BTreeMap<AttemptId, Attempt>,
@@ -269,8 +269,9 @@
         }
         let all = self.servers.values().map(|server| server.member);
         let ready: Vec<Member> = all.filter(|m| m.phase == Phase::Ready && self.set.is_own(m)).collect();
-        self.at_once = ready.iter().map(|m| m.weight).sum();
-        let mean = self.at_once / ready.len() as f64;
+        let sum: f64 = ready.iter().map(|m| m.weight).sum();
+        self.at_once = self.at_once.max(sum);
+        let mean = sum / ready.len() as f64;
         let size = |m: &Member| if mean > 0.0 { m.weight / mean } else { 1.0 };
         let points = |m: &Member| (RING_POINTS * size(m)).clamp(1.0, RING_POINTS * 4.0) as u32;
         self.ring = Ring::new(ready.iter().map(|m| (m.id, points(m))), |id, n| {
@@ -312,11 +313,8 @@
     // ---- Requests.
 
     fn mean_work(&self, class: u16) -> Ms {
-        match self.works.get(usize::from(class)) {
-            Some(work) if work.seen >= WORK_SEEN => work.value,
-            Some(work) => work.value.max(WORK_GUESS),
-            None => WORK_GUESS,
-        }
+        let least = |work: &Mean| if work.seen < WORK_SEEN { WORK_GUESS } else { 0.0 };
+        self.works.get(usize::from(class)).map_or(WORK_GUESS, |work| work.value.max(least(work)))
     }
 
     /// The mean sending time of the class with the largest answers: one transfer of the link's limit.
@@ -902,8 +900,8 @@
 
     /// Takes in what a cache of the location tells of the link that all its caches share.
     fn note_load(&mut self, id: CacheId, load: &Load) {
-        let own = self.servers.get(&id).is_some_and(|s| self.set.is_own(&s.member));
-        if let Some(link) = load.link.filter(|_| own) {
+        let own = |s: &Server| self.set.is_own(&s.member);
+        if let Some(link) = load.link.filter(|_| self.servers.get(&id).is_some_and(own)) {
             self.link.told.add(link, LINK_TOLD_WEIGHT);
             self.link.told_at = self.now;
         }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -480,6 +480,20 @@
     assert_eq!(world.ask(SAFE, 9).expect("an attempt").cache, CacheId(110));
 }
 
+/// A location that lost its caches, or has them back one by one, must not hold its fills against what is left of
+/// them: the link is made for all.
+#[test]
+fn the_links_limit_does_not_shrink_with_the_caches_that_are_lost() {
+    let mut world = warmed();
+    CACHES.into_iter().for_each(|id| world.list(Member { phase: Phase::Gone, ..member(id) }));
+    for object in 1000..1010 {
+        world.pass(20.0);
+        world.serve(SAFE, object, Note::Filled);
+    }
+    let sent = (2000..2020).filter_map(|object| world.ask(SAFE, object)).count();
+    assert!(sent > 15, "{sent} of 20 sent");
+}
+
 #[test]
 fn zero_and_missing_sizes_and_weights_do_no_harm() {
     for weight in [0.0, 1.0] {
