The origin's share comes back in proportion to itself, so that a failed origin recovers

Cause: cut to a tenth by three failures a second, the share came back by 0.08 a second all the same, and held a failed origin down for good.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -104,6 +104,7 @@
 const ORIGIN_GATE: GateRule =
     GateRule { part: 0.15, span: 1.5e3, bear: 0.2, cut: 0.8, gap: 1e2, raise: 0.02, least: 0.05, most: 1. };
 const ORIGIN_BACK: f64 = 0.004;
+const ORIGIN_SMALL: f64 = 0.2; // Back in proportion to itself down to this: a failed origin recovers.
 /// Below this share ageing copies are served rather than renewed.
 const ORIGIN_SOUND: f64 = 0.8;
 /// The transfers of mean size that fills may have under way through the location's link. `most` is a
@@ -946,7 +947,8 @@
             }
         }
         late.iter().for_each(|attempt| self.judge_fill(attempt, true));
-        self.origin_gate.limit = (self.origin_gate.limit + ORIGIN_BACK).min(ORIGIN_GATE.most);
+        let share = self.origin_gate.limit;
+        self.origin_gate.limit = (share + ORIGIN_BACK * share.max(ORIGIN_SMALL)).min(ORIGIN_GATE.most);
         if now >= self.next_rotation {
             self.next_rotation = now + FILTER_ROTATION;
             self.servers.values_mut().for_each(|server| server.filter.rotate());
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -221,6 +221,17 @@
     assert!(held.count() > 20, "most misses ask the parents only for what they hold");
 }
 
+/// An origin that has failed is not let recover if its share is back faster than the failures of a thin stream cut it.
+#[test]
+fn a_small_share_of_the_origin_comes_back_slowly() {
+    let mut world = warmed();
+    (0..4).for_each(|_| slow_origin(&mut world));
+    world.pass(4000.0);
+    let asked: Vec<Sent> = (5000..5200).filter_map(|object| world.ask(SAFE, object)).collect();
+    let held = asked.iter().filter(|sent| sent.fill.is_some_and(|fill| fill.only_held)).count();
+    assert!(held * 100 > asked.len() * 78, "{held} of {} ask only for what is held", asked.len());
+}
+
 /// What a filter shows may be past its fresh time; its renewals must not escape the origin's share.
 #[test]
 fn renewals_count_against_a_slow_origin_too() {
