A parent is clearly slow only beside another one that is up

Cause: fills at the vanished cache timed out and counted as late for the parent that was left; the one that failed fast was out and had no late ones, and as the best of all it made the other clearly slow. One router sent 1,021 fills straight to the origin, until all were late there. Fault: Brain::clearly_slow took the best over parents that are out. A trace of every passed parent showed 'slow' as the only reason each time. Also meets drained and restarted parents; may hurt where one parent is left that really is slow: its fills then go on, held back by the link's limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -607,7 +607,7 @@
     fn clearly_slow(&self, id: CacheId) -> bool {
         let best = self
             .parents()
-            .filter(|s| s.member.phase == Phase::Ready)
+            .filter(|s| s.member.phase == Phase::Ready && s.health.is_up())
             .map(|s| s.late.value)
             .fold(f64::INFINITY, f64::min);
         let own =
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -304,6 +304,35 @@
     assert!(fills > 50, "the link stays open for the other: {fills}");
 }
 
+/// A parent that is out shows no late fills: beside it the other one would be slow for a few that a lost cache
+/// has made late, and all misses would go to the origin until that stops.
+#[test]
+fn a_parent_is_slow_only_beside_another_one_that_is_up() {
+    let mut world = warmed();
+    for object in 1000..1200 {
+        world.pass(40.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        let Some(fill) = sent.fill else { continue };
+        if fill.source == PARENTS[0] {
+            if let Some(again) = world.end(sent, Status::Error, Some(Note::SourceUnreached)) {
+                world.end_after(again, Status::Ok, Some(Note::Filled), 100.0);
+            }
+        } else {
+            let took = if object % 5 < 2 { 1500.0 } else { 100.0 };
+            world.end_after(sent, Status::Ok, Some(Note::Filled), took);
+        }
+    }
+    let mut past = 0;
+    for object in 2000..2060 {
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        past += usize::from(sent.fill.is_some_and(|fill| fill.source == THE_ORIGIN));
+        let status =
+            if sent.fill.is_some_and(|fill| fill.source == PARENTS[0]) { Status::Error } else { Status::Ok };
+        world.end_after(sent, status, None, 100.0);
+    }
+    assert_eq!(past, 0, "fills straight from the origin");
+}
+
 /// Seven routers that each took twice what they see for what the others have would all find it crowded.
 #[test]
 fn two_requests_in_flight_do_not_make_a_cache_crowded_for_eight_routers() {
