Give each attempt a connection of its own, closed when it is given up

Cause: a machine that is cut off reads no QUIT, so what was called off there was still out when the next attempt went elsewhere. Closing gives up all that is open on a connection, also other requests' attempts, so an attempt shares one only where no more may be opened. Idle connections to a cache that was not heard of since go too, so that new ones show at once if it is gone.

--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -62,6 +62,8 @@
     uid: String,
     address: SocketAddr,
     started: Ms,
+    /// When something of it last came in.
+    heard: Ms,
     connections: Vec<ConnectionId>,
 }
 
@@ -106,15 +108,10 @@
     output: Chain,
     writing: Option<String>,
     open: HashMap<String, Open>,
-    /// Given up here: an answer may still come, and is dropped.
-    given_up: HashSet<String>,
-    /// When something last came in, and when it was last used.
-    heard: Ms,
     used: Ms,
-    /// It has gone silent over something that it was sent: nothing new goes here.
-    silent: bool,
-    /// Its cache has gone or has started anew.
-    retired: bool,
+    /// Nothing new goes here, and it is closed once nothing is open on it: something was given up here whose
+    /// answer may still come, or its cache has gone or has started anew.
+    leaving: bool,
 }
 
 /// An attempt that is out.
@@ -206,7 +203,8 @@
                     }
                     None => {
                         let uid = target.uid.clone();
-                        self.peers.insert(place, Peer { uid, address, started, connections: Vec::new() });
+                        let peer = Peer { uid, address, started, heard: 0.0, connections: Vec::new() };
+                        self.peers.insert(place, peer);
                     }
                 }
             }
@@ -215,7 +213,7 @@
             let Some(peer) = self.peers.get_mut(&place) else { continue };
             for id in std::mem::take(&mut peer.connections) {
                 if let Some(connection) = self.connections.get_mut(&id) {
-                    connection.retired = true;
+                    connection.leaving = true;
                 }
                 self.close_if_done(id);
             }
@@ -291,24 +289,28 @@
         self.give_up(now, attempt, End::Cancelled);
     }
 
-    /// A connection that may take a message under that id. An id that is open there, or was given up, can't
-    /// be used again: the answers could not be told apart.
+    /// A connection for a message under that id: one with nothing open, a new one, or, where there are as
+    /// many as there may be, the one with the least open.
+    ///
+    /// Guards against attempts that can't be called off: a machine that has vanished reads no `QUIT`, and
+    /// what is open there stays out until its connection is closed. So each attempt has one for itself.
     fn connection_for(&mut self, now: Ms, place: Place, id: &str) -> Option<ConnectionId> {
         let peer = self.peers.get(&place)?;
-        let fits = |connection: &&ConnectionId| {
-            self.connections.get(connection).is_some_and(|c| {
-                c.open.len() < self.limits.cache_streams
-                    && !c.open.contains_key(id)
-                    && !c.given_up.contains(id)
-                    && c.given_up.len() < self.limits.given_up
-            })
+        let fits = |c: &Connection| {
+            c.open.len() < self.limits.cache_streams && !c.leaving && !c.open.contains_key(id)
         };
-        let speaks = |connection: &&ConnectionId| self.connections.get(connection).is_some_and(|c| !c.silent);
-        if let Some(found) = peer.connections.iter().filter(fits).find(speaks) {
+        let known = peer.connections.iter().filter_map(|id| self.connections.get(id).map(|c| (*id, c)));
+        let fit: Vec<(ConnectionId, &Connection)> = known.filter(|(_, c)| fits(c)).collect();
+        // The one used last, so that the others may grow old and go.
+        let idle = fit.iter().filter(|(_, c)| c.open.is_empty() && c.stage == Stage::Up);
+        let idle = idle.max_by(|(_, a), (_, b)| a.used.total_cmp(&b.used));
+        if let Some((found, _)) = idle {
             return Some(*found);
         }
-        if peer.connections.len() >= self.limits.cache_connections {
-            return peer.connections.iter().rev().find(fits).copied();
+        let full = peer.connections.len() >= self.limits.cache_connections
+            || self.connections.len() >= self.limits.connections;
+        if full {
+            return fit.iter().min_by_key(|(_, c)| c.open.len()).map(|(found, _)| *found);
         }
         let address = peer.address;
         let connected = self.connect(now, place, address);
@@ -344,11 +346,8 @@
             output: Chain::new(&self.pool),
             writing: None,
             open: HashMap::new(),
-            given_up: HashSet::new(),
-            heard: now,
             used: now,
-            silent: false,
-            retired: false,
+            leaving: false,
         };
         self.connections.insert(id, connection);
         if let Some(peer) = self.peers.get_mut(&place) {
@@ -364,7 +363,7 @@
             match connection.stream.take_error() {
                 Ok(None) if writable => {
                     connection.stage = Stage::Up;
-                    connection.heard = now;
+                    self.heard(now, id);
                 }
                 Ok(None) => return,
                 Ok(Some(wrong)) | Err(wrong) => return self.close(now, id, &wrong.to_string()),
@@ -378,12 +377,19 @@
         }
     }
 
+    fn heard(&mut self, now: Ms, id: ConnectionId) {
+        let place = self.connections.get(&id).map(|connection| connection.place);
+        if let Some(peer) = place.and_then(|place| self.peers.get_mut(&place)) {
+            peer.heard = now;
+        }
+    }
+
     fn read(&mut self, now: Ms, id: ConnectionId) {
         loop {
             let Some(connection) = self.connections.get_mut(&id) else { return };
             match connection.input.read_from(&*connection.stream) {
                 Ok(0) => return self.close(now, id, "closed"),
-                Ok(_) => (connection.heard, connection.silent) = (now, false),
+                Ok(_) => self.heard(now, id),
                 Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
                 Err(wrong) => return self.close(now, id, &wrong.to_string()),
@@ -404,8 +410,7 @@
         connection.used = now;
         let Some(open) = connection.open.remove(&reply.id) else {
             // An answer that crossed its request's end; nobody waits for it.
-            connection.given_up.remove(&reply.id);
-            return self.close_if_done(id);
+            return;
         };
         let place = connection.place;
         let gauges = gauges(&reply.fields);
@@ -448,17 +453,29 @@
                 if end == End::TimedOut {
                     end = End::Unreached;
                 }
+            } else if connection.open.is_empty() {
+                self.remove(out.connection);
             } else {
-                connection.given_up.insert(out.id.clone());
+                connection.leaving = true;
                 let bytes = resp::quit(&self.pool, &out.id);
                 connection.queue.push_back(Queued { id: None, bytes });
-                // Nothing was heard since: a cache that has died leaves its connections open and silent.
-                connection.silent |= connection.heard < out.sent;
             }
         }
         self.end(now, attempt, out.place, out.sent, end);
+        self.suspect(out.place, out.sent);
         self.flush(now, out.connection);
-        self.close_if_done(out.connection);
+    }
+
+    /// Nothing was heard of a cache since something was sent to it: its idle connections may be as dead as
+    /// the one that was given up, and new ones show whether it still takes any. What shares a connection
+    /// with something that could not be called off ends with it.
+    fn suspect(&mut self, place: Place, sent: Ms) {
+        let Some(peer) = self.peers.get(&place).filter(|peer| peer.heard < sent) else { return };
+        for id in peer.connections.clone() {
+            if self.connections.get(&id).is_some_and(|c| c.stage == Stage::Up && c.open.is_empty()) {
+                self.remove(id);
+            }
+        }
     }
 
     fn end(&mut self, now: Ms, attempt: Attempt, place: Place, sent: Ms, end: End) {
@@ -487,9 +504,9 @@
         }
     }
 
-    /// A silent or retired connection goes once nothing is open on it.
+    /// A connection that is to leave goes once nothing is open on it.
     fn close_if_done(&mut self, id: ConnectionId) {
-        let done = |c: &Connection| (c.silent || c.retired) && c.open.is_empty();
+        let done = |c: &Connection| c.leaving && c.open.is_empty();
         if self.connections.get(&id).is_some_and(done) {
             self.remove(id);
         }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -76,11 +76,10 @@
     /// Open requests on one connection of a client, and in all.
     pub client_streams: usize,
     pub open: usize,
-    /// Attempts on one connection to a cache, and connections to one cache.
+    /// Attempts on one connection to a cache, connections to one cache, and to all.
     pub cache_streams: usize,
     pub cache_connections: usize,
-    /// Ids given up that a connection to a cache remembers, so as not to use them again.
-    pub given_up: usize,
+    pub connections: usize,
     pub connect: f64,
     /// After so long without use a connection to a cache is closed, before the cache does so.
     pub idle: f64,
@@ -99,6 +98,9 @@
     pub log_lines: u32,
 }
 
+/// Descriptors left over on either side for what is neither a client nor a cache.
+const SPARE: usize = 16;
+
 impl Limits {
     fn new(platform: Platform, transport: Transport) -> Self {
         let block = 16 * 1024;
@@ -113,12 +115,12 @@
             read_turn: 262_144,
             write_backlog: 1024 * 1024,
             accept_backlog: 1024,
-            clients: platform.sockets / 2,
+            clients: platform.sockets / 2 - SPARE,
             client_streams: 64,
             open: transport.max_open as usize,
             cache_streams: transport.streams as usize,
-            cache_connections: 6,
-            given_up: 4096,
+            cache_connections: platform.sockets / 8,
+            connections: platform.sockets / 2 - SPARE,
             connect: transport.connect_timeout,
             idle: transport.idle * 0.8,
             way: 30.0,
