Add stand-ins, tests of the router on sockets, and what a newcomer needs to try it

Reading the code against the protocol for these tests found, each now with a guard: - a request given up in the same read as it came in was answered all the same: tickets are given out as frames are read (a_request_given_up_in_the_same_breath_is_not_answered fails without); - 'unchanged' was passed on to clients that hold no copy or another one; - an attempt that waited for a connection could begin after a drain: it is taken back; - a client that takes nothing, and one long gone, kept its buffers and descriptor: closed after 8 s and 30 s.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# What a developer needs, in one place. `make run` starts the router of the example; `make toy` its caches.
+
+CONFIG ?= examples/config.json
+
+.PHONY: build test lint run toy ask
+
+build:
+	cargo build --release
+
+test:
+	cargo test --workspace
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets -- -D warnings
+
+run: build
+	LB_CONFIG=$(CONFIG) target/release/linnethook
+
+toy:
+	cargo run --release -p linnethook-toy --bin toy-fleet -- $(CONFIG)
+
+ask:
+	cargo run --release -p linnethook-toy --bin toy-client -- 127.0.0.1:8080 video 7f3a9c21e0b4d655
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -74,10 +74,15 @@
     Up,
 }
 
-/// A message that waits for its turn; whose it is, where it is an attempt's.
+/// A message that waits for its turn.
 #[derive(Debug)]
 struct Queued {
+    /// The id under which an answer to it would come; none for `QUIT`.
     id: Option<String>,
+    /// The attempt that it is, and where that fills from.
+    attempt: Option<Attempt>,
+    source: Option<Place>,
+    since: Ms,
     bytes: Chain,
 }
 
@@ -122,6 +127,8 @@
     id: String,
     sent: Ms,
     due: u64,
+    /// The tag of the copy that the client holds.
+    known: Option<String>,
 }
 
 pub struct Caches {
@@ -134,6 +141,7 @@
     out: HashMap<Attempt, Out>,
     due: BTreeSet<(u64, Attempt)>,
     probes: u64,
+    probes_due: BTreeSet<(u64, ConnectionId, String)>,
     ended: VecDeque<Ended>,
     probed: VecDeque<Probed>,
     pub connects: u64,
@@ -160,6 +168,7 @@
             out: HashMap::new(),
             due: BTreeSet::new(),
             probes: 0,
+            probes_due: BTreeSet::new(),
             ended: VecDeque::new(),
             probed: VecDeque::new(),
             connects: 0,
@@ -182,7 +191,12 @@
 
     /// Takes in the addresses of a list. One that has gone or started anew gets fresh connections: another
     /// cache may answer at its address now.
-    pub fn hosts(&mut self, targets: &[Target], complete: bool) {
+    pub fn hosts(&mut self, now: Ms, targets: &[Target], complete: bool) {
+        let barred: HashSet<Place> =
+            targets.iter().filter(|target| !target.ready()).map(|target| Place::of(&target.uid)).collect();
+        self.withdraw(now, |place, queued| {
+            barred.contains(&place) || queued.source.is_some_and(|source| barred.contains(&source))
+        });
         let mut retired = Vec::new();
         if complete {
             let listed: HashSet<Place> = targets.iter().map(|target| Place::of(&target.uid)).collect();
@@ -221,6 +235,21 @@
         // Those gone keep their line, for attempts ordered within the grace of a drain.
     }
 
+    /// Takes back attempts of which not a byte was written.
+    ///
+    /// Guards against a drain that comes while a connection is not up yet or does not take any more: what
+    /// waits for it would begin after the grace.
+    fn withdraw(&mut self, now: Ms, which: impl Fn(Place, &Queued) -> bool) {
+        let mut taken = Vec::new();
+        for connection in self.connections.values().filter(|connection| !connection.queue.is_empty()) {
+            let place = connection.place;
+            let meant = connection.queue.iter().filter(|queued| which(place, queued));
+            taken.extend(meant.filter_map(|queued| queued.attempt));
+        }
+        taken.sort_unstable();
+        taken.into_iter().for_each(|attempt| self.give_up(now, attempt, End::TimedOut));
+    }
+
     /// Sends an attempt on its way.
     pub fn send(
         &mut self,
@@ -261,10 +290,17 @@
         let bytes = resp::ask(&self.pool, &parcel.id, &fields, parcel.body.copy());
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.used = now;
-        connection.queue.push_back(Queued { id: Some(parcel.id.clone()), bytes });
+        connection.queue.push_back(Queued {
+            id: Some(parcel.id.clone()),
+            attempt: Some(attempt),
+            source: filling.source,
+            since: now,
+            bytes,
+        });
         connection.open.insert(parcel.id.clone(), Open { owner: Owner::Attempt(attempt), whole: false });
         let due = micros(now + timeout.max(0.0));
-        let out = Out { connection: id, place, id: parcel.id.clone(), sent: now, due };
+        let known = parcel.known.clone();
+        let out = Out { connection: id, place, id: parcel.id.clone(), sent: now, due, known };
         self.out.insert(attempt, out);
         self.due.insert((due, attempt));
         self.flush(now, id);
@@ -279,7 +315,9 @@
         let bytes = resp::info(&self.pool, &tag);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.used = now;
-        connection.queue.push_back(Queued { id: Some(tag.clone()), bytes });
+        let queued = Queued { id: Some(tag.clone()), attempt: None, source: None, since: now, bytes };
+        connection.queue.push_back(queued);
+        self.probes_due.insert((micros(now + self.limits.probe), id, tag.clone()));
         connection.open.insert(tag, Open { owner: Owner::Probe, whole: false });
         self.flush(now, id);
     }
@@ -426,7 +464,11 @@
         self.due.remove(&(out.due, attempt));
         let (end, brought) = match reply.word {
             Word::Data => (End::Answered, Brought::Body(reply.body)),
-            Word::Unchanged => (End::Answered, Brought::Unchanged),
+            // Good only for the copy that this client holds.
+            Word::Unchanged if same(&out.known, reply.fields.get("digest")) => {
+                (End::Answered, Brought::Unchanged)
+            }
+            Word::Unchanged => (End::Failed, Brought::Nothing),
             Word::Absent => (End::Absent, Brought::Nothing),
             Word::Full => (End::Full, Brought::Nothing),
             Word::Moot => (End::Moot, Brought::Nothing),
@@ -445,20 +487,30 @@
         self.due.remove(&(out.due, attempt));
         let mut end = end;
         if let Some(connection) = self.connections.get_mut(&out.connection) {
-            connection.open.remove(&out.id);
-            let waiting = connection.queue.iter().position(|queued| queued.id.as_ref() == Some(&out.id));
+            let whole = connection.open.remove(&out.id).is_some_and(|open| open.whole);
+            let waiting = connection.queue.iter().position(|queued| queued.attempt == Some(attempt));
+            let silent = self.peers.get(&out.place).is_none_or(|peer| peer.heard < out.sent);
             if let Some(n) = waiting {
                 // Not a byte of it was written: there is nothing to be called off.
                 connection.queue.remove(n);
-                if end == End::TimedOut {
-                    end = End::Unreached;
-                }
             } else if connection.open.is_empty() {
                 self.remove(out.connection);
+            } else if silent {
+                // What shares the connection with something that can't be called off ends with it.
+                self.close(now, out.connection, "silent");
             } else {
                 connection.leaving = true;
                 let bytes = resp::quit(&self.pool, &out.id);
-                connection.queue.push_back(Queued { id: None, bytes });
+                connection.queue.push_back(Queued {
+                    id: None,
+                    attempt: None,
+                    source: None,
+                    since: now,
+                    bytes,
+                });
+            }
+            if end == End::TimedOut && !whole {
+                end = End::Unreached;
             }
         }
         self.end(now, attempt, out.place, out.sent, end);
@@ -467,8 +519,7 @@
     }
 
     /// Nothing was heard of a cache since something was sent to it: its idle connections may be as dead as
-    /// the one that was given up, and new ones show whether it still takes any. What shares a connection
-    /// with something that could not be called off ends with it.
+    /// the one that was given up, and new ones show whether it still takes any.
     fn suspect(&mut self, place: Place, sent: Ms) {
         let Some(peer) = self.peers.get(&place).filter(|peer| peer.heard < sent) else { return };
         for id in peer.connections.clone() {
@@ -557,7 +608,10 @@
             Stage::Connecting(until) => until,
             Stage::Up => connection.used + self.limits.idle,
         });
-        due.into_iter().chain(stages).reduce(Ms::min)
+        let probes = self.probes_due.first().map(|(due, ..)| *due as Ms / 1000.0);
+        let queued = self.connections.values().filter(|c| c.stage == Stage::Up);
+        let queued = queued.filter_map(|c| c.queue.front().map(|queued| queued.since + self.limits.connect));
+        due.into_iter().chain(probes).chain(stages).chain(queued).reduce(Ms::min)
     }
 
     /// Ends what is overdue: attempts, connects, and connections that nobody uses.
@@ -566,6 +620,22 @@
             self.due.remove(&(due, attempt));
             self.give_up(now, attempt, End::TimedOut);
         }
+        while let Some((due, id, tag)) = self.probes_due.pop_first() {
+            if due > micros(now) {
+                self.probes_due.insert((due, id, tag));
+                break;
+            }
+            let Some(connection) = self.connections.get_mut(&id) else { continue };
+            if connection.open.remove(&tag).is_some() {
+                connection.leaving = true;
+                let place = connection.place;
+                self.probed.push_back(Probed { place, well: false, gauges: Vec::new() });
+                self.close_if_done(id);
+            }
+        }
+        // What a connection has not taken for so long would begin on grounds that are out of date.
+        let oldest = now - self.limits.connect;
+        self.withdraw(now, |_, queued| queued.since <= oldest);
         let mut late = Vec::new();
         let mut idle = Vec::new();
         for (&id, connection) in &mut self.connections {
@@ -588,6 +658,11 @@
     }
 }
 
+/// Whether the copy that a client holds is the one with that tag.
+fn same(known: &Option<String>, digest: Option<&str>) -> bool {
+    known.as_deref().is_some_and(|known| digest.is_none_or(|digest| digest == known))
+}
+
 /// How an answer came about, by the word for it.
 fn how(word: &str) -> Option<How> {
     Some(match word {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -13,7 +13,7 @@
 
 use crate::caches::Parcel;
 use crate::config::{Failure, Limits};
-use crate::decider::{Ticket, Wish};
+use crate::decider::{Ms, Ticket, Wish};
 use crate::frames::{self, Code, Fields, Message};
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
@@ -39,7 +39,7 @@
 /// What clients have said.
 #[derive(Debug)]
 pub enum Said {
-    Request(Box<Taken>),
+    Request(Ticket, Box<Taken>),
     GivenUp(Ticket),
     /// It can't be read; its stream is answered as failed.
     Unreadable(Asker),
@@ -54,6 +54,8 @@
     output: Chain,
     /// The tickets of the streams that are owed an answer.
     open: HashMap<u32, Ticket>,
+    /// When something last came in or went out.
+    used: Ms,
     /// Nothing more is read; it is closed once all is written.
     closing: bool,
 }
@@ -66,6 +68,8 @@
     last: ClientId,
     /// To be read on later: they do not take their answers, or others had to have their turn.
     held: BTreeSet<ClientId>,
+    tickets: Ticket,
+    next_sweep: Ms,
     stopping: bool,
     pub accepted: u64,
     pub malformed: u64,
@@ -80,6 +84,8 @@
             clients: HashMap::new(),
             last: 0,
             held: BTreeSet::new(),
+            tickets: 0,
+            next_sweep: 0.0,
             stopping: false,
             accepted: 0,
             malformed: 0,
@@ -105,7 +111,7 @@
     }
 
     /// Takes in the clients that wait to be accepted.
-    pub fn accept(&mut self, listener: &TcpListener) {
+    pub fn accept(&mut self, now: Ms, listener: &TcpListener) {
         loop {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
@@ -117,13 +123,13 @@
                 log_line!("a client beyond {} was turned away", self.limits.clients);
                 continue;
             }
-            if let Err(wrong) = self.take_in(stream) {
+            if let Err(wrong) = self.take_in(now, stream) {
                 log_line!("a client could not be taken in: {wrong}");
             }
         }
     }
 
-    fn take_in(&mut self, stream: TcpStream) -> io::Result<()> {
+    fn take_in(&mut self, now: Ms, stream: TcpStream) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         self.last += 1;
@@ -140,14 +146,14 @@
             output.append(frames::no_more(&self.pool));
         }
         let input = Chain::new(&self.pool);
-        let client = Client { stream, token, input, output, open: HashMap::new(), closing: false };
+        let client = Client { stream, token, input, output, open: HashMap::new(), used: now, closing: false };
         self.clients.insert(id, client);
         self.accepted += 1;
         Ok(())
     }
 
     /// Reads what a client has sent. A lost client's open requests come back as given up.
-    pub fn read(&mut self, id: ClientId, said: &mut Vec<Said>) {
+    pub fn read(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
         self.held.remove(&id);
         let mut budget = self.limits.read_turn;
         while let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
@@ -158,20 +164,20 @@
             }
             match client.input.read_from(&*client.stream) {
                 Ok(0) => return self.lose(id, said),
-                Ok(n) => budget = budget.saturating_sub(n),
+                Ok(n) => (budget, client.used) = (budget.saturating_sub(n), now),
                 Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => return self.lose(id, said),
             }
-            self.understand(id, said);
+            self.understand(now, id, said);
         }
     }
 
     /// Goes on with those that were held back.
-    pub fn read_held(&mut self, said: &mut Vec<Said>) {
+    pub fn read_held(&mut self, now: Ms, said: &mut Vec<Said>) {
         if !self.pool.crowded() {
             for id in self.held.clone() {
-                self.read(id, said);
+                self.read(now, id, said);
             }
         }
     }
@@ -182,20 +188,24 @@
         !self.pool.crowded() && self.held.iter().any(may)
     }
 
-    fn understand(&mut self, id: ClientId, said: &mut Vec<Said>) {
+    fn understand(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
         while let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
             match frames::decode(&mut client.input, self.limits.frame) {
                 Ok(None) => return,
                 Ok(Some(Message::Request { stream, fields, body })) => {
                     if client.open.contains_key(&stream) {
-                        return self.break_off(id, "a stream that is open", said);
+                        return self.break_off(now, id, "a stream that is open", said);
                     }
                     let asker = Asker { client: id, stream };
                     if client.open.len() >= self.limits.client_streams {
                         said.push(Said::TooMany(asker));
                     } else {
                         said.push(match taken(asker, &fields, body, self.limits.way) {
-                            Some(taken) => Said::Request(Box::new(taken)),
+                            Some(taken) => {
+                                self.tickets += 1;
+                                client.open.insert(stream, self.tickets);
+                                Said::Request(self.tickets, Box::new(taken))
+                            }
                             None => Said::Unreadable(asker),
                         });
                     }
@@ -206,31 +216,33 @@
                 Ok(Some(Message::ReadyAsked { stream })) => {
                     client.output.append(frames::ready(&self.pool, stream, !self.stopping));
                 }
-                Err(wrong) => return self.break_off(id, wrong.0, said),
+                Err(wrong) => return self.break_off(now, id, wrong.0, said),
             }
         }
     }
 
-    /// Notes that a request is owed an answer.
-    pub fn owe(&mut self, asker: Asker, ticket: Ticket) {
-        if let Some(client) = self.clients.get_mut(&asker.client) {
-            client.open.insert(asker.stream, ticket);
+    /// Gives the one final answer to a request, unless nobody waits for it any more.
+    pub fn answer(&mut self, asker: Asker, code: Code, fields: &[(&str, &str)], body: Chain) {
+        let Some(client) = self.clients.get_mut(&asker.client) else { return };
+        if client.open.remove(&asker.stream).is_some() {
+            client.output.append(frames::answer(&self.pool, asker.stream, code, fields, body));
         }
     }
 
-    /// Gives the one final answer.
-    pub fn answer(&mut self, asker: Asker, code: Code, fields: &[(&str, &str)], body: Chain) {
-        let Some(client) = self.clients.get_mut(&asker.client) else { return };
-        client.open.remove(&asker.stream);
-        client.output.append(frames::answer(&self.pool, asker.stream, code, fields, body));
+    /// Answers what was never taken for a request.
+    pub fn turn_away(&mut self, asker: Asker, code: Code) {
+        if let Some(client) = self.clients.get_mut(&asker.client).filter(|client| !client.closing) {
+            let nothing = Chain::new(&self.pool);
+            client.output.append(frames::answer(&self.pool, asker.stream, code, &[], nothing));
+        }
     }
 
     /// Writes as much as a client takes.
-    pub fn flush(&mut self, id: ClientId, said: &mut Vec<Said>) {
+    pub fn flush(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         while !client.output.is_empty() {
             match client.output.write_to(&*client.stream) {
-                Ok(_) => {}
+                Ok(_) => client.used = now,
                 Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.lose(id, said),
@@ -242,7 +254,7 @@
     }
 
     /// Ends a connection whose frames can't be read any more.
-    fn break_off(&mut self, id: ClientId, why: &str, said: &mut Vec<Said>) {
+    fn break_off(&mut self, now: Ms, id: ClientId, why: &str, said: &mut Vec<Said>) {
         self.malformed += 1;
         log_line!("a client is broken off: {why}");
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -250,7 +262,7 @@
         said.extend(client.open.drain().map(|(_, ticket)| Said::GivenUp(ticket)));
         let body = Chain::from_bytes(&self.pool, why.as_bytes());
         client.output.append(frames::answer(&self.pool, 0, Code::Failed, &[], body));
-        self.flush(id, said);
+        self.flush(now, id, said);
     }
 
     fn lose(&mut self, id: ClientId, said: &mut Vec<Said>) {
@@ -260,15 +272,38 @@
         said.extend(client.open.into_values().map(Said::GivenUp));
     }
 
+    /// When `tick` is due.
+    pub fn next(&self) -> Ms {
+        self.next_sweep
+    }
+
+    /// Closes clients that do not take their answers, and those that have long been gone without a word.
+    pub fn tick(&mut self, now: Ms, said: &mut Vec<Said>) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + self.limits.client_sweep;
+        let over = |client: &Client| {
+            let since = now - client.used;
+            match (client.output.is_empty(), client.open.is_empty()) {
+                (false, _) => since > self.limits.client_stall,
+                (true, true) => since > self.limits.client_idle,
+                (true, false) => false,
+            }
+        };
+        let over: Vec<ClientId> = self.clients.iter().filter(|(_, c)| over(c)).map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|id| self.lose(id, said));
+    }
+
     /// From here on every connection, also one that is yet to come, is told to bring nothing new.
-    pub fn stop(&mut self, said: &mut Vec<Said>) {
+    pub fn stop(&mut self, now: Ms, said: &mut Vec<Said>) {
         self.stopping = true;
         let ids: Vec<ClientId> = self.clients.keys().copied().collect();
         for id in ids {
             if let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
                 client.output.append(frames::no_more(&self.pool));
             }
-            self.flush(id, said);
+            self.flush(now, id, said);
         }
     }
 
@@ -291,8 +326,13 @@
     let text = |name: &str| fields.get(name).unwrap_or_default();
     let class = fields.get("c")?;
     let id = fields.get("i")?;
-    let wait: f64 = fields.get("d")?.parse().ok()?;
+    let wait: f64 = fields.get("d")?.parse().ok().filter(|wait: &f64| wait.is_finite())?;
     let object = fields.get("o")?;
+    // It goes on to the caches as it stands, in a list that knows no quotes.
+    let plain = |text: &str| !text.contains([',', '=']);
+    if !plain(class) || !plain(id) || fields.get("known").is_some_and(|known| !plain(known)) {
+        return None;
+    }
     let number = |name: &str| match fields.get(name) {
         Some(text) => text.parse::<u32>().ok(),
         None => Some(0),
@@ -302,7 +342,7 @@
         object: u64::from_str_radix(object, 16).ok()?,
         part: number("chunk")?,
         group: number("tag")?,
-        size_kb: text("m").parse().unwrap_or(0.0),
+        size_kb: text("m").parse().ok().filter(|size: &f64| size.is_finite() && *size > 0.0).unwrap_or(0.0),
         repeat: text("r") == "1",
         budget: (wait - way).max(0.0),
     };
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -70,6 +70,11 @@
     pub read_turn: usize,
     /// Bytes that wait to be written to a client before it is read no further.
     pub write_backlog: usize,
+    /// How often clients are looked over; one that takes none of its answers for so long, or has had
+    /// nothing to say or hear for so long, is closed.
+    pub client_sweep: f64,
+    pub client_stall: f64,
+    pub client_idle: f64,
     /// Connections that wait to be accepted, and clients' connections at once.
     pub accept_backlog: i32,
     pub clients: usize,
@@ -80,7 +85,9 @@
     pub cache_streams: usize,
     pub cache_connections: usize,
     pub connections: usize,
+    /// A connect, and the wait of a message for its first byte, are given up after that; so is a probe.
     pub connect: f64,
+    pub probe: f64,
     /// After so long without use a connection to a cache is closed, before the cache does so.
     pub idle: f64,
     /// Part of a client's wait that its request and the answer spend on the way.
@@ -114,6 +121,9 @@
             string: 262_144,
             read_turn: 262_144,
             write_backlog: 1024 * 1024,
+            client_sweep: 1_000.0,
+            client_stall: 8_000.0,
+            client_idle: 30_000.0,
             accept_backlog: 1024,
             clients: platform.sockets / 2 - SPARE,
             client_streams: 64,
@@ -122,6 +132,7 @@
             cache_connections: platform.sockets / 8,
             connections: platform.sockets / 2 - SPARE,
             connect: transport.connect_timeout,
+            probe: 250.0,
             idle: transport.idle * 0.8,
             way: 30.0,
             journal_wait: 5_000.0,
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -82,6 +82,10 @@
 }
 
 impl Target {
+    pub fn ready(&self) -> bool {
+        self.state == State::Ready
+    }
+
     pub fn gone(&self) -> bool {
         self.state == State::Gone
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -74,7 +74,6 @@
     caches: Caches,
     journal: Journal,
     held: HashMap<Ticket, Held>,
-    tickets: Ticket,
     wake: Option<Ms>,
     run: Run,
     counters: Counters,
@@ -94,7 +93,6 @@
             journal: Journal::new(limits, &pool, handle.clone(), config.file.journal, known.pos),
             pool,
             held: HashMap::new(),
-            tickets: 0,
             wake: None,
             run: Run::Serving,
             counters: Counters::default(),
@@ -112,7 +110,7 @@
         for entry in entries {
             self.counters.journal_events += 1;
             if let Some(hosts) = &entry.hosts {
-                self.caches.hosts(&hosts.targets, hosts.all);
+                self.caches.hosts(now, &hosts.targets, hosts.all);
                 let orders = self.decider.report(now, hosts.news());
                 self.carry_out(orders, Brought::Nothing);
             }
@@ -176,7 +174,7 @@
             }
         }
         let mut said = Vec::new();
-        self.clients.flush(client, &mut said);
+        self.clients.flush(self.clock.now(), client, &mut said);
         self.hear(said);
     }
 
@@ -185,16 +183,14 @@
         for said in said {
             let now = self.clock.now();
             match said {
-                Said::Request(taken) => {
+                Said::Request(ticket, taken) => {
                     self.counters.taken_in += 1;
                     self.counters.taken_in_bytes += taken.parcel.body.len() as u64;
                     if self.held.len() >= self.limits.open {
-                        self.turn_away(taken.asker, Code::Refused);
+                        self.held.insert(ticket, Held { asker: taken.asker, parcel: taken.parcel });
+                        self.answer(ticket, Final::Refused { wait: 0.0 }, Brought::Nothing);
                         continue;
                     }
-                    self.tickets += 1;
-                    let ticket = self.tickets;
-                    self.clients.owe(taken.asker, ticket);
                     self.held.insert(ticket, Held { asker: taken.asker, parcel: taken.parcel });
                     let orders = self.decider.pick(now, ticket, &taken.wish);
                     self.carry_out(orders, Brought::Nothing);
@@ -223,9 +219,9 @@
             Code::Refused => self.counters.refused += 1,
             Code::Served | Code::Failed => self.counters.failed += 1,
         }
-        self.clients.answer(asker, code, &[], Chain::new(&self.pool));
+        self.clients.turn_away(asker, code);
         let mut said = Vec::new();
-        self.clients.flush(asker.client, &mut said);
+        self.clients.flush(self.clock.now(), asker.client, &mut said);
         self.hear(said);
     }
 
@@ -265,20 +261,21 @@
 
     /// New clients wait at the listener.
     pub fn client_waits(&mut self, listener: &TcpListener) {
-        self.clients.accept(listener);
+        self.clients.accept(self.clock.now(), listener);
     }
 
     pub fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
+        let now = self.clock.now();
         let mut said = Vec::new();
         if readiness.writable {
-            self.clients.flush(id, &mut said);
+            self.clients.flush(now, id, &mut said);
         }
         if readiness.readable || readiness.error {
-            self.clients.read(id, &mut said);
+            self.clients.read(now, id, &mut said);
         }
         self.hear(said);
         let mut said = Vec::new();
-        self.clients.flush(id, &mut said);
+        self.clients.flush(now, id, &mut said);
         self.hear(said);
         self.settle();
     }
@@ -308,7 +305,8 @@
         }
         self.journal.tick(now);
         let mut said = Vec::new();
-        self.clients.read_held(&mut said);
+        self.clients.tick(now, &mut said);
+        self.clients.read_held(now, &mut said);
         self.hear(said);
         self.settle();
     }
@@ -326,7 +324,8 @@
             }
             Run::Stopping(since) => Some(since + self.limits.stop_most),
         };
-        let next = [self.wake, self.caches.next(), Some(self.journal.next()), stop];
+        let next =
+            [self.wake, self.caches.next(), Some(self.journal.next()), Some(self.clients.next()), stop];
         let next = next.into_iter().flatten().reduce(Ms::min).unwrap_or(now + 1000.0);
         Duration::from_secs_f64((next - now).clamp(0.0, 1000.0) / 1000.0)
     }
@@ -339,7 +338,7 @@
             log_line!("stopping, {} requests open", self.decider.owed());
             self.run = Run::Stopping(self.clock.now());
             let mut said = Vec::new();
-            self.clients.stop(&mut said);
+            self.clients.stop(self.clock.now(), &mut said);
             self.hear(said);
             self.settle();
         }
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,187 @@
+//! The router as a process, between stand-ins for all that it talks to.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use linnethook_toy::{Answer, Cache, Client, Heard, Journal};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+
+/// Longer than anything that is waited for; a test that needs it has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub type Fields = HashMap<String, String>;
+
+pub struct Fleet {
+    pub a: Cache,
+    pub b: Cache,
+    pub parent: Cache,
+    pub origin: Cache,
+    pub journal: Journal,
+    pub router: Router,
+}
+
+pub struct Router {
+    pub address: SocketAddr,
+    child: Child,
+    log: Receiver<String>,
+    config: PathBuf,
+}
+
+/// A stand-in that answers as `answer` says.
+pub fn cache(answer: impl Fn(&str, &Fields, &[u8]) -> Option<Answer> + Send + Sync + 'static) -> Cache {
+    Cache::start("127.0.0.1:0", Arc::new(answer)).expect("a stand-in listens")
+}
+
+/// One that answers everything at once: what was asked, and by whom.
+pub fn echo(name: &'static str) -> Cache {
+    cache(move |id, fields, body| {
+        let mut out = format!("{name} {id} {} {} ", fields["obj"], fields["seg"]).into_bytes();
+        out.extend(body);
+        Some(Answer::data(out))
+    })
+}
+
+/// One that leaves everything open.
+pub fn holding() -> Cache {
+    cache(|_, _, _| None)
+}
+
+pub fn host(uid: &str, address: SocketAddr, state: &str) -> Value {
+    let (zone, kind) = match uid {
+        "cache-a" | "cache-b" => ("shop", "box"),
+        "parent" => ("hub", "hub-box"),
+        _ => ("hub", "store"),
+    };
+    json!({"uid": uid, "endpoint": address.to_string(), "az": zone, "model": kind, "pod_group": 0,
+           "state": state, "capacity_hint": 8, "boot_ms": 0})
+}
+
+/// An address at which nobody listens; it stays taken as long as the socket lives.
+pub fn nobody() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).expect("an address");
+    let address = socket.local_addr().ok().and_then(|address| address.as_socket());
+    (socket, address.expect("an address"))
+}
+
+pub fn fleet() -> Fleet {
+    fleet_of(echo("a"), echo("b"), echo("origin"))
+}
+
+pub fn fleet_of(a: Cache, b: Cache, origin: Cache) -> Fleet {
+    let parent = echo("parent");
+    let targets = [
+        host("cache-a", a.address, "Ready"),
+        host("cache-b", b.address, "Ready"),
+        host("parent", parent.address, "Ready"),
+        host("origin", origin.address, "Ready"),
+    ];
+    let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
+    let journal = Journal::start("127.0.0.1:0", known).expect("the journal listens");
+    let router = Router::start(&journal);
+    Fleet { a, b, parent, origin, journal, router }
+}
+
+impl Router {
+    pub fn start(journal: &Journal) -> Self {
+        let example = include_str!("../../../../examples/config.json");
+        let mut config: Value = serde_json::from_str(example).expect("the example configuration");
+        config["listen"] = json!("127.0.0.1:0");
+        config["journal"] = json!(journal.address.to_string());
+        config["known"] = journal.known();
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let n = COUNT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("linnethook-{}-{n}.json", std::process::id()));
+        std::fs::write(&path, config.to_string()).expect("a configuration is written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_linnethook"))
+            .env("LB_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the router starts");
+        let stderr = child.stderr.take().expect("its log");
+        let (sender, log) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        let address = wait(&log, |line: &String| line.contains("listens on"));
+        let address = address.rsplit(' ').next().and_then(|address| address.parse().ok());
+        Self { address: address.expect("its address"), child, log, config: path }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.address).expect("a connection")
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("a signal is sent");
+    }
+
+    /// The next line of the log with that in it.
+    pub fn logged(&self, part: &str) -> String {
+        wait(&self.log, |line: &String| line.contains(part))
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().expect("the router ends")
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+/// Waits for what fits, and passes over all before it.
+pub fn wait<T>(from: &Receiver<T>, fits: impl Fn(&T) -> bool) -> T {
+    loop {
+        let next = from.recv_timeout(PATIENCE).expect("it comes in time");
+        if fits(&next) {
+            return next;
+        }
+    }
+}
+
+/// The next request that a stand-in was sent.
+pub fn asked(cache: &Cache) -> (usize, String, Fields, Vec<u8>) {
+    match wait(&cache.heard, |heard| matches!(heard, Heard::Ask { .. })) {
+        Heard::Ask { connection, id, fields, body } => (connection, id, fields, body),
+        other => panic!("not a request: {other:?}"),
+    }
+}
+
+/// The next request that either was sent, and whether the first one was.
+pub fn asked_either<'a>(a: &'a Cache, b: &'a Cache) -> (&'a Cache, &'a Cache, usize, String) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while std::time::Instant::now() < until {
+        for (one, other) in [(a, b), (b, a)] {
+            if let Ok(Heard::Ask { connection, id, .. }) = one.heard.try_recv() {
+                return (one, other, connection, id);
+            }
+        }
+        thread::yield_now();
+    }
+    panic!("nobody was asked in time")
+}
+
+/// Requests that a stand-in was sent and nobody has looked at.
+pub fn left_over(cache: &Cache) -> usize {
+    cache.heard.try_iter().filter(|heard| matches!(heard, Heard::Ask { .. })).count()
+}
--- /dev/null
+++ b/crates/router/tests/router.rs
@@ -0,0 +1,332 @@
+//! The router on sockets, between stand-ins: one test for each thing that only sockets can get wrong.
+
+mod common;
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::os::unix::process::ExitStatusExt;
+
+use common::*;
+use linnethook_toy::client::request;
+use linnethook_toy::{Answer, Heard};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+const SERVED: u8 = 1;
+const REFUSED: u8 = 2;
+const FAILED: u8 = 3;
+
+fn video<'a>(id: &'a str, object: &'a str) -> [(&'a str, &'a str); 7] {
+    let (c, i, o) = (("c", "video"), ("i", id), ("o", object));
+    [c, i, o, ("d", "3000"), ("chunk", "3"), ("tag", "17"), ("m", "412.5")]
+}
+
+fn booking(id: &str) -> [(&str, &str); 4] {
+    [("c", "booking"), ("i", id), ("o", "00000000000000b0"), ("d", "3000")]
+}
+
+#[test]
+fn a_read_goes_to_its_owner_filled_from_the_parent_and_its_parts_are_passed_on_unchanged() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    client.ask(7, &video("9b1f03aa5c7e2d41", "7f3a9c21e0b4d655"), b"a body").expect("sent");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.kind, answer.stream, answer.code), (66, 7, SERVED));
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    assert!(body.ends_with(" 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 3 a body"), "{body}");
+    let owner = if body.starts_with("a ") { &fleet.a } else { &fleet.b };
+    let (_, _, fields, _) = asked(owner);
+    assert_eq!((fields["kind"].as_str(), fields["parent"].as_str()), ("video", "parent"));
+    assert_eq!(fields["shelf"], "1");
+    assert!(fields["ms"].parse::<u32>().is_ok_and(|ms| ms > 0 && ms <= 3000), "{}", fields["ms"]);
+    assert!(!fields.contains_key("got"));
+}
+
+#[test]
+fn a_request_is_taken_however_its_bytes_come() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    for byte in request(1, &video("0000000000000001", "00000000000000aa"), b"xyz") {
+        client.stream.write_all(&[byte]).expect("sent");
+    }
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.stream, answer.code), (1, SERVED));
+    assert!(answer.body.ends_with(b" xyz"));
+}
+
+#[test]
+fn long_answers_come_whole() {
+    let long: Vec<u8> = (0..240_000u32).map(|n| (n % 251) as u8).collect();
+    let body = long.clone();
+    let both = move || {
+        let body = body.clone();
+        cache(move |_, _, _| Some(Answer::data(body.clone())))
+    };
+    let fleet = fleet_of(both(), both(), echo("origin"));
+    let mut client = fleet.router.client();
+    for stream in 1..=8 {
+        client.ask(stream, &video("0000000000000001", "00000000000000aa"), b"").expect("sent");
+    }
+    for _ in 1..=8 {
+        assert_eq!(client.read().expect("an answer").body, long);
+    }
+}
+
+/// Ids come again with a request that crossed a close; streams do not on their connection.
+#[test]
+fn the_same_id_twice_at_once_is_two_requests() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    let fields = video("00000000000000ee", "00000000000000aa");
+    client.ask(1, &fields, b"one").expect("sent");
+    let (cache, _, first, id) = asked_either(&fleet.a, &fleet.b);
+    client.ask(2, &fields, b"two").expect("sent");
+    let (second, _, _, body) = asked(cache);
+    assert_ne!(first, second, "their answers could not be told apart on one connection");
+    assert_eq!(body, b"two");
+    cache.answer(second, &id, &Answer::data("to two")).expect("answered");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.stream, answer.body.as_slice()), (2, &b"to two"[..]));
+    cache.answer(first, &id, &Answer::data("to one")).expect("answered");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.stream, answer.body.as_slice()), (1, &b"to one"[..]));
+}
+
+/// A machine that is cut off reads no `QUIT`: only the end of its connection gives up what is open there,
+/// and two copies must not be out at once.
+#[test]
+fn what_a_silent_cache_holds_is_given_up_by_closing_before_it_is_tried_elsewhere() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (silent, other, connection, id) = asked_either(&fleet.a, &fleet.b);
+    let (again, same, ..) = asked(other);
+    assert_eq!(same, id);
+    let end = wait(&silent.heard, |heard| !matches!(heard, Heard::Opened { .. }));
+    assert_eq!(end, Heard::Closed { connection });
+    other.answer(again, &id, &Answer::data("late but whole")).expect("answered");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.code, answer.body.as_slice()), (SERVED, &b"late but whole"[..]));
+}
+
+#[test]
+fn a_request_given_up_is_given_up_at_the_cache_and_gets_no_answer() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, _) = asked_either(&fleet.a, &fleet.b);
+    client.give_up(1).expect("sent");
+    wait(&cache.heard, |heard| *heard == Heard::Closed { connection });
+    // The next answer on the connection is that of the next question.
+    client.ask_ready(2).expect("sent");
+    let next = client.read().expect("an answer");
+    assert_eq!((next.kind, next.stream, next.code), (81, 2, SERVED));
+}
+
+#[test]
+fn a_request_given_up_in_the_same_breath_is_not_answered() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let mut bytes = request(1, &video("00000000000000e1", "00000000000000aa"), b"");
+    bytes.extend([0, 0, 0, 5, 67, 0, 0, 0, 1]);
+    client.stream.write_all(&bytes).expect("sent");
+    client.ask(2, &video("00000000000000e2", "00000000000000aa"), b"").expect("sent");
+    assert_eq!(client.read().expect("an answer").stream, 2);
+}
+
+/// It may have run: neither a further attempt nor a refusal is allowed.
+#[test]
+fn a_write_whose_connection_ends_has_failed() {
+    let fleet = fleet_of(echo("a"), echo("b"), holding());
+    let mut client = fleet.router.client();
+    client.ask(1, &booking("00000000000000b1"), b"pay").expect("sent");
+    let (connection, ..) = asked(&fleet.origin);
+    fleet.origin.close(connection).expect("closed");
+    assert_eq!(client.read().expect("an answer").code, FAILED);
+    assert_eq!(left_over(&fleet.origin), 0);
+}
+
+/// A refused connection proves that nothing ran.
+#[test]
+fn a_write_that_reached_nobody_is_refused() {
+    let fleet = fleet();
+    let (_taken, nobody) = nobody();
+    fleet.journal.tell(json!({"hosts": {"rev": 2, "all": false,
+        "targets": [host("origin", nobody, "Ready")]}}));
+    wait(&fleet.journal.polls, |tail| *tail == 2);
+    let mut client = fleet.router.client();
+    client.ask(1, &booking("00000000000000b1"), b"pay").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, REFUSED);
+    assert_eq!(left_over(&fleet.origin), 0);
+}
+
+#[test]
+fn a_write_goes_to_the_origin_once() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    client.ask(1, &booking("00000000000000b1"), b"pay").expect("sent");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.code, answer.body.starts_with(b"origin ")), (SERVED, true));
+    assert_eq!(left_over(&fleet.origin), 1);
+}
+
+#[test]
+fn a_copy_that_holds_is_said_only_to_the_client_that_has_it() {
+    let unchanged = || {
+        cache(|_, fields, _| {
+            let digest = if fields.contains_key("got") { "digest=4be0c1,res=HIT" } else { "res=HIT" };
+            Some(Answer { word: "unchanged", fields: digest.to_string(), body: Vec::new() })
+        })
+    };
+    let fleet = fleet_of(unchanged(), unchanged(), echo("origin"));
+    let mut client = fleet.router.client();
+    let mut fields = video("00000000000000e1", "00000000000000aa").to_vec();
+    client.ask(1, &fields, b"").expect("sent");
+    let valid = ("valid".to_string(), "1".to_string());
+    assert!(!client.read().expect("an answer").fields.contains(&valid), "it holds no copy");
+    fields.push(("known", "4be0c1"));
+    client.ask(2, &fields, b"").expect("sent");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.code, answer.body.len()), (SERVED, 0));
+    assert_eq!(answer.fields, std::slice::from_ref(&valid));
+    fields.pop();
+    fields.push(("known", "another"));
+    client.ask(3, &fields, b"").expect("sent");
+    assert!(!client.read().expect("an answer").fields.contains(&valid), "it holds another copy");
+}
+
+#[test]
+fn a_malformed_frame_is_told_of_on_stream_0_and_ends_the_connection() {
+    let fleet = fleet();
+    for bytes in [&[0, 0, 0, 5, 99, 0, 0, 0, 1][..], &[0xff; 9], &[0, 0, 0, 6, 65, 0, 0, 0, 0, 0]] {
+        let mut client = fleet.router.client();
+        client.stream.write_all(bytes).expect("sent");
+        let error = client.read().expect("an error");
+        assert_eq!((error.kind, error.stream), (66, 0));
+        assert!(client.read().is_err(), "the connection has ended");
+    }
+    let mut client = fleet.router.client();
+    client.ask(1, &[("c", "video"), ("i", "1")], b"").expect("sent");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.stream, answer.code), (1, FAILED), "well formed, but without its object");
+    client.ask(2, &video("00000000000000e2", "00000000000000aa"), b"").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+}
+
+/// What one client does not read must hold up nobody else, and is not read for without end.
+#[test]
+fn a_client_that_does_not_read_holds_up_nobody() {
+    let long = || cache(|_, _, _| Some(Answer::data(vec![7; 240_000])));
+    let fleet = fleet_of(long(), long(), echo("origin"));
+    let mut lazy = fleet.router.client();
+    for stream in 1..=32 {
+        lazy.ask(stream, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    }
+    let mut client = fleet.router.client();
+    for stream in 1..=4 {
+        client.ask(stream, &video("00000000000000e2", "00000000000000ab"), b"").expect("sent");
+        let answer = client.read().expect("an answer");
+        assert!(answer.code == REFUSED || answer.body.len() == 240_000);
+    }
+    let mut answers: Vec<u32> = (1..=32).map(|_| lazy.read().expect("an answer").stream).collect();
+    answers.sort_unstable();
+    assert_eq!(answers, (1..=32).collect::<Vec<u32>>());
+}
+
+#[test]
+fn a_poll_that_was_lost_is_made_again_from_the_last_number() {
+    let fleet = fleet();
+    wait(&fleet.journal.polls, |tail| *tail == 1);
+    fleet.journal.lose_a_poll();
+    assert_eq!(wait(&fleet.journal.polls, |_| true), 1);
+    fleet.journal.tell(json!({"expire": {"set": 3, "stamp": 1}}));
+    assert_eq!(wait(&fleet.journal.polls, |_| true), 2);
+}
+
+#[test]
+fn nothing_goes_to_a_cache_that_drains_and_none_is_filled_from_it() {
+    let fleet = fleet();
+    fleet.journal.tell(json!({"hosts": {"rev": 2, "all": false, "targets": [
+        host("cache-a", fleet.a.address, "Terminating"), host("parent", fleet.parent.address, "Terminating")]}}));
+    wait(&fleet.journal.polls, |tail| *tail == 2);
+    let mut client = fleet.router.client();
+    for stream in 1..=20 {
+        let object = format!("{stream:016x}");
+        client.ask(stream, &video("00000000000000e1", &object), b"").expect("sent");
+        assert_eq!(client.read().expect("an answer").code, SERVED);
+        let (_, _, fields, _) = asked(&fleet.b);
+        assert_ne!(fields.get("parent").map(String::as_str), Some("parent"));
+    }
+    assert_eq!(left_over(&fleet.a), 0);
+}
+
+#[test]
+fn after_a_purge_no_older_copy_is_accepted() {
+    let fleet = fleet();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    let stamp = now.as_millis() as u64;
+    fleet.journal.tell(json!({"expire": {"name": "00000000000000aa", "stamp": stamp}}));
+    wait(&fleet.journal.polls, |tail| *tail == 2);
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    client.read().expect("an answer");
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+    let since = now.as_millis() as u64 - stamp;
+    let (cache, _, fields) = match fleet.a.heard.try_iter().find(|h| matches!(h, Heard::Ask { .. })) {
+        Some(Heard::Ask { connection, id, fields, .. }) => (connection, id, fields),
+        _ => {
+            let (connection, id, fields, _) = asked(&fleet.b);
+            (connection, id, fields)
+        }
+    };
+    assert!(cache > 0);
+    let accept: u64 = fields["accept"].parse().expect("an age");
+    assert!(accept >= 1 && accept <= since.max(1), "{accept} ms accepted, {since} ms after the purge");
+}
+
+#[test]
+fn at_sigterm_it_finishes_what_it_has_and_what_still_comes() {
+    let mut fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask_ready(1).expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+    client.ask(2, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, id) = asked_either(&fleet.a, &fleet.b);
+    fleet.router.signal(Signal::SIGTERM);
+    let told = client.read().expect("a frame");
+    assert_eq!((told.kind, told.stream), (90, 0));
+    let mut late = fleet.router.client();
+    assert_eq!(late.read().expect("a frame").kind, 90);
+    late.ask_ready(1).expect("sent");
+    assert_ne!(late.read().expect("an answer").code, SERVED, "it is not ready any more");
+    late.ask(2, &booking("00000000000000b1"), b"").expect("sent");
+    assert_eq!(late.read().expect("an answer").code, SERVED);
+    cache.answer(connection, &id, &Answer::data("kept")).expect("answered");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.code, answer.body.as_slice()), (SERVED, &b"kept"[..]));
+    let end = fleet.router.ended();
+    assert_eq!((end.code(), end.signal()), (Some(0), None));
+    assert!(fleet.router.logged("counters").contains("served=2 "));
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"abc").expect("sent");
+    client.read().expect("an answer");
+    fleet.router.signal(Signal::SIGUSR1);
+    let line = fleet.router.logged("counters");
+    assert!(line.contains("taken_in=1 taken_in_bytes=3") && line.contains("served=1 "), "{line}");
+    assert!(line.ends_with("open=0 out=0 buffers=0"), "{line}");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_requests_along() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, _) = asked_either(&fleet.a, &fleet.b);
+    client.stream.shutdown(Shutdown::Both).expect("closed");
+    wait(&cache.heard, |heard| *heard == Heard::Closed { connection });
+}
--- /dev/null
+++ b/examples/toy/src/bin/toy-client.rs
@@ -0,0 +1,22 @@
+//! Asks a router for an object: `toy-client ADDRESS CLASS OBJECT`, where OBJECT is hexadecimal.
+
+use linnethook_toy::Client;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let mut words = std::env::args().skip(1);
+    let usage = "usage: toy-client ADDRESS CLASS OBJECT";
+    let (address, class) = (words.next().ok_or(usage)?, words.next().ok_or(usage)?);
+    let object = words.next().ok_or(usage)?;
+    let mut client = Client::connect(&address)?;
+    let fields = [("c", class.as_str()), ("i", "00000000000000a1"), ("d", "2000"), ("o", &object)];
+    client.ask(1, &fields, b"")?;
+    let answer = client.read()?;
+    let code = match answer.code {
+        1 => "served",
+        2 => "refused",
+        _ => "failed",
+    };
+    println!("{code} {:?}", answer.fields);
+    print!("{}", String::from_utf8_lossy(&answer.body));
+    Ok(())
+}
--- /dev/null
+++ b/examples/toy/src/bin/toy-fleet.rs
@@ -0,0 +1,58 @@
+//! Two caches, their parent, the origin and the journal service, at the addresses of `examples/config.json`.
+//!
+//! The caches hold whatever they were asked for before; what they lack "fills" at once.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+
+use linnethook_toy::cache::Behaviour;
+use linnethook_toy::{Answer, Cache, Heard, Journal};
+use serde_json::Value;
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> Result<(), Failure> {
+    let path = std::env::args().nth(1).unwrap_or("examples/config.json".to_string());
+    let config: Value = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    let address = config["journal"].as_str().ok_or("no journal in the configuration")?;
+    let known = config["known"]["entries"].as_array().cloned().unwrap_or_default();
+    let mut caches = Vec::new();
+    for host in known.iter().flat_map(|event| event["hosts"]["targets"].as_array()).flatten() {
+        let (uid, endpoint) = (host["uid"].as_str(), host["endpoint"].as_str());
+        let (Some(uid), Some(endpoint)) = (uid, endpoint) else { continue };
+        caches.push((uid.to_string(), Cache::start(endpoint, behaviour(uid))?));
+        println!("{uid} listens on {endpoint}");
+    }
+    let _journal = Journal::start(address, known)?;
+    println!("the journal service listens on {address}");
+    let printers = caches.into_iter().map(|(uid, cache)| {
+        std::thread::spawn(move || {
+            for heard in &cache.heard {
+                if let Heard::Ask { id, fields, .. } = heard {
+                    println!("{uid}: ASK {id} {fields:?}");
+                }
+            }
+        })
+    });
+    printers.collect::<Vec<_>>().into_iter().for_each(|printer| printer.join().unwrap_or(()));
+    Ok(())
+}
+
+fn behaviour(uid: &str) -> Behaviour {
+    let held = Mutex::new(HashSet::new());
+    let uid = uid.to_string();
+    Arc::new(move |_, fields, _| {
+        let part = (fields.get("obj").cloned(), fields.get("seg").cloned());
+        let first = held.lock().is_ok_and(|mut held| held.insert(part.clone()));
+        let res = if first { "MISS" } else { "HIT" };
+        if first && !fields.contains_key("parent") && uid.starts_with("cache") {
+            return Some(Answer::word("absent"));
+        }
+        let object = part.0.unwrap_or_default();
+        Some(Answer {
+            word: "data",
+            fields: format!("res={res},first=0"),
+            body: format!("object {object}, from {uid}\n").into_bytes(),
+        })
+    })
+}
