--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -29,6 +29,8 @@
     pub part: String,
     /// The tag of the copy that the client holds.
     pub known: Option<String>,
+    /// By which caches tell a repeat of a keyed request.
+    pub token: Option<String>,
     pub body: Chain,
 }
 
@@ -284,6 +286,9 @@
             // Down, for a copy must not be older; but 0 would mean any fresh one.
             fields.push("accept", filling.max_age.floor().max(1.0));
         }
+        if let Some(token) = &parcel.token {
+            fields.push("token", token);
+        }
         if let Some(known) = &parcel.known {
             fields.push("got", known);
         }
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -330,7 +330,7 @@
     let object = fields.get("o")?;
     // It goes on to the caches as it stands, in a list that knows no quotes.
     let plain = |text: &str| !text.contains([',', '=']);
-    if !plain(class) || !plain(id) || fields.get("known").is_some_and(|known| !plain(known)) {
+    if ![Some(class), Some(id), fields.get("known"), fields.get("k")].into_iter().flatten().all(plain) {
         return None;
     }
     let number = |name: &str| match fields.get(name) {
@@ -352,6 +352,7 @@
         object: object.to_string(),
         part: fields.get("chunk").unwrap_or("0").to_string(),
         known: fields.get("known").map(str::to_string),
+        token: fields.get("k").map(str::to_string),
         body,
     };
     Some(Taken { asker, wish, parcel })
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -170,6 +170,19 @@
     assert_eq!(left_over(&fleet.origin), 1);
 }
 
+/// Without it caches can't tell a repeat, and a keyed request would have its effect twice.
+#[test]
+fn the_token_of_a_keyed_request_goes_along() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let mut fields = booking("00000000000000b1").to_vec();
+    fields.push(("k", "5d41402a"));
+    client.ask(1, &fields, b"pay").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+    let (_, _, fields, _) = asked(&fleet.origin);
+    assert_eq!(fields.get("token").map(String::as_str), Some("5d41402a"));
+}
+
 #[test]
 fn a_copy_that_holds_is_said_only_to_the_client_that_has_it() {
     let unchanged = || {
