Call off what waits at a silent cache also while it is out for failed connects

Cause: every failed connect counted as hearing of the cache (Brain::on_outcome), and a few of them took it out, where find_silent did not look any more; what had been sent before waited for its time-out. Now a failed connect is no word of a server, and a cache that is out is still looked at. Also meets crashed and refusing caches; might hurt one that is out and merely slow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -730,7 +730,7 @@
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
             server.pass(self.now, USUAL);
             server.in_flight = server.in_flight.saturating_sub(1);
-            if !matches!(outcome.status, Status::Timeout | Status::Cancelled | Status::Moot) {
+            if outcome.status.heard() {
                 server.hear(self.now, HEALTH.weight);
             }
             if !attempt.fills && matches!(outcome.status, Status::Ok | Status::Full | Status::Error) {
@@ -752,10 +752,8 @@
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
         let held = outcome.note == Some(Note::Hit) || !attempt.fills && attempt.source.is_some();
         if held && (late || outcome.status == Status::Ok) {
-            self.judge_sending(
-                &attempt,
-                if outcome.status == Status::Ok { outcome.took } else { f64::INFINITY },
-            );
+            let took = if outcome.status == Status::Ok { outcome.took } else { f64::INFINITY };
+            self.judge_sending(&attempt, took);
         }
         let to_avoid = self.judge_servers(&attempt, outcome);
         let id = outcome.attempt.request;
@@ -960,8 +958,8 @@
 
     /// Takes out servers that have gone silent, and calls off what waits for them, to be tried elsewhere.
     ///
-    /// Meets hung and vanished servers, long pauses and links cut off alike. Might hurt a server that is
-    /// merely slow all over; its way back is short.
+    /// Meets hung and vanished servers, also those out for taking no connections, long pauses and links cut
+    /// off alike. Might hurt a server that is merely slow all over; its way back is short.
     fn find_silent(&mut self) {
         let now = self.now;
         let late = |a: &Attempt| now - a.sent > OVERDUE + OVERDUE_PACE * a.work;
@@ -981,8 +979,10 @@
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let still = now - server.heard > SILENT.max(server.gap.value * SILENT_GAPS);
             let enough = count >= SILENT_OVERDUE || server.health.on_trial();
-            if still && enough && !server.health.is_out() && !self.set.is_origin(&server.member) {
-                server.health.take_out(now, &HEALTH);
+            // Fills from a parent that is out are left alone: calling them off would ask the origin again.
+            let judged = self.set.is_own(&server.member) || !server.health.is_out();
+            if still && enough && judged && !self.set.is_origin(&server.member) {
+                server.health.keep_out(now, &HEALTH);
                 silent.push(id);
             }
         }
--- a/src/health.rs
+++ b/src/health.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Takes it out unless it is out already.
+    pub fn keep_out(&mut self, now: Ms, rule: &HealthRule) {
+        if !self.is_out() {
+            self.take_out(now, rule);
+        }
+    }
+
     /// Takes in one answer, good or bad; `None` tells nothing of it.
     pub fn judge(&mut self, now: Ms, good: Option<bool>, rule: &HealthRule) {
         if let Some(good) = good {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -251,6 +251,11 @@
 }
 
 impl Status {
+    /// Whether anything was heard of the server.
+    pub fn heard(self) -> bool {
+        !matches!(self, Self::Timeout | Self::Cancelled | Self::Moot | Self::ConnectFailed)
+    }
+
     /// Whether the attempt is known not to have run.
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Full | Self::ConnectFailed | Self::Moot | Self::Miss)
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -125,6 +125,22 @@
     assert_ne!(again.cache, CACHES[0]);
 }
 
+/// A vanished cache takes no connections either, and is out for that before its silence shows: what waits there
+/// would wait for as long as its clients do.
+#[test]
+fn what_waits_for_a_cache_that_takes_no_connections_is_called_off_too() {
+    let mut world = warmed();
+    let owned = owned_by(&mut world, CACHES[0]);
+    let mut stuck: Vec<Sent> = owned[..12].iter().filter_map(|&object| world.ask(SAFE, object)).collect();
+    stuck.retain(|sent| sent.cache == CACHES[0]);
+    world.pass(400.0);
+    for sent in stuck.split_off(4) {
+        world.end(sent, Status::ConnectFailed, None);
+    }
+    world.pass(250.0);
+    assert!(stuck.iter().all(|sent| world.cancelled.contains(&sent.attempt)), "{:?}", world.cancelled);
+}
+
 /// Fills that waited long for the origin, behind parents.
 fn slow_origin(world: &mut World) {
     for object in 1000..1060 {
