--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -149,15 +149,17 @@
     pub connects: u64,
 }
 
-/// Whether a connect that did not succeed at once may still do so.
-pub fn under_way(wrong: &io::Error) -> bool {
-    // `EINPROGRESS` has a kind of its own only in newer libraries.
-    wrong.kind() == io::ErrorKind::WouldBlock || wrong.raw_os_error() == Some(IN_PROGRESS)
+/// Begins to connect, without waiting for it.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(wrong) if wrong.raw_os_error() != Some(libc::EINPROGRESS) => Err(wrong),
+        _ => Ok(socket.into()),
+    }
 }
 
-/// What Linux says of a connect that goes on.
-const IN_PROGRESS: i32 = 115;
-
 impl Caches {
     pub fn new(limits: Limits, pool: &Pool, handle: LoopHandle<'static, Router>) -> Self {
         Self {
@@ -361,17 +363,10 @@
     }
 
     fn connect(&mut self, now: Ms, place: Place, address: SocketAddr) -> io::Result<ConnectionId> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        match socket.connect(&address.into()) {
-            Err(wrong) if !under_way(&wrong) => return Err(wrong),
-            _ => {}
-        }
+        let stream = Rc::new(connect(address)?);
         self.connects += 1;
         self.last += 1;
         let id = self.last;
-        let stream = Rc::new(TcpStream::from(socket));
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let ready = move |readiness: calloop::Readiness, _: &mut _, router: &mut Router| {
             router.cache_ready(id, readiness);
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -432,3 +432,106 @@
         How::OriginFailed => Note::OriginFailed,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn decider() -> Decider {
+        let text = include_str!("../../../examples/config.json");
+        let config: serde_json::Value = serde_json::from_str(text).expect("the example configuration");
+        let settings = config["settings"].to_string();
+        let told = linnethook_settings::decode(settings.as_bytes()).expect("its settings");
+        let mut decider = Decider::new(told, 7);
+        let host = |uid: &str, zone: &str, kind: &str| Host {
+            uid: uid.to_string(),
+            zone: zone.to_string(),
+            kind: kind.to_string(),
+            cell: 0,
+            weight: 8.0,
+            started: 0.0,
+            state: HostState::Ready,
+        };
+        let hosts = vec![host("a", "shop", "box"), host("p", "hub", "hub-box"), host("o", "hub", "store")];
+        decider.report(1000.0, News::Hosts { complete: true, hosts });
+        decider
+    }
+
+    fn wish(class: &str, budget: Ms) -> Wish {
+        Wish { class: class.to_string(), object: 7, part: 0, group: 0, size_kb: 100.0, repeat: false, budget }
+    }
+
+    fn ended(attempt: Attempt, place: Place, end: End) -> News {
+        News::Ended(Ending { attempt, place, end, took: 50.0, waited: 0.0, how: None, gauges: Vec::new() })
+    }
+
+    fn sent(orders: &[Order]) -> Option<(Attempt, Place, Ms, Filling)> {
+        orders.iter().find_map(|order| match order {
+            Order::Send { attempt, place, timeout, filling } => Some((*attempt, *place, *timeout, *filling)),
+            _ => None,
+        })
+    }
+
+    fn answers(orders: &[Order]) -> Vec<Final> {
+        let answer = |order: &Order| match order {
+            Order::Answer { answer, .. } => Some(*answer),
+            _ => None,
+        };
+        orders.iter().filter_map(answer).collect()
+    }
+
+    #[test]
+    fn a_read_goes_to_its_owner_with_its_parent_as_source_and_is_served_once() {
+        let mut decider = decider();
+        let (attempt, place, timeout, filling) =
+            sent(&decider.pick(1000.0, 1, &wish("video", 900.0))).expect("an attempt");
+        assert_eq!((place, filling.source), (Place::of("a"), Some(Place::of("p"))));
+        assert!(timeout > 0.0 && timeout <= 900.0);
+        let orders = decider.report(1050.0, ended(attempt, place, End::Answered));
+        assert_eq!(answers(&orders), [Final::Served]);
+        assert_eq!(decider.owed(), 0);
+        let again = decider.report(1060.0, ended(attempt, place, End::Answered));
+        assert!(answers(&again).is_empty());
+    }
+
+    /// A time-out that passes the client's wait would leave it without its answer.
+    #[test]
+    fn no_attempt_outlasts_the_clients_wait() {
+        let mut decider = decider();
+        let (attempt, place, timeout, _) =
+            sent(&decider.pick(1000.0, 1, &wish("booking", 700.0))).expect("an attempt");
+        assert_eq!(place, Place::of("o"));
+        assert!(timeout <= 700.0);
+        let orders = decider.report(1700.0, ended(attempt, place, End::TimedOut));
+        assert_eq!(answers(&orders), [Final::Failed], "it may have run");
+    }
+
+    #[test]
+    fn a_write_that_never_ran_is_refused_and_one_that_left_is_not_answered() {
+        let mut decider = decider();
+        let (attempt, place, ..) =
+            sent(&decider.pick(1000.0, 1, &wish("booking", 10.0))).expect("an attempt");
+        let orders = decider.report(1009.0, ended(attempt, place, End::Unreached));
+        assert!(matches!(answers(&orders)[..], [Final::Refused { .. }]));
+        let (attempt, place, ..) = sent(&decider.pick(1010.0, 2, &wish("video", 900.0))).expect("an attempt");
+        let orders = decider.report(1020.0, News::Left(2));
+        assert!(orders.contains(&Order::Cancel(attempt)) && answers(&orders).is_empty());
+        assert!(answers(&decider.report(1020.0, ended(attempt, place, End::Cancelled))).is_empty());
+    }
+
+    /// The caller keeps only the soonest time that it was told.
+    #[test]
+    fn every_tick_tells_when_the_next_one_is_due() {
+        let mut decider = decider();
+        let mut now = 1000.0;
+        for _ in 0..20 {
+            let wake = decider.tick(now).into_iter().find_map(|order| match order {
+                Order::WakeAt(at) => Some(at),
+                _ => None,
+            });
+            let wake = wake.expect("a time");
+            assert!(wake > now);
+            now = wake;
+        }
+    }
+}
--- a/crates/router/src/frames.rs
+++ b/crates/router/src/frames.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Why a frame can't be read.
+/// Why what came in can't be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
 
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 
+use crate::frames::Malformed;
 use crate::pool::{Chain, Pool};
 
 /// The longest line that announces an array or a string.
@@ -77,18 +78,6 @@
     }
 }
 
-/// Why an answer can't be read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Malformed(pub &'static str);
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
-    }
-}
-
-impl std::error::Error for Malformed {}
-
 /// Reads answers off a connection, however their bytes come.
 #[derive(Debug, Default)]
 pub struct Decoder {
--- a/examples/toy/src/bin/toy-fleet.rs
+++ b/examples/toy/src/bin/toy-fleet.rs
@@ -52,7 +52,7 @@
         Some(Answer {
             word: "data",
             fields: format!("res={res},first=0"),
-            body: format!("object {object}, from {uid}\n").into_bytes(),
+            body: format!("object {object}, from {uid}, {res}\n").into_bytes(),
         })
     })
 }
