--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -80,7 +80,16 @@
     fleet_of(echo("a"), echo("b"), echo("origin"))
 }
 
+/// A fleet whose router may open few descriptors, with caches that leave everything open.
+pub fn narrow_fleet(sockets: usize) -> Fleet {
+    fleet_with(holding(), holding(), echo("origin"), sockets)
+}
+
 pub fn fleet_of(a: Cache, b: Cache, origin: Cache) -> Fleet {
+    fleet_with(a, b, origin, 1024)
+}
+
+fn fleet_with(a: Cache, b: Cache, origin: Cache, sockets: usize) -> Fleet {
     let parent = echo("parent");
     let targets = [
         host("cache-a", a.address, "Ready"),
@@ -90,17 +99,18 @@
     ];
     let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
     let journal = Journal::start("127.0.0.1:0", known).expect("the journal listens");
-    let router = Router::start(&journal);
+    let router = Router::start(&journal, sockets);
     Fleet { a, b, parent, origin, journal, router }
 }
 
 impl Router {
-    pub fn start(journal: &Journal) -> Self {
+    fn start(journal: &Journal, sockets: usize) -> Self {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
         config["listen"] = json!("127.0.0.1:0");
         config["journal"] = json!(journal.address.to_string());
         config["known"] = journal.known();
+        config["limits"]["sockets"] = json!(sockets);
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("linnethook-{}-{n}.json", std::process::id()));
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -109,6 +109,52 @@
     assert_eq!((answer.code, answer.body.as_slice()), (SERVED, &b"late but whole"[..]));
 }
 
+/// Where no more connections may be opened, attempts share them: one that is given up must not take the others
+/// along, and its late answer is nobody's.
+#[test]
+fn on_a_shared_connection_one_is_given_up_alone_and_its_late_answer_is_dropped() {
+    let fleet = narrow_fleet(48);
+    let mut client = fleet.router.client();
+    for stream in 1..=12 {
+        client.ask(stream, &video(&format!("{stream:016x}"), "00000000000000aa"), b"").expect("sent");
+    }
+    let (cache, _, first, first_id) = asked_either(&fleet.a, &fleet.b);
+    let mut asks = vec![(first, first_id)];
+    asks.extend((1..12).map(|_| {
+        let (connection, id, ..) = asked(cache);
+        (connection, id)
+    }));
+    let shares = |(connection, id): &&(usize, String)| {
+        asks.iter().any(|(other, other_id)| other == connection && other_id != id)
+    };
+    let (shared, given_up) = asks.iter().find(shares).cloned().expect("a shared connection");
+    let other = |(connection, id): &&(usize, String)| *connection == shared && *id != given_up;
+    let (_, kept) = asks.iter().find(other).cloned().expect("what shares it");
+    let (alone, heard) = asks.iter().find(|(connection, _)| *connection != shared).cloned().expect("another");
+    cache.answer(alone, &heard, &Answer::data("heard")).expect("answered");
+    assert_eq!(client.read().expect("an answer").body, b"heard");
+    client.give_up(u32::from_str_radix(&given_up, 16).expect("a stream")).expect("sent");
+    let quit = wait(&cache.heard, |heard| !matches!(heard, Heard::Opened { .. }));
+    assert_eq!(quit, Heard::Quit { connection: shared, id: given_up.clone() });
+    cache.answer(shared, &given_up, &Answer::data("late")).expect("answered");
+    cache.answer(shared, &kept, &Answer::data("kept")).expect("answered");
+    let answer = client.read().expect("an answer");
+    assert_eq!((format!("{:016x}", answer.stream), answer.body), (kept, b"kept".to_vec()));
+}
+
+#[test]
+fn a_read_whose_cache_dies_is_tried_elsewhere() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (dead, other, connection, id) = asked_either(&fleet.a, &fleet.b);
+    dead.close(connection).expect("closed");
+    let (again, same, ..) = asked(other);
+    assert_eq!(same, id);
+    other.answer(again, &id, &Answer::data("from the other")).expect("answered");
+    assert_eq!(client.read().expect("an answer").body, b"from the other");
+}
+
 #[test]
 fn a_request_given_up_is_given_up_at_the_cache_and_gets_no_answer() {
     let fleet = fleet_of(holding(), holding(), echo("origin"));
