Write log lines so that a closed log does not end the router; give up eprintln for it

The choice of eprintln behind one macro can't be kept whole: it panics when its line can't be written. Measured: with the log's reader gone, 1 of 1 routers ended at the next line (it_serves_on_when_nobody_reads_its_log); now it serves on. The substitute stays close: the same macro, the same lines on standard error, a failure to write passed over. The counters and the last word before exit 1 are never held back by the rate.

--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -1,8 +1,10 @@
-//! Owns the log lines: one macro over eprintln, held to a rate.
+//! Owns the log lines: one macro for standard error, held to a rate.
 //!
-//! Must never block the router with a flood of lines, and never take part in a decision.
+//! Must never flood the log, end the router because nobody reads it, or take part in a decision.
 
 use std::cell::Cell;
+use std::fmt;
+use std::io::{self, Write};
 use std::time::{Duration, Instant};
 
 /// How many lines may go out in each second.
@@ -41,14 +43,23 @@
     admitted.then_some(held_back)
 }
 
-/// Writes a line to the log.
+/// Writes a line as `eprintln` does, but for its panic when the line can't be written: guards against the end
+/// of whoever reads the log being the router's end too.
+pub fn write(line: fmt::Arguments) {
+    let _ = io::stderr().lock().write_fmt(format_args!("linnethook: {line}\n"));
+}
+
+/// Writes a line to the log; one that begins with `always` is not held back.
 macro_rules! log_line {
+    (always $($part:tt)*) => {
+        $crate::log::write(format_args!($($part)*))
+    };
     ($($part:tt)*) => {
         if let Some(held_back) = $crate::log::admit() {
             if held_back > 0 {
-                eprintln!("linnethook: {held_back} lines held back");
+                $crate::log::write(format_args!("{held_back} lines held back"));
             }
-            eprintln!("linnethook: {}", format_args!($($part)*));
+            $crate::log::write(format_args!($($part)*));
         }
     };
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -353,7 +353,7 @@
             ..self.counters
         };
         let (open, out, buffers) = (self.decider.owed(), self.caches.out(), self.pool.in_use());
-        eprintln!("linnethook: {counters} open={open} out={out} buffers={buffers}");
+        log_line!(always "{counters} open={open} out={out} buffers={buffers}");
     }
 
     /// Whether all that was taken is answered, and nothing more is expected.
@@ -389,7 +389,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("linnethook: {failure}");
+            log_line!(always "{failure}");
             ExitCode::FAILURE
         }
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::thread;
@@ -35,6 +35,8 @@
     pub address: SocketAddr,
     child: Child,
     log: Receiver<String>,
+    /// After the next line nobody reads it any more.
+    log_closed: Arc<AtomicBool>,
     config: PathBuf,
 }
 
@@ -123,14 +125,20 @@
             .expect("the router starts");
         let stderr = child.stderr.take().expect("its log");
         let (sender, log) = channel();
+        let log_closed = Arc::new(AtomicBool::new(false));
+        let closed = log_closed.clone();
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let last = closed.load(Ordering::Relaxed);
                 let _ = sender.send(line);
+                if last {
+                    break;
+                }
             }
         });
         let address = wait(&log, |line: &String| line.contains("listens on"));
         let address = address.rsplit(' ').next().and_then(|address| address.parse().ok());
-        Self { address: address.expect("its address"), child, log, config: path }
+        Self { address: address.expect("its address"), child, log, log_closed, config: path }
     }
 
     pub fn client(&self) -> Client {
@@ -146,6 +154,13 @@
         wait(&self.log, |line: &String| line.contains(part))
     }
 
+    /// Whoever read the log is gone.
+    pub fn close_log(&mut self) {
+        self.log_closed.store(true, Ordering::Relaxed);
+        self.signal(Signal::SIGUSR1);
+        let _ = self.logged("counters");
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         self.child.wait().expect("the router ends")
     }
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -380,6 +380,22 @@
     assert!(line.ends_with("open=0 out=0 buffers=0"), "{line}");
 }
 
+/// A line that can't be written must not end the router.
+#[test]
+fn it_serves_on_when_nobody_reads_its_log() {
+    let mut fleet = fleet();
+    fleet.router.close_log();
+    for _ in 0..3 {
+        let mut client = fleet.router.client();
+        client.stream.write_all(&[0xff; 9]).expect("sent");
+        assert_eq!(client.read().expect("an error").stream, 0);
+        while client.read().is_ok() {}
+    }
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_requests_along() {
     let fleet = fleet_of(holding(), holding(), echo("origin"));
