--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -201,16 +201,16 @@
         self.withdraw(now, |place, queued| {
             barred.contains(&place) || queued.source.is_some_and(|source| barred.contains(&source))
         });
-        let mut retired = Vec::new();
+        let (mut retired, mut gone) = (Vec::new(), Vec::new());
         if complete {
             let listed: HashSet<Place> = targets.iter().map(|target| Place::of(&target.uid)).collect();
-            retired.extend(self.peers.keys().filter(|place| !listed.contains(place)));
+            gone.extend(self.peers.keys().filter(|place| !listed.contains(place)));
         }
         for target in targets {
             let place = Place::of(&target.uid);
             let known = self.peers.get_mut(&place);
             if target.gone() {
-                retired.push(place);
+                gone.push(place);
             } else if let Some(address) = target.endpoint {
                 let started = target.started();
                 match known {
@@ -228,15 +228,30 @@
             }
         }
         for place in retired {
-            let Some(peer) = self.peers.get_mut(&place) else { continue };
-            for id in std::mem::take(&mut peer.connections) {
-                if let Some(connection) = self.connections.get_mut(&id) {
-                    connection.leaving = true;
-                }
-                self.close_if_done(id);
+            let connections = self.peers.get_mut(&place).map(|peer| std::mem::take(&mut peer.connections));
+            self.retire(connections.unwrap_or_default());
+        }
+        // Nothing is ordered any more of one that has gone: its line would be kept for good, and caches are
+        // replaced all day.
+        for place in gone {
+            let connections = self.peers.remove(&place).map(|peer| peer.connections);
+            self.retire(connections.unwrap_or_default());
+        }
+    }
+
+    /// Lets connections end with what is open on them.
+    fn retire(&mut self, connections: Vec<ConnectionId>) {
+        for id in connections {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.leaving = true;
             }
+            self.close_if_done(id);
         }
-        // Those gone keep their line, for attempts ordered within the grace of a drain.
+    }
+
+    /// Caches that are known, and connections to them.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.peers.len(), self.connections.len())
     }
 
     /// Takes back attempts of which not a byte was written.
@@ -313,6 +328,11 @@
         self.flush(now, id);
     }
 
+    /// Ends an attempt that nobody waits for any more before it was sent.
+    pub fn drop_unsent(&mut self, now: Ms, attempt: Attempt, place: Place) {
+        self.end(now, attempt, place, now, End::Cancelled);
+    }
+
     pub fn probe(&mut self, now: Ms, place: Place) {
         self.probes += 1;
         let tag = format!("probe-{}", self.probes);
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -1,8 +1,9 @@
-//! Owns the clients' connections: frames in, answers out, and who is owed one.
+//! Owns the clients' connections: frames in, answers out, who is owed one, and how long each may be kept.
 //!
-//! Must never answer a request twice, block on a client that does not read, or decide about a request.
+//! Must never answer a request twice, block on a client that does not read, let one take the place of others,
+//! or decide about a request.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -41,10 +42,43 @@
 pub enum Said {
     Request(Ticket, Box<Taken>),
     GivenUp(Ticket),
-    /// It can't be read; its stream is answered as failed.
+    /// It can't be used; its stream is answered as failed.
     Unreadable(Asker),
-    /// More than may be open at once.
-    TooMany(Asker),
+}
+
+/// How far a connection is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Phase {
+    Open,
+    /// Nothing more is understood; what is left to be written goes out first.
+    Closing,
+    /// All is written, and the client was told that no more comes. What it still sends is thrown away, so that
+    /// the last words are not lost with it.
+    Lingering {
+        until: Ms,
+        bytes: usize,
+    },
+}
+
+/// The streams that were used on a connection, in bounded room: far behind the highest ones all count as used.
+#[derive(Debug, Default)]
+struct Streams {
+    /// All up to this one.
+    up_to: u32,
+    beyond: BTreeSet<u32>,
+}
+
+impl Streams {
+    /// Whether it is new, which it is no more.
+    fn take(&mut self, stream: u32, most: usize) -> bool {
+        if stream <= self.up_to || !self.beyond.insert(stream) {
+            return false;
+        }
+        while self.beyond.first().is_some_and(|&first| first - 1 == self.up_to || self.beyond.len() > most) {
+            self.up_to = self.beyond.pop_first().unwrap_or(self.up_to);
+        }
+        true
+    }
 }
 
 struct Client {
@@ -54,10 +88,24 @@
     output: Chain,
     /// The tickets of the streams that are owed an answer.
     open: HashMap<u32, Ticket>,
-    /// When something last came in or went out.
+    streams: Streams,
+    since: Ms,
+    /// When a message last came in or something went out.
     used: Ms,
-    /// Nothing more is read; it is closed once all is written.
-    closing: bool,
+    /// Since when a message has been there in part.
+    begun: Option<Ms>,
+    /// It asked something that was answered.
+    proven: bool,
+    /// Requests that could not be used.
+    faults: u32,
+    phase: Phase,
+}
+
+impl Client {
+    /// Nobody would miss it.
+    fn idle(&self) -> bool {
+        self.phase != Phase::Open || (self.open.is_empty() && self.output.is_empty())
+    }
 }
 
 pub struct Clients {
@@ -70,9 +118,15 @@
     held: BTreeSet<ClientId>,
     tickets: Ticket,
     next_sweep: Ms,
+    listener: Option<RegistrationToken>,
+    /// No more are accepted until there is room.
+    full: bool,
     stopping: bool,
     pub accepted: u64,
     pub malformed: u64,
+    pub silent: u64,
+    pub made_room: u64,
+    pub taken_back: u64,
 }
 
 impl Clients {
@@ -86,14 +140,19 @@
             held: BTreeSet::new(),
             tickets: 0,
             next_sweep: 0.0,
+            listener: None,
+            full: false,
             stopping: false,
             accepted: 0,
             malformed: 0,
+            silent: 0,
+            made_room: 0,
+            taken_back: 0,
         }
     }
 
     /// Starts to listen; the address comes back.
-    pub fn listen(&self, address: SocketAddr) -> Result<SocketAddr, Failure> {
+    pub fn listen(&mut self, address: SocketAddr) -> Result<SocketAddr, Failure> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
@@ -103,33 +162,62 @@
         let address = listener.local_addr()?;
         let source = Generic::new(listener, Interest::READ, Mode::Level);
         let ready = |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, router: &mut Router| {
-            router.client_waits(listener);
-            Ok(PostAction::Continue)
+            Ok(if router.client_waits(listener) { PostAction::Continue } else { PostAction::Disable })
         };
-        self.handle.insert_source(source, ready).map_err(|wrong| wrong.error)?;
+        self.listener = Some(self.handle.insert_source(source, ready).map_err(|wrong| wrong.error)?);
         Ok(address)
     }
 
-    /// Takes in the clients that wait to be accepted.
-    pub fn accept(&mut self, now: Ms, listener: &TcpListener) {
-        loop {
+    /// Takes in clients that wait to be accepted, some at a time; false where there is no room for more.
+    ///
+    /// Each is read at once, so that one that has something to say is not taken for a silent one.
+    pub fn accept(&mut self, now: Ms, listener: &TcpListener, said: &mut Vec<Said>) -> bool {
+        for _ in 0..self.limits.accept_turn {
+            if self.clients.len() >= self.limits.clients && !self.make_room(now, said) {
+                self.full = true;
+                return false;
+            }
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return true,
+                // The client has gone before it was accepted.
+                Err(wrong) if wrong.kind() == io::ErrorKind::ConnectionAborted => continue,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
-                Err(wrong) => return log_line!("accept: {wrong}"),
+                Err(wrong) => {
+                    // Guards against a turn without end where descriptors are short: it would fail again at once.
+                    log_line!("accept: {wrong}");
+                    self.make_room(now, said);
+                    self.full = true;
+                    return false;
+                }
             };
-            if self.clients.len() >= self.limits.clients {
-                log_line!("a client beyond {} was turned away", self.limits.clients);
-                continue;
-            }
-            if let Err(wrong) = self.take_in(now, stream) {
-                log_line!("a client could not be taken in: {wrong}");
+            match self.take_in(now, stream) {
+                Ok(id) => self.read(now, id, said),
+                Err(wrong) => log_line!("a client could not be taken in: {wrong}"),
             }
         }
+        true
     }
 
-    fn take_in(&mut self, now: Ms, stream: TcpStream) -> io::Result<()> {
+    /// Gives up the connection that has done least: one that is closing, one that never asked anything, or the
+    /// one that has been idle for longest.
+    ///
+    /// Guards against silent connections that take the places of clients with something to ask. Those that
+    /// have only just come, or only just been answered, may have their request on the way and are spared.
+    fn make_room(&mut self, now: Ms, said: &mut Vec<Said>) -> bool {
+        let spared = now - self.limits.client_spared;
+        let idle = self.clients.iter().filter(|(_, client)| client.idle() && client.used <= spared);
+        let least = idle.min_by(|(_, a), (_, b)| {
+            let rank = |client: &Client| (client.phase == Phase::Open, client.proven);
+            rank(a).cmp(&rank(b)).then(a.used.total_cmp(&b.used))
+        });
+        let Some(id) = least.map(|(id, _)| *id) else { return false };
+        self.made_room += 1;
+        self.lose(id, said);
+        true
+    }
+
+    fn take_in(&mut self, now: Ms, stream: TcpStream) -> io::Result<ClientId> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         self.last += 1;
@@ -146,35 +234,59 @@
             output.append(frames::no_more(&self.pool));
         }
         let input = Chain::new(&self.pool);
-        let client = Client { stream, token, input, output, open: HashMap::new(), used: now, closing: false };
+        let client = Client {
+            stream,
+            token,
+            input,
+            output,
+            open: HashMap::new(),
+            streams: Streams::default(),
+            since: now,
+            used: now,
+            begun: None,
+            proven: false,
+            faults: 0,
+            phase: Phase::Open,
+        };
         self.clients.insert(id, client);
         self.accepted += 1;
-        Ok(())
+        Ok(id)
     }
 
     /// Reads what a client has sent. A lost client's open requests come back as given up.
     pub fn read(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
         self.held.remove(&id);
         let mut budget = self.limits.read_turn;
-        while let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
-            let behind = client.output.len() > self.limits.write_backlog;
+        while let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase != Phase::Closing) {
+            let behind = client.phase == Phase::Open && client.output.len() > self.limits.write_backlog;
             if behind || budget == 0 || self.pool.crowded() {
                 self.held.insert(id);
                 return;
             }
-            match client.input.read_from(&*client.stream) {
+            let read = match client.input.read_from(&*client.stream) {
                 Ok(0) => return self.lose(id, said),
-                Ok(n) => (budget, client.used) = (budget.saturating_sub(n), now),
+                Ok(n) => n,
                 Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => return self.lose(id, said),
+            };
+            budget = budget.saturating_sub(read);
+            match &mut client.phase {
+                Phase::Lingering { bytes, .. } => {
+                    client.input.consume(read);
+                    *bytes = bytes.saturating_sub(read);
+                    if *bytes == 0 {
+                        return self.lose(id, said);
+                    }
+                }
+                Phase::Open | Phase::Closing => self.understand(now, id, said),
             }
-            self.understand(now, id, said);
         }
     }
 
     /// Goes on with those that were held back.
     pub fn read_held(&mut self, now: Ms, said: &mut Vec<Said>) {
+        self.relieve(now, said);
         if !self.pool.crowded() {
             for id in self.held.clone() {
                 self.read(now, id, said);
@@ -182,58 +294,110 @@
         }
     }
 
+    /// Breaks off those with the longest messages that are there in part only, while buffers are short.
+    ///
+    /// Guards against half messages of a few clients that would keep all others from being read.
+    fn relieve(&mut self, now: Ms, said: &mut Vec<Said>) {
+        while self.pool.crowded() {
+            let begun = self.clients.iter().filter(|(_, client)| client.begun.is_some());
+            let longest = begun.max_by_key(|(_, client)| (!client.proven, client.input.len()));
+            let Some(id) = longest.map(|(id, _)| *id) else { return };
+            self.break_off(now, id, "half a message while buffers are short", said);
+        }
+    }
+
     /// Whether somebody who was held back could be read on at once.
     pub fn waits(&self) -> bool {
-        let may = |id| self.clients.get(id).is_some_and(|c| c.output.len() <= self.limits.write_backlog);
+        let may = |id| {
+            self.clients.get(id).is_some_and(|client| {
+                client.phase != Phase::Open || client.output.len() <= self.limits.write_backlog
+            })
+        };
         !self.pool.crowded() && self.held.iter().any(may)
     }
 
     fn understand(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
-        while let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
-            match frames::decode(&mut client.input, self.limits.frame) {
-                Ok(None) => return,
-                Ok(Some(Message::Request { stream, fields, body })) => {
-                    if client.open.contains_key(&stream) {
-                        return self.break_off(now, id, "a stream that is open", said);
+        while let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase == Phase::Open) {
+            let message = match frames::decode(&mut client.input, self.limits.frame) {
+                Ok(Some(message)) => message,
+                Ok(None) => {
+                    client.begun = (!client.input.is_empty()).then(|| client.begun.unwrap_or(now));
+                    return;
+                }
+                Err(wrong) => return self.break_off(now, id, wrong.0, said),
+            };
+            (client.begun, client.used) = (None, now);
+            match message {
+                Message::Request { stream, fields, body } => {
+                    if !client.streams.take(stream, self.limits.client_streams) {
+                        return self.break_off(now, id, "a stream that is not new", said);
                     }
-                    let asker = Asker { client: id, stream };
                     if client.open.len() >= self.limits.client_streams {
-                        said.push(Said::TooMany(asker));
-                    } else {
-                        said.push(match taken(asker, &fields, body, self.limits.way) {
-                            Some(taken) => {
-                                self.tickets += 1;
-                                client.open.insert(stream, self.tickets);
-                                Said::Request(self.tickets, Box::new(taken))
-                            }
-                            None => Said::Unreadable(asker),
-                        });
+                        return self.break_off(now, id, "more requests than may be open", said);
+                    }
+                    let asker = Asker { client: id, stream };
+                    match taken(asker, &fields, body, &self.limits) {
+                        Some(taken) => {
+                            self.tickets += 1;
+                            client.open.insert(stream, self.tickets);
+                            said.push(Said::Request(self.tickets, Box::new(taken)));
+                        }
+                        None => said.push(Said::Unreadable(asker)),
                     }
                 }
-                Ok(Some(Message::GivenUp { stream })) => {
-                    said.extend(client.open.remove(&stream).map(Said::GivenUp));
+                Message::GivenUp { stream } => {
+                    let Some(ticket) = client.open.remove(&stream) else { continue };
+                    // What is taken back in the same breath goes no further.
+                    let asked = |said: &Said| matches!(said, Said::Request(asked, _) if *asked == ticket);
+                    match said.iter().rposition(asked) {
+                        Some(n) => {
+                            said.remove(n);
+                            self.taken_back += 1;
+                        }
+                        None => said.push(Said::GivenUp(ticket)),
+                    }
                 }
-                Ok(Some(Message::ReadyAsked { stream })) => {
+                Message::ReadyAsked { stream } => {
+                    client.proven = true;
                     client.output.append(frames::ready(&self.pool, stream, !self.stopping));
                 }
-                Err(wrong) => return self.break_off(now, id, wrong.0, said),
             }
         }
     }
 
+    /// Connections of clients.
+    pub fn len(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// Whether that request is still open at its client.
+    pub fn waits_for(&self, asker: Asker, ticket: Ticket) -> bool {
+        self.clients.get(&asker.client).is_some_and(|client| client.open.get(&asker.stream) == Some(&ticket))
+    }
+
     /// Gives the one final answer to a request, unless nobody waits for it any more.
     pub fn answer(&mut self, asker: Asker, code: Code, fields: &[(&str, &str)], body: Chain) {
         let Some(client) = self.clients.get_mut(&asker.client) else { return };
         if client.open.remove(&asker.stream).is_some() {
+            client.proven = true;
             client.output.append(frames::answer(&self.pool, asker.stream, code, fields, body));
         }
     }
 
-    /// Answers what was never taken for a request.
-    pub fn turn_away(&mut self, asker: Asker, code: Code) {
-        if let Some(client) = self.clients.get_mut(&asker.client).filter(|client| !client.closing) {
-            let nothing = Chain::new(&self.pool);
-            client.output.append(frames::answer(&self.pool, asker.stream, code, &[], nothing));
+    /// Answers what can't be used as a request; who goes on with that is broken off.
+    ///
+    /// Guards against a client that asks the same again as soon as it is turned away, at full speed.
+    pub fn turn_away(&mut self, now: Ms, asker: Asker, said: &mut Vec<Said>) {
+        let Some(client) = self.clients.get_mut(&asker.client) else { return };
+        if client.phase != Phase::Open {
+            return;
+        }
+        client.open.remove(&asker.stream);
+        client.faults += 1;
+        let nothing = Chain::new(&self.pool);
+        client.output.append(frames::answer(&self.pool, asker.stream, Code::Failed, &[], nothing));
+        if client.faults >= self.limits.client_faults {
+            self.break_off(now, asker.client, "too many requests that can't be used", said);
         }
     }
 
@@ -248,20 +412,31 @@
                 Err(_) => return self.lose(id, said),
             }
         }
-        if client.closing {
-            self.lose(id, said);
+        if client.phase == Phase::Closing {
+            // One that has ended by itself has nothing to be told.
+            if client.stream.shutdown(Shutdown::Write).is_err() {
+                return self.lose(id, said);
+            }
+            let until = now + self.limits.linger;
+            client.phase = Phase::Lingering { until, bytes: self.limits.linger_bytes };
+            self.read(now, id, said);
         }
     }
 
-    /// Ends a connection whose frames can't be read any more.
+    /// Ends a connection that can't be used any more: says why, and calls its requests off.
     fn break_off(&mut self, now: Ms, id: ClientId, why: &str, said: &mut Vec<Said>) {
+        let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase == Phase::Open) else {
+            return;
+        };
         self.malformed += 1;
         log_line!("a client is broken off: {why}");
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.closing = true;
-        said.extend(client.open.drain().map(|(_, ticket)| Said::GivenUp(ticket)));
+        client.phase = Phase::Closing;
+        client.begun = None;
+        client.input = Chain::new(&self.pool);
         let body = Chain::from_bytes(&self.pool, why.as_bytes());
         client.output.append(frames::answer(&self.pool, 0, Code::Failed, &[], body));
+        let open: HashSet<Ticket> = client.open.drain().map(|(_, ticket)| ticket).collect();
+        give_up(open, said);
         self.flush(now, id, said);
     }
 
@@ -269,7 +444,7 @@
         let Some(client) = self.clients.remove(&id) else { return };
         self.held.remove(&id);
         self.handle.remove(client.token);
-        said.extend(client.open.into_values().map(Said::GivenUp));
+        give_up(client.open.into_values().collect(), said);
     }
 
     /// When `tick` is due.
@@ -277,22 +452,42 @@
         self.next_sweep
     }
 
-    /// Closes clients that do not take their answers, and those that have long been gone without a word.
+    /// Ends what has had its time: messages that do not end, connections that never asked anything or are
+    /// idle, answers that are not taken, and the rest of those that were broken off.
     pub fn tick(&mut self, now: Ms, said: &mut Vec<Said>) {
         if now < self.next_sweep {
             return;
         }
         self.next_sweep = now + self.limits.client_sweep;
-        let over = |client: &Client| {
-            let since = now - client.used;
-            match (client.output.is_empty(), client.open.is_empty()) {
-                (false, _) => since > self.limits.client_stall,
-                (true, true) => since > self.limits.client_idle,
-                (true, false) => false,
+        let limits = self.limits;
+        let (mut over, mut silent) = (Vec::new(), Vec::new());
+        for (&id, client) in &self.clients {
+            let passed = |since: Ms, span: f64| now - since > span;
+            let stalled = !client.output.is_empty() && passed(client.used, limits.client_stall);
+            let idle = client.idle() && passed(client.used, limits.client_idle);
+            let ended = matches!(client.phase, Phase::Lingering { until, .. } if now >= until);
+            // Neither counts for one that waits for its turn to be read.
+            let waits = self.held.contains(&id) || client.phase != Phase::Open;
+            let half = !waits && client.begun.is_some_and(|begun| passed(begun, limits.message));
+            let unproven = !waits && !client.proven && client.open.is_empty();
+            if stalled || idle || ended {
+                over.push(id);
+            } else if half || (unproven && passed(client.since, limits.client_first)) {
+                silent.push((id, half));
             }
-        };
-        let over: Vec<ClientId> = self.clients.iter().filter(|(_, c)| over(c)).map(|(id, _)| *id).collect();
+        }
         over.into_iter().for_each(|id| self.lose(id, said));
+        for (id, half) in silent {
+            self.silent += 1;
+            let why = if half { "a message that does not end" } else { "nothing was asked" };
+            self.break_off(now, id, why, said);
+        }
+        if self.full {
+            self.full = false;
+            if let Some(wrong) = self.listener.as_ref().and_then(|token| self.handle.enable(token).err()) {
+                log_line!("the listener: {wrong}");
+            }
+        }
     }
 
     /// From here on every connection, also one that is yet to come, is told to bring nothing new.
@@ -300,7 +495,7 @@
         self.stopping = true;
         let ids: Vec<ClientId> = self.clients.keys().copied().collect();
         for id in ids {
-            if let Some(client) = self.clients.get_mut(&id).filter(|client| !client.closing) {
+            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase == Phase::Open) {
                 client.output.append(frames::no_more(&self.pool));
             }
             self.flush(now, id, said);
@@ -321,30 +516,54 @@
     }
 }
 
-/// A request's fields; `None` where it lacks what it needs.
-fn taken(asker: Asker, fields: &Fields, body: Chain, way: f64) -> Option<Taken> {
-    let text = |name: &str| fields.get(name).unwrap_or_default();
+/// Calls requests off; those that nobody has heard of yet go no further.
+fn give_up(mut open: HashSet<Ticket>, said: &mut Vec<Said>) {
+    said.retain(|said| !matches!(said, Said::Request(ticket, _) if open.remove(ticket)));
+    let mut open: Vec<Ticket> = open.into_iter().collect();
+    open.sort_unstable();
+    said.extend(open.into_iter().map(Said::GivenUp));
+}
+
+/// A request's fields; `None` where it lacks what it needs, or can't be what it says.
+///
+/// Guards against requests that caches can't use: they answer an error, which would count against them.
+fn taken(asker: Asker, fields: &Fields, body: Chain, limits: &Limits) -> Option<Taken> {
     let class = fields.get("c")?;
-    let id = fields.get("i")?;
-    let wait: f64 = fields.get("d")?.parse().ok().filter(|wait: &f64| wait.is_finite())?;
-    let object = fields.get("o")?;
-    // It goes on to the caches as it stands, in a list that knows no quotes.
-    let plain = |text: &str| !text.contains([',', '=']);
-    if ![Some(class), Some(id), fields.get("known"), fields.get("k")].into_iter().flatten().all(plain) {
+    let id = fields.get("i").filter(|id| hex(id))?;
+    let object = fields.get("o").filter(|object| hex(object))?;
+    let wait = fields.get("d").and_then(decimal).filter(|wait| (1.0..=limits.wait).contains(wait))?;
+    // They go on to the caches as they stand, in a list that knows no quotes.
+    let plain = |text: &&str| {
+        !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic() && !b",=+".contains(&byte))
+    };
+    if ![Some(class), fields.get("known"), fields.get("k")].iter().flatten().all(plain) {
         return None;
     }
-    let number = |name: &str| match fields.get(name) {
-        Some(text) => text.parse::<u32>().ok(),
+    let number = |name: &str, most: u32| match fields.get(name) {
+        Some(text) => digits(text).filter(|number| *number <= most),
         None => Some(0),
     };
+    let size = match fields.get("m") {
+        Some(text) => decimal(text).filter(|size| *size > 0.0 && *size <= limits.size_kb)?,
+        None => 0.0,
+    };
+    let repeat = match fields.get("r") {
+        Some("1") => true,
+        None | Some("0" | "") => false,
+        Some(_) => return None,
+    };
+    if body.len() > limits.body {
+        return None;
+    }
+    let part = number("chunk", limits.parts)?;
     let wish = Wish {
         class: class.to_string(),
         object: u64::from_str_radix(object, 16).ok()?,
-        part: number("chunk")?,
-        group: number("tag")?,
-        size_kb: text("m").parse().ok().filter(|size: &f64| size.is_finite() && *size > 0.0).unwrap_or(0.0),
-        repeat: text("r") == "1",
-        budget: (wait - way).max(0.0),
+        part,
+        group: number("tag", limits.groups)?,
+        size_kb: size,
+        repeat,
+        budget: (wait - limits.way).max(0.0),
     };
     let parcel = Parcel {
         id: id.to_string(),
@@ -357,3 +576,18 @@
     };
     Some(Taken { asker, wish, parcel })
 }
+
+/// 16 hex digits, as ids and objects are.
+fn hex(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
+fn digits(text: &str) -> Option<u32> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok())?
+}
+
+/// A plain number without a sign.
+fn decimal(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit() || b".eE-+".contains(&byte));
+    text.parse().ok().filter(|number: &f64| plain && number.is_finite() && *number >= 0.0)
+}
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -50,7 +50,8 @@
         let file: File = serde_json::from_slice(text)?;
         let told = linnethook_settings::decode(&serde_json::to_vec(&file.settings)?)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| "a seed that is not hexadecimal")?;
-        let limits = Limits::new(file.limits, told.transport);
+        let longest = told.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let limits = Limits::new(file.limits, told.transport, longest);
         Ok(Self { file, told, seed, limits })
     }
 }
@@ -71,14 +72,32 @@
     /// Bytes that wait to be written to a client before it is read no further.
     pub write_backlog: usize,
     /// How often clients are looked over; one that takes none of its answers for so long, or has had
-    /// nothing to say or hear for so long, is closed.
+    /// nothing to say or hear for so long, is closed: clients close idle connections themselves before.
     pub client_sweep: f64,
     pub client_stall: f64,
     pub client_idle: f64,
-    /// Connections that wait to be accepted, and clients' connections at once.
+    /// A new connection must have asked something after that long, and a message that has begun must have
+    /// come in whole. Whoever is closed for it is owed that within 3 s of connecting.
+    pub client_first: f64,
+    pub message: f64,
+    /// How long a connection that has just come or been answered keeps its place in any case.
+    pub client_spared: f64,
+    /// Requests that can't be used after which a client is broken off, and how long, and for how many bytes,
+    /// what it still sends is then thrown away.
+    pub client_faults: u32,
+    pub linger: f64,
+    pub linger_bytes: usize,
+    /// What a request may say: its wait, size, part, group and body.
+    pub wait: f64,
+    pub size_kb: f64,
+    pub parts: u32,
+    pub groups: u32,
+    pub body: usize,
+    /// Connections that wait to be accepted, those accepted in one turn, and clients' connections at once.
     pub accept_backlog: i32,
+    pub accept_turn: usize,
     pub clients: usize,
-    /// Open requests on one connection of a client, and in all.
+    /// Open requests on one connection of a client, by the protocol, and in all.
     pub client_streams: usize,
     pub open: usize,
     /// Attempts on one connection to a cache, connections to one cache, and to all.
@@ -98,7 +117,9 @@
     pub journal_late: f64,
     pub journal_pause: f64,
     pub journal_answer: usize,
-    /// After SIGTERM requests are waited for that long at the least, and all is over after the most.
+    /// After SIGTERM requests are waited for that long at the least. After the most, what is still open is
+    /// answered as failed: the platform kills no sooner than the longest wait, taken as 3 s where it is longer,
+    /// and 0.7 s after the signal.
     pub stop_least: f64,
     pub stop_most: f64,
     /// Log lines a second.
@@ -109,7 +130,7 @@
 const SPARE: usize = 16;
 
 impl Limits {
-    fn new(platform: Platform, transport: Transport) -> Self {
+    fn new(platform: Platform, transport: Transport, longest: f64) -> Self {
         let block = 16 * 1024;
         // Half of the memory may be in buffers.
         let blocks_most = (platform.memory_mb.max(8.0) * 0.5 * 1024.0 * 1024.0) as usize / block;
@@ -121,12 +142,24 @@
             string: 262_144,
             read_turn: 262_144,
             write_backlog: 1024 * 1024,
-            client_sweep: 1_000.0,
-            client_stall: 8_000.0,
-            client_idle: 30_000.0,
+            client_sweep: 100.0,
+            client_stall: 4_000.0,
+            client_idle: 5_000.0,
+            client_first: 2_000.0,
+            message: 1_500.0,
+            client_spared: 100.0,
+            client_faults: 16,
+            linger: 500.0,
+            linger_bytes: 1024 * 1024,
+            wait: 60_000.0,
+            size_kb: 1e6,
+            parts: 1_000_000,
+            groups: 255,
+            body: 48_000,
             accept_backlog: 1024,
+            accept_turn: 32,
             clients: (platform.sockets / 2).saturating_sub(SPARE).max(1),
-            client_streams: 64,
+            client_streams: 32,
             open: transport.max_open as usize,
             cache_streams: transport.streams as usize,
             cache_connections: (platform.sockets / 8).max(1),
@@ -141,7 +174,7 @@
             journal_pause: 100.0,
             journal_answer: 8 * 1024 * 1024,
             stop_least: 1_000.0,
-            stop_most: 5_400.0,
+            stop_most: longest.min(3_000.0) + 450.0,
             log_lines: 20,
         }
     }
@@ -160,6 +193,7 @@
         let config = Config::decode(text).expect("a configuration");
         assert_eq!((config.seed, config.file.known.pos), (0x8c1f_30d2_7a5b_e964, 3));
         assert!(config.limits.idle < 15_000.0);
+        assert!(config.limits.stop_most < 700.0, "no class waits for longer than the rest");
         assert!(config.limits.clients >= 1024 / 3 && config.limits.clients < 1024);
         assert!(config.limits.blocks_most * config.limits.block < 192 * 1024 * 1024);
     }
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -48,11 +48,19 @@
     served_bytes,
     refused,
     failed,
-    /// Connections of clients, and those broken off for what could not be read.
+    /// Requests that could not be used, and those taken back before they went anywhere.
+    unusable,
+    taken_back,
+    /// Connections of clients, those broken off for what could not be read or did not end, those of them that
+    /// asked nothing or half a message, and idle ones closed to make room.
     clients,
     malformed,
+    silent,
+    made_room,
     /// Connections to caches.
     connects,
+    /// Times that the configuration was read again.
+    reloads,
     /// Events of the journal, and polls of it that were lost.
     journal_events,
     journal_lost,
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Whether the settings tell of the class that is asked for.
+    pub fn knows(&self, wish: &Wish) -> bool {
+        self.names.classes.contains(&wish.class)
+    }
+
     /// Takes a request in; the orders say where it goes.
     pub fn pick(&mut self, now: Ms, ticket: Ticket, wish: &Wish) -> Vec<Order> {
         let class = self.names.classes.iter().position(|name| *name == wish.class);
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -172,6 +172,16 @@
         Self { limits, pool: pool.clone(), handle, address, pos, state, link: None, lost: 0 }
     }
 
+    /// Goes over to another address, from the last number taken. An answer that is half there is asked for anew.
+    ///
+    /// Guards against being blind after a reload: the old address tells nothing more, but keeps a poll that is
+    /// out there open until long after the new one has something to tell.
+    pub fn go_over(&mut self, now: Ms, address: SocketAddr) {
+        self.address = address;
+        self.drop_link();
+        self.state = Stage::Resting(now);
+    }
+
     /// When `tick` is due.
     pub fn next(&self) -> Ms {
         match self.state {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -15,7 +15,7 @@
 
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -56,6 +56,42 @@
     parcel: Parcel,
 }
 
+/// The requests that are open, and what each id among them is for.
+#[derive(Default)]
+struct Requests {
+    held: HashMap<Ticket, Held>,
+    /// By id: the object, and how many ask for it.
+    ids: HashMap<String, (String, usize)>,
+}
+
+impl Requests {
+    fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether the id is open for another object: caches tell requests by their ids alone.
+    fn clashes(&self, parcel: &Parcel) -> bool {
+        self.ids.get(&parcel.id).is_some_and(|(object, _)| *object != parcel.object)
+    }
+
+    fn insert(&mut self, ticket: Ticket, held: Held) {
+        let id = self.ids.entry(held.parcel.id.clone()).or_insert_with(|| (held.parcel.object.clone(), 0));
+        id.1 += 1;
+        self.held.insert(ticket, held);
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Held> {
+        let held = self.held.remove(&ticket)?;
+        if let Some((_, count)) = self.ids.get_mut(&held.parcel.id) {
+            *count -= 1;
+            if *count == 0 {
+                self.ids.remove(&held.parcel.id);
+            }
+        }
+        Some(held)
+    }
+}
+
 /// How far the router is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Run {
@@ -67,32 +103,35 @@
 /// One router.
 pub struct Router {
     clock: Clock,
+    /// The file that `LB_CONFIG` names, read again at each SIGHUP.
+    path: PathBuf,
     limits: Limits,
     pool: Pool,
     decider: Decider,
     clients: Clients,
     caches: Caches,
     journal: Journal,
-    held: HashMap<Ticket, Held>,
+    requests: Requests,
     wake: Option<Ms>,
     run: Run,
     counters: Counters,
 }
 
 impl Router {
-    fn new(config: Config, handle: &LoopHandle<'static, Self>) -> Result<Self, Failure> {
+    fn new(path: &Path, config: Config, handle: &LoopHandle<'static, Self>) -> Result<Self, Failure> {
         let limits = config.limits;
         let pool = Pool::new(limits.block, limits.blocks_kept, limits.blocks_most);
         let known = config.file.known;
         let mut router = Self {
             clock: Clock::new(),
+            path: path.to_path_buf(),
             limits,
             decider: Decider::new(config.told, config.seed),
             clients: Clients::new(limits, &pool, handle.clone()),
             caches: Caches::new(limits, &pool, handle.clone()),
             journal: Journal::new(limits, &pool, handle.clone(), config.file.journal, known.pos),
             pool,
-            held: HashMap::new(),
+            requests: Requests::default(),
             wake: None,
             run: Run::Serving,
             counters: Counters::default(),
@@ -133,7 +172,12 @@
         for order in orders {
             match order {
                 Order::Send { attempt, place, timeout, filling } => {
-                    let Some(held) = self.held.get(&attempt.ticket) else { continue };
+                    let Some(held) = self.requests.held.get(&attempt.ticket) else {
+                        // Its client left while these orders were carried out. Without an end the attempt would
+                        // count as in flight at its cache for good.
+                        self.caches.drop_unsent(now, attempt, place);
+                        continue;
+                    };
                     self.counters.sent += 1;
                     self.caches.send(now, attempt, place, timeout, &filling, &held.parcel);
                 }
@@ -149,7 +193,7 @@
     }
 
     fn answer(&mut self, ticket: Ticket, answer: Final, brought: Brought) {
-        let Some(held) = self.held.remove(&ticket) else { return };
+        let Some(held) = self.requests.remove(ticket) else { return };
         let nothing = Chain::new(&self.pool);
         let client = held.asker.client;
         match (answer, brought) {
@@ -186,41 +230,43 @@
                 Said::Request(ticket, taken) => {
                     self.counters.taken_in += 1;
                     self.counters.taken_in_bytes += taken.parcel.body.len() as u64;
-                    if self.held.len() >= self.limits.open {
-                        self.held.insert(ticket, Held { asker: taken.asker, parcel: taken.parcel });
+                    let asker = taken.asker;
+                    // Its connection may have been broken off over one before it.
+                    if !self.clients.waits_for(asker, ticket) {
+                        continue;
+                    }
+                    if !self.decider.knows(&taken.wish) || self.requests.clashes(&taken.parcel) {
+                        self.turn_away(asker);
+                        continue;
+                    }
+                    let crowded = self.requests.len() >= self.limits.open;
+                    self.requests.insert(ticket, Held { asker, parcel: taken.parcel });
+                    if crowded {
                         self.answer(ticket, Final::Refused { wait: 0.0 }, Brought::Nothing);
                         continue;
                     }
-                    self.held.insert(ticket, Held { asker: taken.asker, parcel: taken.parcel });
                     let orders = self.decider.pick(now, ticket, &taken.wish);
                     self.carry_out(orders, Brought::Nothing);
                 }
                 Said::GivenUp(ticket) => {
                     self.counters.given_up += 1;
-                    self.held.remove(&ticket);
+                    self.requests.remove(ticket);
                     let orders = self.decider.report(now, News::Left(ticket));
                     self.carry_out(orders, Brought::Nothing);
                 }
                 Said::Unreadable(asker) => {
                     self.counters.taken_in += 1;
-                    self.turn_away(asker, Code::Failed);
-                }
-                Said::TooMany(asker) => {
-                    self.counters.taken_in += 1;
-                    self.turn_away(asker, Code::Refused);
+                    self.turn_away(asker);
                 }
             }
         }
     }
 
-    /// Answers a request that never reached the decider.
-    fn turn_away(&mut self, asker: Asker, code: Code) {
-        match code {
-            Code::Refused => self.counters.refused += 1,
-            Code::Served | Code::Failed => self.counters.failed += 1,
-        }
-        self.clients.turn_away(asker, code);
+    /// Answers a request that can't be used, and so never reached the decider.
+    fn turn_away(&mut self, asker: Asker) {
+        self.counters.unusable += 1;
         let mut said = Vec::new();
+        self.clients.turn_away(self.clock.now(), asker, &mut said);
         self.clients.flush(self.clock.now(), asker.client, &mut said);
         self.hear(said);
     }
@@ -259,9 +305,13 @@
         *counter += 1;
     }
 
-    /// New clients wait at the listener.
-    pub fn client_waits(&mut self, listener: &TcpListener) {
-        self.clients.accept(self.clock.now(), listener);
+    /// New clients wait at the listener; false where there is no room for more.
+    pub fn client_waits(&mut self, listener: &TcpListener) -> bool {
+        let mut said = Vec::new();
+        let room = self.clients.accept(self.clock.now(), listener, &mut said);
+        self.hear(said);
+        self.settle();
+        room
     }
 
     pub fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
@@ -331,8 +381,10 @@
     }
 
     fn signalled(&mut self, signal: Signal) {
-        if signal == Signal::SIGUSR1 {
-            return self.print_counters();
+        match signal {
+            Signal::SIGUSR1 => return self.print_counters(),
+            Signal::SIGHUP => return self.reload(),
+            _ => {}
         }
         if self.run == Run::Serving {
             log_line!("stopping, {} requests open", self.decider.owed());
@@ -344,16 +396,47 @@
         }
     }
 
+    /// Reads the configuration again. Only the journal's address is taken over while it runs; a file that can't
+    /// be read changes nothing.
+    fn reload(&mut self) {
+        self.counters.reloads += 1;
+        match Config::read(&self.path) {
+            Ok(config) => {
+                log_line!(always "reloaded: the journal is at {}", config.file.journal);
+                self.journal.go_over(self.clock.now(), config.file.journal);
+            }
+            Err(failure) => log_line!(always "not reloaded: {failure}"),
+        }
+    }
+
+    /// Answers all that is still open as failed: what it came to is not known in time.
+    ///
+    /// Guards against requests that would be left without an answer when the platform kills.
+    fn fail_open(&mut self) {
+        let open: Vec<Ticket> = self.requests.held.keys().copied().collect();
+        for ticket in open {
+            let now = self.clock.now();
+            self.answer(ticket, Final::Failed, Brought::Nothing);
+            let orders = self.decider.report(now, News::Left(ticket));
+            self.carry_out(orders, Brought::Nothing);
+        }
+    }
+
     fn print_counters(&self) {
         let counters = Counters {
             clients: self.clients.accepted,
             malformed: self.clients.malformed,
+            silent: self.clients.silent,
+            made_room: self.clients.made_room,
+            taken_back: self.clients.taken_back,
             connects: self.caches.connects,
             journal_lost: self.journal.lost,
             ..self.counters
         };
         let (open, out, buffers) = (self.decider.owed(), self.caches.out(), self.pool.in_use());
-        log_line!(always "{counters} open={open} out={out} buffers={buffers}");
+        let (clients, (peers, connections)) = (self.clients.len(), self.caches.kept());
+        log_line!(always "{counters} held_clients={clients} held_caches={peers} held_connections={connections} \
+            open={open} out={out} buffers={buffers}");
     }
 
     /// Whether all that was taken is answered, and nothing more is expected.
@@ -367,19 +450,21 @@
 
 fn run() -> Result<(), Failure> {
     let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG names no configuration")?;
-    let config = Config::read(&PathBuf::from(path))?;
+    let path = PathBuf::from(path);
+    let config = Config::read(&path)?;
     log::hold_to(config.limits.log_lines);
     let mut events: EventLoop<'static, Router> = EventLoop::try_new()?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])?;
     let signalled = |event: calloop::signals::Event, _: &mut (), router: &mut Router| {
         router.signalled(event.signal());
     };
     events.handle().insert_source(signals, signalled).map_err(|wrong| wrong.error)?;
-    let mut router = Router::new(config, &events.handle())?;
+    let mut router = Router::new(&path, config, &events.handle())?;
     while !router.done() {
         events.dispatch(router.rest(), &mut router)?;
         router.tick();
     }
+    router.fail_open();
     router.clients.close();
     router.print_counters();
     Ok(())
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -38,6 +38,7 @@
     /// After the next line nobody reads it any more.
     log_closed: Arc<AtomicBool>,
     config: PathBuf,
+    settings: Value,
 }
 
 /// A stand-in that answers as `answer` says.
@@ -87,6 +88,10 @@
     fleet_with(holding(), holding(), echo("origin"), sockets)
 }
 
+pub fn narrow_fleet_of(sockets: usize, a: Cache, b: Cache) -> Fleet {
+    fleet_with(a, b, echo("origin"), sockets)
+}
+
 pub fn fleet_of(a: Cache, b: Cache, origin: Cache) -> Fleet {
     fleet_with(a, b, origin, 1024)
 }
@@ -138,7 +143,14 @@
         });
         let address = wait(&log, |line: &String| line.contains("listens on"));
         let address = address.rsplit(' ').next().and_then(|address| address.parse().ok());
-        Self { address: address.expect("its address"), child, log, log_closed, config: path }
+        Self {
+            address: address.expect("its address"),
+            child,
+            log,
+            log_closed,
+            config: path,
+            settings: config,
+        }
     }
 
     pub fn client(&self) -> Client {
@@ -149,6 +161,18 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("a signal is sent");
     }
 
+    /// Writes the configuration anew, with another journal, and has it read.
+    pub fn reload(&mut self, journal: SocketAddr) {
+        self.settings["journal"] = json!(journal.to_string());
+        let text = self.settings.to_string();
+        self.reload_text(&text);
+    }
+
+    pub fn reload_text(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a configuration is written");
+        self.signal(Signal::SIGHUP);
+    }
+
     /// The next line of the log with that in it.
     pub fn logged(&self, part: &str) -> String {
         wait(&self.log, |line: &String| line.contains(part))
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -8,7 +8,7 @@
 
 use common::*;
 use linnethook_toy::client::request;
-use linnethook_toy::{Answer, Heard};
+use linnethook_toy::{Answer, Client, Heard, Journal};
 use nix::sys::signal::Signal;
 use serde_json::json;
 
@@ -272,6 +272,173 @@
     assert_eq!(client.read().expect("an answer").code, SERVED);
 }
 
+/// Whoever does nothing is owed a close within 3 s, and must not hold the place of one with something to ask.
+#[test]
+fn silent_connections_make_room_and_are_told_and_closed_in_time() {
+    let fleet = narrow_fleet_of(64, echo("a"), echo("b"));
+    let start = std::time::Instant::now();
+    let mut silent: Vec<Client> = (0..60).map(|_| fleet.router.client()).collect();
+    let mut half = fleet.router.client();
+    half.stream
+        .write_all(&request(1, &video("00000000000000e1", "00000000000000aa"), b"")[..40])
+        .expect("sent");
+    for stream in 1..=3 {
+        let mut client = fleet.router.client();
+        client.ask(stream, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+        assert_eq!(client.read().expect("an answer").code, SERVED);
+    }
+    let told = silent.iter_mut().chain([&mut half]).filter_map(|client| client.read().ok()).count();
+    assert!(told > 0, "those not closed to make room are told why");
+    assert!(start.elapsed().as_millis() < 3_000, "{:?}", start.elapsed());
+}
+
+/// A client that asks once and keeps its connection for good must not keep its place.
+#[test]
+fn a_connection_that_is_idle_for_good_is_closed() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+    let start = std::time::Instant::now();
+    assert!(client.read().is_err());
+    assert!((4_000..10_000).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+}
+
+/// What caches can't use they answer with an error, which would count against them.
+#[test]
+fn requests_that_cannot_be_used_fail_before_they_cost_a_cache_anything() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let cases = [
+        ("c", "no such class"),
+        ("c", ""),
+        ("i", "9b1f"),
+        ("i", "9b1f03aa5c7e2d4g"),
+        ("i", ""),
+        ("o", "7f3a"),
+        ("d", "-5"),
+        ("d", "nan"),
+        ("d", "1e300"),
+        ("d", "0"),
+        ("chunk", "-1"),
+        ("chunk", "4294967296"),
+        ("tag", "256"),
+        ("tag", "x"),
+        ("m", "-412.5"),
+        ("m", "inf"),
+        ("m", "0"),
+        ("r", "7"),
+        ("known", "a,b"),
+    ];
+    for (n, (name, value)) in cases.into_iter().enumerate() {
+        if n % 10 == 0 {
+            client = fleet.router.client();
+        }
+        let mut fields = video("9b1f03aa5c7e2d41", "7f3a9c21e0b4d655").to_vec();
+        fields.retain(|(known, _)| *known != name);
+        fields.push((name, value));
+        client.ask(n as u32 + 1, &fields, b"").expect("sent");
+        assert_eq!(client.read().expect("an answer").code, FAILED, "{name}={value}");
+    }
+    client.ask(90, &booking("00000000000000b1"), &[7; 48_001]).expect("sent");
+    assert_eq!(client.read().expect("an answer").code, FAILED);
+    assert_eq!([&fleet.a, &fleet.b, &fleet.origin].map(left_over), [0, 0, 0]);
+}
+
+#[test]
+fn the_same_again_and_again_ends_the_connection() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let mut answers = Vec::new();
+    for stream in 1..=100 {
+        let sent = client.ask(stream, &[("c", "video")], b"");
+        match client.read() {
+            Ok(answer) if sent.is_ok() && answer.stream > 0 => answers.push(answer.code),
+            _ => break,
+        }
+    }
+    assert!(answers.len() < 50 && answers.iter().all(|&code| code == FAILED), "{answers:?}");
+}
+
+/// Caches tell requests by their ids alone.
+#[test]
+fn the_id_of_an_open_request_is_not_taken_for_another_object() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, id) = asked_either(&fleet.a, &fleet.b);
+    let mut other = fleet.router.client();
+    other.ask(1, &video("00000000000000e1", "00000000000000ab"), b"").expect("sent");
+    assert_eq!(other.read().expect("an answer").code, FAILED);
+    cache.answer(connection, &id, &Answer::data("the first")).expect("answered");
+    assert_eq!(client.read().expect("an answer").body, b"the first");
+    assert_eq!(left_over(&fleet.a) + left_over(&fleet.b), 0);
+}
+
+#[test]
+fn what_is_taken_back_at_once_and_more_than_may_be_open_reach_no_cache() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let ask = |stream: u32| request(stream, &video(&format!("{stream:016x}"), "00000000000000aa"), b"");
+    let mut client = fleet.router.client();
+    let back = |stream: u32| [&[0, 0, 0, 5, 67][..], &stream.to_be_bytes()].concat();
+    let bytes: Vec<u8> = (1..=30).flat_map(ask).chain((1..=30).flat_map(back)).collect();
+    client.stream.write_all(&bytes).expect("sent");
+    client.ask_ready(31).expect("sent");
+    assert_eq!(client.read().expect("an answer").kind, 81);
+    let mut client = fleet.router.client();
+    let bytes: Vec<u8> = (1..=60).flat_map(ask).collect();
+    client.stream.write_all(&bytes).expect("sent");
+    let error = client.read().expect("an error");
+    assert_eq!((error.kind, error.stream), (66, 0));
+    assert!(client.read().is_err(), "the connection has ended");
+    assert_eq!(left_over(&fleet.a) + left_over(&fleet.b), 0);
+}
+
+#[test]
+fn two_requests_under_one_number_end_the_connection_also_when_the_first_is_answered() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    for (stream, served) in [(2, true), (1, true), (2, false)] {
+        client.ask(stream, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.stream, answer.code == SERVED), (if served { stream } else { 0 }, served));
+    }
+}
+
+/// Closing with input unread would reset the connection and take the error along.
+#[test]
+fn the_error_arrives_also_while_the_client_is_still_sending() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let mut bytes = vec![0x03, 0x93, 0x87, 0x00, 65, 0, 0, 0, 1];
+    bytes.resize(600_000, 7);
+    client.stream.write_all(&bytes).expect("sent");
+    let error = client.read().expect("an error");
+    assert_eq!((error.kind, error.stream), (66, 0));
+}
+
+/// Each replaced cache used to leave a line for good.
+#[test]
+fn what_is_kept_of_replaced_caches_ends_with_them() {
+    let fleet = fleet();
+    for rev in 0..300u32 {
+        let line = |rev: u32, state: &str| {
+            let mut host = host("cache-b", fleet.b.address, state);
+            host["uid"] = json!(format!("spare-{rev}"));
+            host
+        };
+        let targets = [line(rev, "Ready"), line(rev.wrapping_sub(1), "Gone")];
+        fleet.journal.tell(json!({"hosts": {"rev": rev + 2, "all": false, "targets": targets}}));
+    }
+    wait(&fleet.journal.polls, |tail| *tail == 301);
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    assert_eq!(client.read().expect("an answer").code, SERVED);
+    fleet.router.signal(Signal::SIGUSR1);
+    let line = fleet.router.logged("counters");
+    assert!(line.contains(" held_caches=5 "), "{line}");
+}
+
 /// What one client does not read must hold up nobody else, and is not read for without end.
 #[test]
 fn a_client_that_does_not_read_holds_up_nobody() {
@@ -368,6 +535,68 @@
     assert!(fleet.router.logged("counters").contains("served=2 "));
 }
 
+/// A second journal that has told the same events as the first one.
+fn moved_journal(fleet: &Fleet) -> Journal {
+    let known = fleet.journal.known()["entries"].as_array().cloned().unwrap_or_default();
+    Journal::start("127.0.0.1:0", known).expect("the journal listens")
+}
+
+#[test]
+fn at_sighup_it_goes_over_to_the_new_journal_from_the_last_number_and_loses_nothing() {
+    let mut fleet = fleet_of(holding(), holding(), echo("origin"));
+    fleet.journal.tell(json!({"expire": {"set": 3, "stamp": 1}}));
+    wait(&fleet.journal.polls, |tail| *tail == 2);
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, id) = asked_either(&fleet.a, &fleet.b);
+    for _ in 0..2 {
+        let moved = moved_journal(&fleet);
+        fleet.router.reload(moved.address);
+        assert_eq!(wait(&moved.polls, |_| true), 2);
+        fleet.journal = moved;
+    }
+    fleet.journal.tell(json!({"expire": {"set": 4, "stamp": 1}}));
+    assert_eq!(wait(&fleet.journal.polls, |_| true), 3);
+    cache.answer(connection, &id, &Answer::data("kept")).expect("answered");
+    assert_eq!(client.read().expect("an answer").body, b"kept");
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let mut fleet = fleet();
+    wait(&fleet.journal.polls, |tail| *tail == 1);
+    for text in ["", "{\"name\": \"half", "{}"] {
+        fleet.router.reload_text(text);
+        assert!(fleet.router.logged("not reloaded").ends_with(|c: char| c.is_ascii_digit()), "one line");
+    }
+    fleet.journal.tell(json!({"expire": {"set": 3, "stamp": 1}}));
+    assert_eq!(wait(&fleet.journal.polls, |tail| *tail > 1), 2);
+    let moved = moved_journal(&fleet);
+    fleet.router.reload(moved.address);
+    assert_eq!(wait(&moved.polls, |_| true), 2);
+}
+
+/// The platform kills soon after the longest wait: what would still be open then is answered before.
+#[test]
+fn after_sigterm_what_stays_open_is_answered_before_the_platform_kills() {
+    let mut fleet = fleet_of(echo("a"), echo("b"), holding());
+    let mut client = fleet.router.client();
+    client
+        .ask(
+            1,
+            &[("c", "booking"), ("i", "00000000000000b1"), ("o", "00000000000000b0"), ("d", "60000")],
+            b"",
+        )
+        .expect("sent");
+    asked(&fleet.origin);
+    let start = std::time::Instant::now();
+    fleet.router.signal(Signal::SIGTERM);
+    assert_eq!(client.read().expect("a frame").kind, 90);
+    assert_eq!(client.read().expect("an answer").code, FAILED);
+    assert_eq!(fleet.router.ended().code(), Some(0));
+    assert!(start.elapsed().as_millis() < 3_700, "{:?}", start.elapsed());
+}
+
 #[test]
 fn counters_are_printed_on_request() {
     let fleet = fleet();
