What clients take back before it is late does not count against the link

The counters at 17 s: of 10,544 attempts 2,097 ended as absent, and just as many requests were refused; 743 were taken back.

Checked: such attempts ask only for what is held, so the limit on fills was shut.

Lines at fault: judge_ways in src/brain.rs took every called-off attempt for a late one, also one that its client had taken back after some milliseconds; each cut the limit to what was in use. Now one that ended before it was wanted tells nothing of the link or the origin.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -835,24 +835,24 @@
         if outcome.note == Some(Note::OriginFailed) {
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
+        // What its client took back before it was late tells nothing: many that leave would shut out all fills.
+        let left = outcome.status == Status::Cancelled && outcome.took <= attempt.aim;
         let lost = matches!(outcome.status, Status::Timeout | Status::Cancelled);
         let straight = Some(attempt.cache) == self.origin() && !self.set.class(attempt.class).write;
-        if straight && !matches!(outcome.status, Status::Moot) {
+        if straight && !left && outcome.status != Status::Moot {
             let late = outcome.status != Status::Ok || outcome.took > attempt.aim;
             self.origin_gate.report(self.now, late, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
-        let may_fill = attempt.fills || attempt.renews;
+        let may_fill = (attempt.fills || attempt.renews) && !left;
         if !may_fill || !(lost || outcome.status == Status::Ok) || outcome.note == Some(Note::Hit) {
             return;
         }
         let late = lost || outcome.took > attempt.aim;
+        let waited = outcome.waited > attempt.aim / 2.0;
         if outcome.note == Some(Note::FilledByOrigin) {
             if let Some(source) = attempt.source.and_then(|id| self.servers.get_mut(&id)) {
                 source.wait.add(outcome.waited, WAIT_WEIGHT);
             }
-        }
-        let waited = outcome.waited > attempt.aim / 2.0;
-        if outcome.note == Some(Note::FilledByOrigin) {
             let long = outcome.waited > self.set.class(attempt.class).aim;
             self.waits.blend(f64::from(u8::from(long)), WAIT_WEIGHT);
             self.origin_gate.report(self.now, late && waited, ORIGIN_GATE.most, &ORIGIN_GATE);
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -275,6 +275,23 @@
     assert!(held > asked.len() / 2, "{held} of {} ask only for what is held", asked.len());
 }
 
+/// What clients take back ends as called off, long before it is late: it must not count as a late fill.
+#[test]
+fn clients_that_go_away_do_not_close_the_link() {
+    let mut world = warmed();
+    for wave in 0..40 {
+        let taken_back: Vec<Sent> = (0..3).filter_map(|n| world.ask(SAFE, 1000 + wave * 10 + n)).collect();
+        world.pass(60.0);
+        for sent in taken_back {
+            world.tell(Event::Gone(sent.attempt.request));
+            world.end_after(sent, Status::Cancelled, None, 60.0);
+        }
+    }
+    let fills = |sent: &Sent| sent.fill.is_some_and(|fill| fill.source != sent.cache);
+    let tried: Vec<Sent> = (2000..2005).filter_map(|object| world.ask(SAFE, object)).collect();
+    assert!(tried.len() == 5 && tried.iter().all(fills), "{tried:?}");
+}
+
 /// Late fills hold the slots of their caches until even hits come late.
 #[test]
 fn fills_that_come_late_are_held_back_and_hits_go_on() {
