Late fills of a cache slower than its peers do not count against the link

The caches that were well had room.

Checked with the counters of each two seconds: the absent ones begin with the slow answers and end 4 s after the slow ones died; no cache was out. Ruled out: transport (nothing broken or unreached before 15.6 s; 0.03 of 0.20 of a core), the origin (46 ms, 103 at the most).

Lines at fault: judge_fill in src/brain.rs put every late fill down to the location's link, but for those of a slow parent. Now also not those of a cache whose own hits are so much slower than its peers' that it keeps less than 0.85 of its arc.

Might hurt where a cache is slow because its link is.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,7 @@
 const PACE_BORNE: f64 = 1.15;
 const PACE_LEAST: f64 = 0.2;
 const PACE_MOST: f64 = 2.0;
+const PACE_OWN: f64 = 0.85; // With less of its arc, what it fills late is put down to itself.
 /// Over so long a router takes the mean of what it has in flight for what each of the others has.
 const USUAL: Ms = 2_000.0;
 
@@ -133,8 +134,7 @@
 const SLOW_RATIO: f64 = 3.0;
 const SLOW_WEIGHT: f64 = 0.1;
 const SLOW_TRIAL: f64 = 0.04;
-/// What an answer takes to the client, at the least.
-const WAY_BACK: Ms = 10.0;
+const WAY_BACK: Ms = 10.0; // What an answer takes to the client, at the least.
 
 /// The decisions of one router.
 #[derive(Debug)]
@@ -816,9 +816,7 @@
         let is_parent = |id: &CacheId| self.servers.get(id).is_some_and(|s| self.set.is_parent(&s.member));
         let parent = attempt.source.filter(is_parent);
         self.judge(attempt.cache, cache);
-        if let Some(parent) = parent {
-            self.judge(parent, source);
-        }
+        parent.into_iter().for_each(|parent| self.judge(parent, source));
         match outcome.status {
             Ok | Miss | Moot => None,
             _ if source == Some(false) && parent.is_some() => parent,
@@ -862,7 +860,8 @@
         }
     }
 
-    /// Counts a fill whose wait is not known, or was not long.
+    /// Counts a fill whose wait is not known, or was not long. What a cache that is slower than its peers, or a
+    /// parent, fills late by its own doing is not the link's: it would be shut for those that are well.
     fn judge_fill(&mut self, attempt: &Attempt, late: bool) {
         if late && self.waits.value > WAIT_BLAMED {
             return self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
@@ -871,7 +870,8 @@
         if let Some(server) = self.servers.get_mut(&source) {
             server.late.blend(f64::from(u8::from(late)), SLOW_WEIGHT);
         }
-        if late && self.clearly_slow(source) {
+        let own = self.servers.get(&attempt.cache).is_some_and(|s| self.pace_share(s) < PACE_OWN);
+        if late && (own || self.clearly_slow(source)) {
             return;
         }
         // The link itself is told to have room: what is late is crowded out at the cache.
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -422,6 +422,28 @@
     assert!(to_it > 0 && to_it < owned.len() * 8 / 10, "{to_it} of {} stay with it", owned.len());
 }
 
+/// Ageing caches fill late what others fill in time: the link is not what is short.
+#[test]
+fn late_fills_of_a_slow_cache_do_not_close_the_link_for_its_peers() {
+    let mut world = warmed();
+    for object in (0..200).cycle().take(400) {
+        world.pass(20.0);
+        let sent = world.ask(SAFE, object).expect("an attempt");
+        let took = if sent.cache == CACHES[0] { 550.0 } else { 200.0 };
+        world.end_after(sent, Status::Ok, Some(Note::Hit), took);
+    }
+    let fills = |sent: &Sent| sent.fill.is_some_and(|fill| fill.source != sent.cache);
+    for object in 1000..1200 {
+        world.pass(40.0);
+        let Some(sent) = world.ask(SAFE, object) else { continue };
+        let took = if sent.cache == CACHES[0] { 1500.0 } else { 200.0 };
+        world.end_after(sent, Status::Ok, Some(Note::Filled), took);
+    }
+    let asked: Vec<Sent> = (2000..2030).filter_map(|object| world.ask(SAFE, object)).collect();
+    let filled = asked.iter().filter(|sent| fills(sent)).count();
+    assert!(filled > 20, "{filled} of {} are filled", asked.len());
+}
+
 /// Where no hits are told, most of what a filter does not show is held all the same, and late at a crowded cache.
 #[test]
 fn late_answers_do_not_close_a_link_that_is_told_to_have_room() {
