--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -524,6 +524,55 @@
         assert!(answers(&decider.report(1020.0, ended(attempt, place, End::Cancelled))).is_empty());
     }
 
+    /// A long day replaces its caches, objects and ids many times over: what is kept must not grow with them.
+    #[test]
+    fn what_is_kept_does_not_grow_with_what_has_gone() {
+        let mut decider = decider();
+        let mut now = 1000.0;
+        let mut ticket = 0;
+        let mut sizes = Vec::new();
+        for day in 0..3 {
+            for n in 0..=400u32 {
+                let host = |n: u32, state: HostState| Host {
+                    uid: format!("spare-{day}-{n}"),
+                    zone: "shop".to_string(),
+                    kind: "box".to_string(),
+                    cell: 0,
+                    weight: 8.0,
+                    started: now,
+                    state,
+                };
+                let state = if n < 400 { HostState::Ready } else { HostState::Gone };
+                let hosts = vec![host(n, state), host(n.wrapping_sub(1), HostState::Gone)];
+                decider.report(now, News::Hosts { complete: false, hosts });
+                let expired = News::Expired { object: Some(u64::from(n)), group: 0, stamp: now };
+                decider.report(now, expired);
+                for end in [End::Answered, End::Cancelled, End::Broken] {
+                    ticket += 1;
+                    let wish = Wish { object: ticket * 77, ..wish("video", 900.0) };
+                    let mut orders = decider.pick(now, ticket, &wish);
+                    while let Some((attempt, place, ..)) = sent(&orders) {
+                        now += 20.0;
+                        if end == End::Cancelled {
+                            decider.report(now, News::Left(ticket));
+                        }
+                        orders = decider.report(now, ended(attempt, place, end));
+                    }
+                }
+                decider.tick(now);
+            }
+            assert_eq!(decider.owed(), 0);
+            // What has gone is forgotten some rotations later.
+            for _ in 0..60 {
+                now += 1000.0;
+                decider.tick(now);
+            }
+            // All that it holds, spelt out.
+            sizes.push(format!("{decider:?}").len());
+        }
+        assert!(sizes[2] < sizes[0] * 11 / 10, "{sizes:?}");
+    }
+
     /// The caller keeps only the soonest time that it was told.
     #[test]
     fn every_tick_tells_when_the_next_one_is_due() {
--- a/crates/router/src/frames.rs
+++ b/crates/router/src/frames.rs
@@ -217,6 +217,29 @@
         }
     }
 
+    /// Nothing that a client can send may end the router, or be kept after it was read.
+    #[test]
+    fn random_bytes_are_messages_or_errors() {
+        let pool = Pool::new(64, 4, 100);
+        let mut seed = 7u64;
+        let mut next = move || {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (seed >> 33) as u8
+        };
+        for round in 0..2000 {
+            let mut input = Chain::new(&pool);
+            // Every other one begins like a request of a fair length.
+            if round % 2 == 0 {
+                input.push(&[0, 0, 0, 20 + next() % 60, REQUEST, 0, 0, 0, 1, next() % 4]);
+            }
+            let bytes: Vec<u8> = (0..200).map(|_| next()).collect();
+            input.push(&bytes);
+            while let Ok(Some(_)) = decode(&mut input, LONGEST) {}
+            drop(input);
+            assert_eq!(pool.in_use(), 0);
+        }
+    }
+
     #[test]
     fn answers_stand_as_the_protocol_says() {
         let pool = Pool::new(64, 4, 100);
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -241,6 +241,29 @@
         }
     }
 
+    /// Nothing that a cache can answer may end the router, or be kept after it was read.
+    #[test]
+    fn random_bytes_are_answers_or_errors() {
+        let pool = Pool::new(64, 4, 100);
+        let mut seed = 7u64;
+        let mut next = move || {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (seed >> 33) as u8
+        };
+        let good = b"*4\r\n$1\r\na\r\n$4\r\ndata\r\n$7\r\nres=HIT\r\n$6\r\nabcdef\r\n";
+        for _ in 0..2000 {
+            let mut bytes = good.to_vec();
+            for _ in 0..1 + next() % 3 {
+                let at = usize::from(next()) % bytes.len();
+                bytes[at] = next();
+            }
+            let (mut input, mut decoder) = (Chain::from_bytes(&pool, &bytes), Decoder::default());
+            while let Ok(Some(_)) = decoder.decode(&mut input, 100) {}
+            drop((input, decoder));
+            assert_eq!(pool.in_use(), 0);
+        }
+    }
+
     #[test]
     fn requests_stand_as_the_protocol_says() {
         let pool = Pool::new(8, 4, 100);
