--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -198,6 +198,23 @@
         assert!(config.limits.blocks_most * config.limits.block < 192 * 1024 * 1024);
     }
 
+    /// Clients hold up to a third of the descriptors, and neither side may use up what the others need.
+    #[test]
+    fn the_budgets_hold_at_both_ends() {
+        let told = linnethook_settings::decode(b"{}").expect("settings");
+        for (memory_mb, sockets) in [(32.0, 256), (192.0, 1024)] {
+            let limits = Limits::new(Platform { memory_mb, sockets }, told.transport, 3_000.0);
+            assert!(limits.clients > sockets / 3 && limits.clients + limits.connections + SPARE <= sockets);
+            assert!(limits.cache_connections <= limits.connections);
+            let memory = memory_mb * 1024.0 * 1024.0;
+            assert!((limits.blocks_most * limits.block) as f64 <= memory / 2.0);
+            // What one client may send in part, or leave unread, is a small share of the buffers.
+            assert!((limits.frame + limits.write_backlog) * 8 < limits.blocks_most * limits.block);
+            // The platform kills 0.7 s after the longest wait.
+            assert!(limits.stop_least < limits.stop_most && limits.stop_most < 3_700.0);
+        }
+    }
+
     #[test]
     fn what_is_wrong_with_a_configuration_is_said() {
         for text in ["", "{}", r#"{"name": 3}"#] {
