Add the operator file: Starlark, typed, checked and bounded

Need: what is set beside the platform's configuration wants a form of its own, with errors that a person can act on, and an evaluation that can't run on.

Change: crates/operator with control(), log(), hierarchy() and node(), and the functions of a file of changes; one table holds name, unit, default and range of each setting. An error is one line with file, line, column and what was expected. A file is evaluated in a process of its own under limits of the system, for one step of the language may ask for gigabytes.

Measured: 26 kinds of wrong file each give their line; 100,000 nodes are read; 200 files with random cuts give an operator or one line.

--- a/crates/hierarchy/src/lib.rs
+++ b/crates/hierarchy/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`budget`], [`lease`], [`recency`]: what fills may go, each once, and what is remembered of cold keys;
 //! - [`shield`]: which fills go now, which wait, and which are over what the tiers above bear;
 //! - [`hierarchy`]: all of it wired together, as one router sees it;
-//! - [`plan`]: what a batch would do, told before it is applied.
+//! - [`plan`]: what a batch would do, told before it is applied;
+//! - [`named`]: changes as they are written, sent and shown.
 //!
 //! No part reads a clock, a socket, a file or chance: times and seeds are arguments. `docs/hierarchy.md` weighs
 //! the ways that were open and says what is promised.
@@ -19,6 +20,7 @@
 pub mod hierarchy;
 pub mod history;
 pub mod lease;
+pub mod named;
 pub mod order;
 pub mod passed;
 pub mod plan;
--- a/crates/hierarchy/src/shape.rs
+++ b/crates/hierarchy/src/shape.rs
@@ -17,6 +17,7 @@
 
 /// What a node is in the hierarchy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Role {
     Cache,
     Parent,
--- /dev/null
+++ b/crates/operator/src/apart.rs
@@ -0,0 +1,149 @@
+//! Owns the evaluation of a file in a process of its own, with limits that the system keeps.
+//!
+//! The language's own bounds are looked at between its steps only, and one step may ask for gigabytes; and a router
+//! must not stand still while a file is read. Must never pass on anything but a whole, checked result or one error.
+
+use std::io::{self, Read, Write};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
+use linnethook_hierarchy::Rules;
+use nix::sys::resource::{setrlimit, Resource};
+use serde::{Deserialize, Serialize};
+
+use crate::knobs::HIERARCHY;
+use crate::script::{HierarchyPart, Kind, Log};
+use crate::{changes, Bounds, Hierarchy, Operator, Wrong};
+
+/// The first argument that makes the program do nothing but evaluate.
+pub const VERB: &str = "evaluate";
+
+/// Seconds of processor time and bytes of address space of the process.
+const SECONDS: u64 = 2;
+const SPACE: u64 = 768 << 20;
+/// The most bytes of a result.
+const RESULT: u64 = 32 << 20;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Sent {
+    control: Option<String>,
+    log: Option<(bool, u32)>,
+    hierarchy: Option<SentHierarchy>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SentHierarchy {
+    author: u16,
+    extended: bool,
+    staged: bool,
+    shielded: bool,
+    /// In the order of the table.
+    knobs: Vec<f64>,
+    nodes: Vec<NodeSpec>,
+}
+
+impl From<Operator> for Sent {
+    fn from(operator: Operator) -> Self {
+        let hierarchy = operator.hierarchy.map(|Hierarchy { part, nodes }| SentHierarchy {
+            author: part.author,
+            extended: part.extended,
+            staged: part.rules.staged,
+            shielded: part.rules.shielded,
+            knobs: HIERARCHY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
+            nodes,
+        });
+        let log = operator.log.map(|log| (log.json, log.lines_per_second));
+        Self { control: operator.control, log, hierarchy }
+    }
+}
+
+impl From<Sent> for Operator {
+    fn from(sent: Sent) -> Self {
+        let hierarchy = sent.hierarchy.map(|sent| {
+            let mut rules = Rules { staged: sent.staged, shielded: sent.shielded, ..Rules::default() };
+            for (knob, value) in HIERARCHY.iter().zip(&sent.knobs) {
+                (knob.set)(&mut rules, *value);
+            }
+            let part = HierarchyPart { author: sent.author, extended: sent.extended, rules };
+            Hierarchy { part, nodes: sent.nodes }
+        });
+        let log = sent.log.map(|(json, lines_per_second)| Log { json, lines_per_second });
+        Self { control: sent.control, log, hierarchy }
+    }
+}
+
+/// What a process tells of a file: postcard, so that it is small and quickly read.
+type Told<T> = Result<T, Wrong>;
+
+fn word(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Operator => "operator",
+        Kind::Changes => "changes",
+    }
+}
+
+/// Starts the process that evaluates a file; `program` is this very program.
+pub fn start(program: &Path, kind: Kind, file: &Path) -> io::Result<Child> {
+    let mut command = Command::new(program);
+    command.args([VERB, word(kind)]).arg(file);
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
+}
+
+/// What that process is: evaluates, and writes the result to standard output.
+pub fn serve(kind: &str, file: &Path, out: &mut impl Write) -> io::Result<()> {
+    setrlimit(Resource::RLIMIT_CPU, SECONDS, SECONDS)?;
+    setrlimit(Resource::RLIMIT_AS, SPACE, SPACE)?;
+    let (name, bounds) = (file.display().to_string(), Bounds::default());
+    let unreadable = |wrong: io::Error| Wrong { file: name.clone(), at: None, what: wrong.to_string() };
+    let mut text = String::new();
+    // One byte more tells that there is more than may be.
+    let limit = bounds.bytes as u64 + 1;
+    let read = std::fs::File::open(file).and_then(|file| file.take(limit).read_to_string(&mut text));
+    let text = read.map(|_| text).map_err(unreadable);
+    let told = match kind == word(Kind::Operator) {
+        true => {
+            let told: Told<Sent> =
+                text.and_then(|text| Operator::read(&name, &text, &bounds)).map(Sent::from);
+            postcard::to_stdvec(&told)
+        }
+        false => {
+            let told: Told<Vec<ChangeSpec>> = text.and_then(|text| changes(&name, &text, &bounds));
+            postcard::to_stdvec(&told)
+        }
+    };
+    out.write_all(&told.map_err(io::Error::other)?)?;
+    out.flush()
+}
+
+fn parse<T: for<'a> Deserialize<'a>>(file: &Path, bytes: &[u8]) -> Told<T> {
+    let wrong = |what: String| Wrong { file: file.display().to_string(), at: None, what };
+    if bytes.is_empty() {
+        return Err(wrong(format!("its evaluation needs more than {SECONDS} s or {} MB", SPACE >> 20)));
+    }
+    postcard::from_bytes::<Told<T>>(bytes).unwrap_or_else(|error| Err(wrong(error.to_string())))
+}
+
+/// The operator file in what the process wrote.
+pub fn operator(file: &Path, bytes: &[u8]) -> Result<Operator, Wrong> {
+    parse::<Sent>(file, bytes).map(Operator::from)
+}
+
+/// The changes in what the process wrote.
+pub fn change_list(file: &Path, bytes: &[u8]) -> Result<Vec<ChangeSpec>, Wrong> {
+    parse(file, bytes)
+}
+
+/// Starts the process and waits for its end; the system ends it after its time.
+pub fn run(program: &Path, kind: Kind, file: &Path) -> Result<Vec<u8>, Wrong> {
+    let wrong =
+        |error: io::Error| Wrong { file: file.display().to_string(), at: None, what: error.to_string() };
+    let mut child = start(program, kind, file).map_err(wrong)?;
+    let mut bytes = Vec::new();
+    if let Some(out) = child.stdout.take() {
+        out.take(RESULT).read_to_end(&mut bytes).map_err(wrong)?;
+    }
+    let status = child.wait().map_err(wrong)?;
+    // What a process wrote that did not end well is not whole.
+    Ok(if status.success() { bytes } else { Vec::new() })
+}
--- /dev/null
+++ b/crates/operator/src/script.rs
@@ -0,0 +1,432 @@
+//! Owns the functions of the file, and its evaluation.
+//!
+//! Must never read another file, run past its bounds, or let a value through that was not checked.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use linnethook_hierarchy::named::{ChangeSpec, NodeSpec, SourceSpec};
+use linnethook_hierarchy::{Role, Rules};
+use starlark::collections::SmallMap;
+use starlark::environment::{Globals, GlobalsBuilder, Module};
+use starlark::eval::Evaluator;
+use starlark::starlark_module;
+use starlark::syntax::{AstModule, Dialect};
+use starlark::values::float::UnpackFloat;
+use starlark::values::list::ListRef;
+use starlark::values::none::NoneType;
+use starlark::values::tuple::TupleRef;
+use starlark::values::{UnpackValue, Value};
+
+use crate::knobs::{Knob, HIERARCHY};
+use crate::{Bounds, Wrong};
+
+thread_local! {
+    /// What the file under evaluation has collected. The evaluator's own place for it asks for an unsafe impl.
+    static COLLECTED: RefCell<Option<Parts>> = const { RefCell::new(None) };
+}
+
+/// A line and a column, both from 1 on.
+pub type At = (usize, usize);
+
+/// What the functions of a file have collected, with the places of their calls.
+#[derive(Debug, Default)]
+pub struct Parts {
+    pub control: Option<(At, String)>,
+    pub log: Option<(At, Log)>,
+    pub hierarchy: Option<(At, HierarchyPart)>,
+    pub nodes: Vec<(At, NodeSpec)>,
+    pub changes: Vec<ChangeSpec>,
+}
+
+/// How the log is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Log {
+    pub json: bool,
+    pub lines_per_second: u32,
+}
+
+#[derive(Debug, Clone)]
+pub struct HierarchyPart {
+    pub author: u16,
+    pub extended: bool,
+    pub rules: Rules,
+}
+
+/// Which functions a file may call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The operator file: settings.
+    Operator,
+    /// Changes of the hierarchy.
+    Changes,
+}
+
+type Given<'v> = SmallMap<String, Value<'v>>;
+
+/// The named arguments of one call; what is left over at the end is unknown.
+struct Arguments<'v> {
+    function: &'static str,
+    given: Given<'v>,
+    known: Vec<&'static str>,
+}
+
+impl<'v> Arguments<'v> {
+    fn new(function: &'static str, given: Given<'v>) -> Self {
+        Self { function, given, known: Vec::new() }
+    }
+
+    fn take(&mut self, name: &'static str) -> Option<Value<'v>> {
+        self.known.push(name);
+        self.given.shift_remove(name).filter(|value| !value.is_none())
+    }
+
+    fn wrong(&self, name: &str, expected: &str, value: Value<'v>) -> anyhow::Error {
+        let shown: String = value.to_repr().chars().take(60).collect();
+        anyhow::anyhow!("{}: {name}: expected {expected}, got {shown}", self.function)
+    }
+
+    fn text(&mut self, name: &'static str) -> anyhow::Result<Option<String>> {
+        let Some(value) = self.take(name) else { return Ok(None) };
+        Ok(Some(self.plain_text(name, value)?))
+    }
+
+    fn plain_text(&self, name: &str, value: Value<'v>) -> anyhow::Result<String> {
+        match value.unpack_str() {
+            Some(text) if !text.is_empty() && text.len() <= 200 => Ok(text.to_string()),
+            _ => Err(self.wrong(name, "a text of 1 to 200 bytes", value)),
+        }
+    }
+
+    /// A name that goes into fields which know no quotes.
+    fn name(&self, what: &str, value: Value<'v>) -> anyhow::Result<String> {
+        let plain = |text: &&str| {
+            (1..=64).contains(&text.len())
+                && text.bytes().all(|byte| byte.is_ascii_graphic() && !b",=+:>".contains(&byte))
+        };
+        match value.unpack_str().filter(plain) {
+            Some(text) => Ok(text.to_string()),
+            None => {
+                Err(self.wrong(what, "a name of 1 to 64 letters, digits or signs, without , = + : >", value))
+            }
+        }
+    }
+
+    fn flag(&mut self, name: &'static str, default: bool) -> anyhow::Result<bool> {
+        match self.take(name) {
+            None => Ok(default),
+            Some(value) => value.unpack_bool().ok_or_else(|| self.wrong(name, "True or False", value)),
+        }
+    }
+
+    fn number(&mut self, name: &'static str, range: (f64, f64), whole: bool) -> anyhow::Result<Option<f64>> {
+        let Some(value) = self.take(name) else { return Ok(None) };
+        let kind = if whole { "a whole number" } else { "a number" };
+        self.in_range(name, value, range, whole, &format!("{kind} from {} to {}", range.0, range.1)).map(Some)
+    }
+
+    fn in_range(
+        &self,
+        name: &str,
+        value: Value<'v>,
+        (least, most): (f64, f64),
+        whole: bool,
+        expected: &str,
+    ) -> anyhow::Result<f64> {
+        // True and False count as numbers in the language, and are none here.
+        let number = UnpackFloat::unpack_value_opt(value).filter(|_| value.unpack_bool().is_none());
+        let fits = |number: &f64| (least..=most).contains(number) && (!whole || number.fract() == 0.0);
+        match number.map(|number| number.0).filter(fits) {
+            Some(number) => Ok(number),
+            None => Err(self.wrong(name, expected, value)),
+        }
+    }
+
+    fn knobs<T>(&mut self, knobs: &'static [Knob<T>], into: &mut T) -> anyhow::Result<()> {
+        for knob in knobs {
+            if let Some(value) = self.take(knob.name) {
+                let range = (knob.least, knob.most);
+                let number = self.in_range(knob.name, value, range, knob.whole, &knob.expected())?;
+                (knob.set)(into, number * knob.scale);
+            }
+        }
+        Ok(())
+    }
+
+    fn one_of<T: Copy>(&mut self, name: &'static str, choices: &[(&str, T)]) -> anyhow::Result<Option<T>> {
+        let Some(value) = self.take(name) else { return Ok(None) };
+        let found = choices.iter().find(|(word, _)| value.unpack_str() == Some(word));
+        let words: Vec<String> = choices.iter().map(|(word, _)| format!("{word:?}")).collect();
+        found.map(|(_, choice)| Some(*choice)).ok_or_else(|| self.wrong(name, &words.join(" or "), value))
+    }
+
+    /// `["a", "b"]` for ranks 0 and 1, or `[("a", 0), ("b", 0)]`.
+    fn sources(&mut self) -> anyhow::Result<Vec<SourceSpec>> {
+        const EXPECTED: &str = "a list of names, or of (name, rank) with a rank from 0 to 65535";
+        let Some(value) = self.take("sources") else { return Ok(Vec::new()) };
+        let list = ListRef::from_value(value).ok_or_else(|| self.wrong("sources", EXPECTED, value))?;
+        let mut sources = Vec::new();
+        for (n, item) in list.iter().enumerate() {
+            let rank = u16::try_from(n).map_err(|_| self.wrong("sources", EXPECTED, value))?;
+            let source = match TupleRef::from_value(item).map(TupleRef::content) {
+                Some([name, rank]) => {
+                    let range = (0.0, f64::from(u16::MAX));
+                    let rank = self.in_range("sources", *rank, range, true, EXPECTED)? as u16;
+                    SourceSpec { name: self.name("sources", *name)?, rank }
+                }
+                Some(_) => return Err(self.wrong("sources", EXPECTED, item)),
+                None => SourceSpec { name: self.name("sources", item)?, rank },
+            };
+            sources.push(source);
+        }
+        sources.sort_by(|a, b| (a.rank, &a.name).cmp(&(b.rank, &b.name)));
+        Ok(sources)
+    }
+
+    fn end(self) -> anyhow::Result<()> {
+        let Some(unknown) = self.given.keys().next() else { return Ok(()) };
+        let Self { function, mut known, .. } = self;
+        known.sort_unstable();
+        Err(anyhow::anyhow!(
+            "{function}: there is no setting {unknown:?}; expected one of {}",
+            known.join(", ")
+        ))
+    }
+
+    fn node(mut self, name: Value<'v>) -> anyhow::Result<NodeSpec> {
+        let name = self.name("name", name)?;
+        let roles = [("cache", Role::Cache), ("parent", Role::Parent), ("origin", Role::Origin)];
+        let role = self.one_of("role", &roles)?.unwrap_or(Role::Cache);
+        let usual = match role {
+            Role::Cache => 0.0,
+            Role::Parent => 1.0,
+            Role::Origin => 255.0,
+        };
+        let site = match self.take("site") {
+            Some(value) => self.name("site", value)?,
+            None => "-".to_string(),
+        };
+        let tier = self.number("tier", (0.0, 255.0), true)?.unwrap_or(usual) as u8;
+        let capacity = self.number("capacity", (1e-3, 1e9), false)?.unwrap_or(1.0);
+        let retiring = self.flag("retiring", false)?;
+        let sources = self.sources()?;
+        self.end()?;
+        Ok(NodeSpec { name, role, site, tier, capacity, retiring, sources })
+    }
+}
+
+/// The place of the call under way.
+fn at(eval: &Evaluator) -> At {
+    eval.call_stack_top_location().map_or((1, 1), |span| place(&span))
+}
+
+fn place(span: &starlark::codemap::FileSpan) -> At {
+    let begin = span.resolve_span().begin;
+    (begin.line + 1, begin.column + 1)
+}
+
+fn collect(put: impl FnOnce(&mut Parts) -> anyhow::Result<()>) -> anyhow::Result<NoneType> {
+    COLLECTED.with_borrow_mut(|parts| match parts {
+        Some(parts) => put(parts).map(|()| NoneType),
+        None => Err(anyhow::anyhow!("a call outside of a file")),
+    })
+}
+
+fn once<T>(slot: &mut Option<(At, T)>, at: At, function: &str, value: T) -> anyhow::Result<()> {
+    if let Some(((line, _), _)) = slot {
+        return Err(anyhow::anyhow!("{function}: it is set already, in line {line}"));
+    }
+    *slot = Some((at, value));
+    Ok(())
+}
+
+#[starlark_module]
+fn settings(builder: &mut GlobalsBuilder) {
+    /// Where the router listens for `linnethook` commands.
+    fn control<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("control()", given);
+        let path = arguments.text("path")?.ok_or_else(|| anyhow::anyhow!("control(): path is missing"))?;
+        // What an address of a Unix socket holds.
+        if path.len() > 100 || !path.starts_with('/') {
+            return Err(anyhow::anyhow!(
+                "control(): path: expected an absolute path of up to 100 bytes, got {path:?}"
+            ));
+        }
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| once(&mut parts.control, at, "control()", path))
+    }
+
+    /// How the log is written.
+    fn log<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("log()", given);
+        let json = arguments.one_of("format", &[("text", false), ("json", true)])?.unwrap_or(false);
+        let rate = arguments.number("lines_per_second", (1.0, 10_000.0), true)?.unwrap_or(20.0);
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| once(&mut parts.log, at, "log()", Log { json, lines_per_second: rate as u32 }))
+    }
+
+    /// Switches the hierarchy on.
+    fn hierarchy<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("hierarchy()", given);
+        let mut rules = Rules::default();
+        arguments.knobs(HIERARCHY, &mut rules)?;
+        rules.staged = arguments.flag("staged", rules.staged)?;
+        rules.shielded = arguments.flag("shielded", rules.shielded)?;
+        let extended = arguments.flag("extended", false)?;
+        let author = arguments.number("author", (1.0, 65_535.0), true)?.unwrap_or(1.0) as u16;
+        arguments.end()?;
+        let at = at(eval);
+        let part = HierarchyPart { author, extended, rules };
+        collect(|parts| once(&mut parts.hierarchy, at, "hierarchy()", part))
+    }
+
+    /// A node of the hierarchy.
+    fn node<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let spec = Arguments::new("node()", given).node(name)?;
+        let at = at(eval);
+        collect(|parts| {
+            parts.nodes.push((at, spec));
+            Ok(())
+        })
+    }
+}
+
+#[starlark_module]
+fn changes(builder: &mut GlobalsBuilder) {
+    /// A node that was not there.
+    fn add<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let spec = Arguments::new("add()", given).node(name)?;
+        change(ChangeSpec::Add(spec))
+    }
+
+    /// A node that nothing names as a source any more.
+    fn remove<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let arguments = Arguments::new("remove()", given);
+        let node = arguments.name("name", name)?;
+        arguments.end()?;
+        change(ChangeSpec::Remove { node })
+    }
+
+    /// A node stands elsewhere, and fills from there.
+    fn r#move<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("move()", given);
+        let node = arguments.name("name", name)?;
+        let site = arguments.take("site").ok_or_else(|| anyhow::anyhow!("move(): site is missing"))?;
+        let site = arguments.name("site", site)?;
+        let sources = arguments.sources()?;
+        arguments.end()?;
+        change(ChangeSpec::Move { node, site, sources })
+    }
+
+    /// A new node takes the place of an old one, which retires.
+    fn replace<'v>(
+        old: Value<'v>,
+        new: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let arguments = Arguments::new("replace()", given);
+        let old = arguments.name("old", old)?;
+        let new = arguments.node(new)?;
+        change(ChangeSpec::Replace { old, new })
+    }
+
+    /// Other sources for a node.
+    fn rerank<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("rerank()", given);
+        let node = arguments.name("name", name)?;
+        let sources = arguments.sources()?;
+        arguments.end()?;
+        change(ChangeSpec::Rerank { node, sources })
+    }
+
+    /// A node is to be left; or, with `retiring = False`, it is back.
+    fn retire<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("retire()", given);
+        let node = arguments.name("name", name)?;
+        let retiring = arguments.flag("retiring", true)?;
+        arguments.end()?;
+        change(ChangeSpec::Retire { node, retiring })
+    }
+}
+
+fn change(change: ChangeSpec) -> anyhow::Result<NoneType> {
+    collect(|parts| {
+        parts.changes.push(change);
+        Ok(())
+    })
+}
+
+fn globals(kind: Kind) -> Globals {
+    let builder = GlobalsBuilder::standard();
+    match kind {
+        Kind::Operator => builder.with(settings).build(),
+        Kind::Changes => builder.with(changes).build(),
+    }
+}
+
+/// Runs a file within its bounds.
+pub fn evaluate(kind: Kind, file: &str, text: &str, bounds: &Bounds) -> Result<Parts, Wrong> {
+    let wrong = |at: At, what: String| Wrong { file: file.to_string(), at: Some(at), what };
+    if text.len() > bounds.bytes {
+        let what = format!("the file has {} bytes, expected {} at the most", text.len(), bounds.bytes);
+        return Err(Wrong { file: file.to_string(), at: None, what });
+    }
+    let told = |error: starlark::Error| {
+        let at = error.span().map_or((1, 1), place);
+        // The first line says what; the others draw the place once more.
+        let text = error.without_diagnostic().to_string();
+        let what = text.lines().next().unwrap_or_default().trim_start_matches("error: ").to_string();
+        wrong(at, what)
+    };
+    let dialect = Dialect {
+        enable_top_level_stmt: true,
+        enable_f_strings: true,
+        enable_load: false,
+        ..Dialect::Standard
+    };
+    let ast = AstModule::parse(file, text.to_string(), &dialect).map_err(told)?;
+    COLLECTED.set(Some(Parts::default()));
+    let globals = globals(kind);
+    let until = Instant::now() + Duration::from_millis(bounds.millis);
+    let outcome = Module::with_temp_heap(|module| -> Result<(), Wrong> {
+        let mut eval = Evaluator::new(&module);
+        let bound = |outcome: anyhow::Result<()>| outcome.map_err(|error| wrong((1, 1), error.to_string()));
+        bound(eval.set_max_tick_count(bounds.steps))?;
+        bound(eval.set_max_heap_size(bounds.memory))?;
+        bound(eval.set_max_callstack_size(bounds.depth))?;
+        eval.set_check_cancelled(Box::new(move || Instant::now() > until));
+        eval.eval_module(ast, &globals).map(|_| ()).map_err(told)
+    });
+    let parts = COLLECTED.take().unwrap_or_default();
+    outcome.map(|()| parts)
+}
--- /dev/null
+++ b/crates/operator/tests/file.rs
@@ -0,0 +1,149 @@
+//! The operator file: what is read, what each kind of wrong file is answered, and that none runs on.
+
+use linnethook_operator::{changes, Bounds, Operator};
+use proptest::prelude::{any, prop, prop_assert, proptest, ProptestConfig};
+
+const GOOD: &str = r#"
+control(path = "/run/linnethook/control.sock")
+log(format = "json", lines_per_second = 50)
+hierarchy(author = 7, warm = 12.5, tries = 2, shielded = False)
+
+node("origin", role = "origin", site = "hub", capacity = 20)
+for hub in ["south", "centre"]:
+    node("parent-" + hub, role = "parent", site = hub, capacity = 30, sources = ["origin"])
+[node("cache-%d" % n, site = "shop", capacity = 8, sources = ["parent-south", ("origin", 9)]) for n in range(3)]
+"#;
+
+fn read(text: &str) -> Result<Operator, String> {
+    Operator::read("operator.star", text, &Bounds::default()).map_err(|wrong| wrong.to_string())
+}
+
+#[test]
+fn a_file_is_read_whole() {
+    let operator = read(GOOD).expect("a good file");
+    let hierarchy = operator.hierarchy.expect("a hierarchy");
+    assert_eq!(operator.control.as_deref(), Some("/run/linnethook/control.sock"));
+    assert!(operator.log.is_some_and(|log| log.json && log.lines_per_second == 50));
+    let rules = hierarchy.part.rules;
+    assert_eq!((hierarchy.part.author, rules.stages.warm, rules.stages.tries), (7, 12_500.0, 2));
+    assert!(rules.staged && !rules.shielded && !hierarchy.part.extended);
+    assert_eq!(hierarchy.nodes.len(), 6);
+    let ranks: Vec<u16> = hierarchy.nodes[5].sources.iter().map(|source| source.rank).collect();
+    assert_eq!(ranks, [0, 9]);
+    assert!(read("").expect("an empty file").hierarchy.is_none());
+    assert!(read("hierarchy()").expect("no nodes").hierarchy.is_some_and(|h| h.nodes.is_empty()));
+}
+
+/// One line, with file, line and column, and what was expected.
+#[test]
+fn what_is_wrong_is_said_with_its_place() {
+    let node = r#"node("o", role = "origin")"#;
+    let table = [
+        ("hierarchy(wram = 3)", "operator.star:1:1: hierarchy(): there is no setting \"wram\"; expected one of announce"),
+        ("\n  \nhierarchy(warm = \"soon\")", "operator.star:3:1: hierarchy(): warm: expected a number of seconds from 0.1 to 86400, got \"soon\""),
+        ("x = 1\nif x:\n    hierarchy(warm = 0)", "operator.star:3:5: hierarchy(): warm: expected a number of seconds"),
+        ("hierarchy(tries = 1.5)", "tries: expected a whole number from 1 to 100, got 1.5"),
+        ("hierarchy(tries = True)", "tries: expected a whole number"),
+        ("hierarchy(staged = 1)", "staged: expected True or False, got 1"),
+        ("hierarchy()\nhierarchy()", "operator.star:2:1: hierarchy(): it is set already, in line 1"),
+        ("hierachy()", "operator.star:1:1: Variable `hierachy` not found, did you mean `hierarchy`?"),
+        ("control(path = \"here\")", "control(): path: expected an absolute path"),
+        ("control()", "control(): path is missing"),
+        ("log(format = \"xml\")", "log(): format: expected \"text\" or \"json\", got \"xml\""),
+        ("node(\"a\")", "operator.star:1:1: node(): expected a hierarchy() beside it"),
+        ("hierarchy()\nnode(\"a b\")", "operator.star:2:1: node(): name: expected a name"),
+        ("hierarchy()\nnode(\"a\", sources = \"b\")", "sources: expected a list of names"),
+        ("hierarchy()\nnode(\"a\", sources = [(\"b\", -1)])", "sources: expected a list of names"),
+        ("hierarchy()\nnode(\"a\", capacity = 0)", "capacity: expected a number from 0.001"),
+        (&format!("hierarchy()\n{node}\n{node}"), "operator.star:3:1: two nodes are named \"o\""),
+        (&format!("hierarchy()\n{node}\nnode(\"a\", sources = [\"b\"])"), "operator.star:3:1: \"a\" names \"b\" as a source"),
+        (
+            &format!("hierarchy()\n{node}\nnode(\"a\", sources = [\"b\"])\nnode(\"b\", sources = [\"a\"])"),
+            "operator.star:4:1: fills would go round: b -> a -> b",
+        ),
+        (&format!("hierarchy()\n{node}\nnode(\"a\")"), "operator.star:3:1: \"a\" has no way to the origin"),
+        ("hierarchy()\nnode(\"a\")", "operator.star:1:1: there is no origin"),
+        ("hierarchy(nodes = 1)\nnode(\"a\")\nnode(\"b\")", "2 nodes, expected 1 at the most"),
+        ("hierarchy(", "operator.star:1:"),
+        ("load(\"other.star\", \"x\")", "operator.star:1:1:"),
+        ("def f(): f()\nf()", "operator.star:"),
+        ("fail(\"not on this machine\")", "not on this machine"),
+    ];
+    for (text, expected) in table {
+        let wrong = read(text).expect_err(text);
+        assert!(wrong.contains(expected), "{wrong}\nexpected {expected}");
+        assert_eq!(wrong.lines().count(), 1, "{wrong}");
+    }
+}
+
+/// No file runs on: each is ended by its steps or its depth. What asks for memory in one step is for the system's
+/// bounds, and is tried with the program (`crates/router/tests/commands.rs`).
+#[test]
+fn an_evaluation_ends() {
+    for text in [
+        "def f():\n    for a in range(1000000000):\n        pass\nf()",
+        "x = [a for a in range(1000000000)]",
+        "def f(n):\n    return f(n + 1)\nf(0)",
+    ] {
+        let bounds = Bounds { steps: 100_000, ..Bounds::default() };
+        let wrong = Operator::read("operator.star", text, &bounds).expect_err(text).to_string();
+        assert!(wrong.starts_with("operator.star:"), "{wrong}");
+    }
+    let long = "#".repeat(Bounds::default().bytes + 1);
+    assert!(read(&long).expect_err("too long").contains("bytes, expected"));
+}
+
+#[test]
+fn a_hundred_thousand_nodes_are_read() {
+    let text = format!(
+        "hierarchy()\n{}\n{}\n{}",
+        "node(\"origin\", role = \"origin\")",
+        "[node(\"p%d\" % n, role = \"parent\", sources = [\"origin\"]) for n in range(1000)]",
+        "[node(\"c%d\" % n, sources = [(\"p%d\" % (n % 1000), 0), (\"origin\", 9)]) for n in range(99000)]"
+    );
+    let bounds = Bounds { millis: 60_000, ..Bounds::default() };
+    let operator = Operator::read("operator.star", &text, &bounds).expect("a large file");
+    assert_eq!(operator.hierarchy.map(|hierarchy| hierarchy.nodes.len()), Some(100_001));
+}
+
+#[test]
+fn a_file_of_changes_has_functions_of_its_own() {
+    let text = r#"
+add("north", role = "parent", site = "n", sources = ["origin"])
+move("hub", site = "centre", sources = ["origin"])
+replace("old", "new", role = "parent", capacity = 3)
+rerank("cache-1", sources = ["new", "origin"])
+retire("old")
+retire("south", retiring = False)
+remove("gone")
+"#;
+    let read =
+        |text: &str| changes("changes.star", text, &Bounds::default()).map_err(|wrong| wrong.to_string());
+    assert_eq!(read(text).expect("changes").len(), 7);
+    for (text, expected) in [
+        ("", "changes.star: expected at least one change"),
+        ("move(\"hub\")", "changes.star:1:1: move(): site is missing"),
+        ("hierarchy()", "not found"),
+        ("remove(\"a\", soon = True)", "remove(): there is no setting \"soon\""),
+    ] {
+        let wrong = read(text).expect_err(text);
+        assert!(wrong.contains(expected), "{wrong}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is put into a good file or cut out of it: an operator, or one line that says where.
+    #[test]
+    fn no_file_is_a_panic(at in any::<prop::sample::Index>(), cut in 0usize..40, put in "\\PC{0,12}") {
+        let from = GOOD.floor_char_boundary(at.index(GOOD.len()));
+        let to = GOOD.floor_char_boundary((from + cut).min(GOOD.len()));
+        let text = format!("{}{put}{}", &GOOD[..from], &GOOD[to..]);
+        let bounds = Bounds { steps: 100_000, ..Bounds::default() };
+        if let Err(wrong) = Operator::read("operator.star", &text, &bounds) {
+            let line = wrong.to_string();
+            prop_assert!(line.starts_with("operator.star:") && line.lines().count() == 1, "{}", line);
+        }
+    }
+}
