--- a/crates/adapter/src/codec/tests.rs
+++ b/crates/adapter/src/codec/tests.rs
@@ -227,7 +227,8 @@
     let request = RequestId(42);
     let ask = Action::Ask { request, cache: CACHE, timeout: 80.0 };
     assert_eq!(fields_of(&ask), (1000, of().u64(42).f64(80.0).cache().0));
-    let fill = Fill { source: CACHE, rank: 2, max_age: 360.0, join: true, only_held: false, renew: true };
+    let (max_age, ageing) = (360.0, 0.0);
+    let fill = Fill { source: CACHE, rank: 2, max_age, ageing, join: true, only_held: false, renew: true };
     let fetch = |fill| Action::Fetch { request, cache: CACHE, timeout: 80.0, fill };
     let fields = |bits| of().u64(42).cache().f64(80.0).cache().u8(2).f64(360.0).u8(bits).0;
     assert_eq!(fields_of(&fetch(fill)), (1120, fields(9)));
--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -10,6 +10,7 @@
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Rules;
 use nix::sys::resource::{setrlimit, Resource};
+use nix::unistd::alarm;
 use serde::{Deserialize, Serialize};
 
 use crate::knobs::HIERARCHY;
@@ -21,6 +22,8 @@
 
 /// Seconds of processor time and bytes of address space of the process.
 const SECONDS: u64 = 2;
+/// Seconds after which it ends whatever it does.
+const ALARM: u32 = 10;
 const SPACE: u64 = 768 << 20;
 /// The most bytes of a result.
 const RESULT: u64 = 32 << 20;
@@ -92,7 +95,11 @@
 
 /// What that process is: evaluates, and writes the result to standard output.
 pub fn serve(kind: &str, file: &Path, out: &mut impl Write) -> io::Result<()> {
+    // A panic for want of memory may wait for ever on its way out.
+    std::panic::set_hook(Box::new(|_| std::process::abort()));
+    alarm::set(ALARM);
     setrlimit(Resource::RLIMIT_CPU, SECONDS, SECONDS)?;
+    setrlimit(Resource::RLIMIT_CORE, 0, 0)?;
     setrlimit(Resource::RLIMIT_AS, SPACE, SPACE)?;
     let (name, bounds) = (file.display().to_string(), Bounds::default());
     let unreadable = |wrong: io::Error| Wrong { file: name.clone(), at: None, what: wrong.to_string() };
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -14,10 +14,10 @@
 
 use crate::config::Limits;
 use crate::decider::{micros, Attempt, End, Ending, Filling, How, Ms, Place};
-use crate::journal::Target;
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
 use crate::resp::{self, Decoder, Pairs, Reply, Word};
+use crate::told::Target;
 use crate::Router;
 
 /// What of a request is passed on unchanged.
@@ -34,11 +34,31 @@
     pub body: Chain,
 }
 
+/// An attempt as the decider ordered it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ordered {
+    pub attempt: Attempt,
+    pub place: Place,
+    pub timeout: Ms,
+    pub filling: Filling,
+}
+
+/// What goes with a fill where nodes understand it: the nodes passed with the version of the shape, and where its
+/// source goes on if it lacks the object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Way {
+    pub passed: String,
+    /// Names; one that gives only what it holds ends with `:h`.
+    pub via: Vec<String>,
+}
+
 /// An attempt that has ended, with what the answer brought.
 #[derive(Debug)]
 pub struct Ended {
     pub ending: Ending,
     pub brought: Brought,
+    /// The nodes between which its fill came round, and the version by which it was sent.
+    pub round: Option<(String, String, u64)>,
 }
 
 #[derive(Debug)]
@@ -270,15 +290,8 @@
     }
 
     /// Sends an attempt on its way.
-    pub fn send(
-        &mut self,
-        now: Ms,
-        attempt: Attempt,
-        place: Place,
-        timeout: Ms,
-        filling: &Filling,
-        parcel: &Parcel,
-    ) {
+    pub fn send(&mut self, now: Ms, ordered: &Ordered, parcel: &Parcel, way: Option<&Way>) {
+        let Ordered { attempt, place, timeout, ref filling } = *ordered;
         let Some(id) = self.connection_for(now, place, &parcel.id) else {
             log_line!("no connection for an attempt");
             return self.end(now, attempt, place, now, End::Unreached);
@@ -309,6 +322,12 @@
         if let Some(known) = &parcel.known {
             fields.push("got", known);
         }
+        if let Some(way) = way {
+            fields.push("passed", &way.passed);
+            if !way.via.is_empty() {
+                fields.push("via", way.via.join("+"));
+            }
+        }
         let bytes = resp::ask(&self.pool, &parcel.id, &fields, parcel.body.copy());
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.used = now;
@@ -333,6 +352,14 @@
         self.end(now, attempt, place, now, End::Cancelled);
     }
 
+    /// Ends an attempt that has waited for its fill and is not to be sent: it never ran, and that is nobody's
+    /// doing.
+    pub fn turn_back(&mut self, now: Ms, attempt: Attempt, place: Place, since: Ms) {
+        let (took, how) = (now - since, Some(How::NoPlace));
+        let ending = Ending { attempt, place, end: End::Full, took, waited: took, how, gauges: Vec::new() };
+        self.ended.push_back(Ended { ending, brought: Brought::Nothing, round: None });
+    }
+
     pub fn probe(&mut self, now: Ms, place: Place) {
         self.probes += 1;
         let tag = format!("probe-{}", self.probes);
@@ -497,7 +524,8 @@
         let waited = reply.fields.get("first").and_then(|first| first.parse().ok()).unwrap_or(0.0);
         let how = reply.fields.get("res").and_then(how);
         let ending = Ending { attempt, place, end, took: now - out.sent, waited, how, gauges };
-        self.ended.push_back(Ended { ending, brought });
+        let round = reply.fields.get("round").and_then(round);
+        self.ended.push_back(Ended { ending, brought, round });
         self.close_if_done(id);
     }
 
@@ -552,7 +580,7 @@
     fn end(&mut self, now: Ms, attempt: Attempt, place: Place, sent: Ms, end: End) {
         let took = now - sent;
         let ending = Ending { attempt, place, end, took, waited: 0.0, how: None, gauges: Vec::new() };
-        self.ended.push_back(Ended { ending, brought: Brought::Nothing });
+        self.ended.push_back(Ended { ending, brought: Brought::Nothing, round: None });
     }
 
     fn flush(&mut self, now: Ms, id: ConnectionId) {
@@ -696,10 +724,18 @@
         "UP_MISS" => How::SourceLacks,
         "NO_FILL" => How::NoPlace,
         "ORIGIN_ERR" => How::OriginFailed,
+        "LOOP" => How::CameRound,
         _ => return None,
     })
 }
 
+/// Between which nodes a fill came round, as in `7:hub-a>hub-b`.
+fn round(text: &str) -> Option<(String, String, u64)> {
+    let (version, edge) = text.split_once(':')?;
+    let (from, to) = edge.split_once('>')?;
+    Some((from.to_string(), to.to_string(), version.parse().ok()?))
+}
+
 /// The values of a load report, as in `inflight:7;util:0.61`.
 fn gauges(fields: &Pairs) -> Vec<(String, f64)> {
     let pairs = fields.get("gauges").unwrap_or_default().split(';').filter_map(|pair| pair.split_once(':'));
--- /dev/null
+++ b/crates/router/src/cli.rs
@@ -0,0 +1,313 @@
+//! Owns the command line: what may be said, and the commands that ask a running router.
+//!
+//! Without arguments the program starts as the platform starts it. Exit codes: 0 done, 1 failed, 2 wrong use or
+//! input. Must never change a router but by its control socket.
+
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use linnethook_hierarchy::named::{BatchSpec, NodeSpec, PlanSpec, SourceSpec};
+use linnethook_operator::script::Kind;
+use linnethook_operator::{apart, reference};
+use serde::Serialize;
+
+use crate::control::{Answer, Question, Shown};
+
+/// A front for caches of large objects behind thin links.
+#[derive(Debug, Parser)]
+#[command(name = "linnethook", version, about, args_conflicts_with_subcommands = true)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    #[command(flatten)]
+    pub run: Run,
+}
+
+/// How the router runs.
+#[derive(Debug, Clone, Default, clap::Args)]
+pub struct Run {
+    /// The operator file; without one the router does what the platform's configuration says and no more
+    #[arg(long, env = "LB_OPERATOR", value_name = "FILE")]
+    pub operator: Option<PathBuf>,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run the router with the configuration that LB_CONFIG names; the same as no command
+    Run(Run),
+    /// Check an operator file and say what is wrong with it, and where
+    Check { file: PathBuf },
+    /// Show or change the hierarchy of a running router
+    Hierarchy {
+        #[command(subcommand)]
+        verb: HierarchyVerb,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Print the settings of the operator file with their defaults and ranges
+    Settings,
+    /// Print completions for a shell
+    Completions { shell: clap_complete::Shell },
+    /// Print the manual page
+    Man,
+    /// Evaluate a file and write the result for another process of this program
+    #[command(name = apart::VERB, hide = true)]
+    Evaluate { kind: String, file: PathBuf },
+}
+
+#[derive(Debug, Clone, clap::Args)]
+pub struct At {
+    /// The control socket of a router; several for `apply`, which gives all the same batch
+    #[arg(long, global = true, env = "LB_CONTROL", value_name = "PATH", value_delimiter = ',')]
+    socket: Vec<PathBuf>,
+    /// How the answer is printed
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    format: Format,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum HierarchyVerb {
+    /// Show the version, what is under way, and what the shield lets through
+    Show,
+    /// Show all nodes with their sources
+    Nodes,
+    /// Say what a file of changes would do, and change nothing
+    Plan { file: PathBuf },
+    /// Have a file of changes take effect
+    Apply { file: PathBuf },
+    /// Take a batch back: its stages at once, then what it wrote
+    Rollback { author: u16, number: u64 },
+}
+
+/// Why a command did not end well.
+#[derive(Debug)]
+pub enum Failed {
+    /// Wrong use or input: 2.
+    Input(String),
+    /// 1.
+    Other(String),
+}
+
+impl Failed {
+    pub fn code(&self) -> ExitCode {
+        match self {
+            Self::Input(_) => ExitCode::from(2),
+            Self::Other(_) => ExitCode::FAILURE,
+        }
+    }
+
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Input(text) | Self::Other(text) => text,
+        }
+    }
+}
+
+/// This very program, to be started once more.
+pub fn program() -> Result<PathBuf, Failed> {
+    std::env::current_exe().map_err(|wrong| Failed::Other(format!("the program's own path: {wrong}")))
+}
+
+/// Carries out a command that is not the router itself; what it prints comes back.
+pub fn carry_out(command: &Command) -> Result<String, Failed> {
+    match command {
+        Command::Run(_) => Err(Failed::Other("the router is started elsewhere".to_string())),
+        Command::Check { file } => {
+            let bytes = apart::run(&program()?, Kind::Operator, file);
+            let operator = bytes.and_then(|bytes| apart::operator(file, &bytes));
+            let operator = operator.map_err(|wrong| Failed::Input(wrong.to_string()))?;
+            let nodes = operator.hierarchy.map(|hierarchy| hierarchy.nodes.len());
+            let hierarchy = nodes.map_or("off".to_string(), |nodes| format!("{nodes} nodes"));
+            let control = operator.control.unwrap_or("none".to_string());
+            Ok(format!("{}: good (control socket: {control}; hierarchy: {hierarchy})\n", file.display()))
+        }
+        Command::Settings => Ok(format!(
+            "| setting | default | range | what it is |\n| --- | --- | --- | --- |\n{}",
+            reference()
+        )),
+        Command::Completions { shell } => {
+            let mut out = Vec::new();
+            clap_complete::generate(*shell, &mut Cli::command(), "linnethook", &mut out);
+            Ok(String::from_utf8_lossy(&out).into_owned())
+        }
+        Command::Man => {
+            let mut out = Vec::new();
+            let page = clap_mangen::Man::new(Cli::command());
+            page.render(&mut out).map_err(|wrong| Failed::Other(wrong.to_string()))?;
+            Ok(String::from_utf8_lossy(&out).into_owned())
+        }
+        Command::Evaluate { kind, file } => {
+            let mut out = std::io::stdout().lock();
+            apart::serve(kind, file, &mut out).map_err(|wrong| Failed::Other(wrong.to_string()))?;
+            Ok(String::new())
+        }
+        Command::Hierarchy { verb, at } => hierarchy(verb, at),
+    }
+}
+
+fn changes(file: &Path) -> Result<Vec<linnethook_hierarchy::named::ChangeSpec>, Failed> {
+    let bytes = apart::run(&program()?, Kind::Changes, file);
+    let changes = bytes.and_then(|bytes| apart::change_list(file, &bytes));
+    changes.map_err(|wrong| Failed::Input(wrong.to_string()))
+}
+
+fn hierarchy(verb: &HierarchyVerb, at: &At) -> Result<String, Failed> {
+    let Some((first, others)) = at.socket.split_first() else {
+        return Err(Failed::Input("--socket (or LB_CONTROL) is needed: where is the router?".to_string()));
+    };
+    if !others.is_empty() && !matches!(verb, HierarchyVerb::Apply { .. }) {
+        return Err(Failed::Input("several sockets are for apply only".to_string()));
+    }
+    let question = match verb {
+        HierarchyVerb::Show => Question::Show,
+        HierarchyVerb::Nodes => Question::Nodes,
+        HierarchyVerb::Plan { file } => Question::Plan(changes(file)?),
+        HierarchyVerb::Apply { file } => Question::Apply(changes(file)?),
+        HierarchyVerb::Rollback { author, number } => Question::RollBack { author: *author, number: *number },
+    };
+    let json = at.format == Format::Json;
+    match ask(first, &question)? {
+        Answer::Shown(shown) => Ok(if json { as_json(&shown) } else { shown_text(&shown) }),
+        Answer::Nodes(nodes) => Ok(if json { as_json(&nodes) } else { nodes_text(&nodes) }),
+        Answer::Plan(plan) => Ok(if json { as_json(&plan) } else { plan_text(&plan) }),
+        Answer::Applied(batch) => {
+            // The same batch for all, so that they come to the same shape.
+            for socket in others {
+                match ask(socket, &Question::Hear(batch.clone()))? {
+                    Answer::Done(_) => {}
+                    other => return Err(unexpected(socket, other)),
+                }
+            }
+            Ok(if json { as_json(&batch) } else { applied_text(&batch, 1 + others.len()) })
+        }
+        Answer::Done(what) => Ok(if json { as_json(&what) } else { format!("{what}\n") }),
+        no @ Answer::No(_) => Err(unexpected(first, no)),
+    }
+}
+
+fn unexpected(socket: &Path, answer: Answer) -> Failed {
+    match answer {
+        Answer::No(why) => Failed::Other(format!("{}: {why}", socket.display())),
+        _ => Failed::Other(format!("{}: another answer than was asked for", socket.display())),
+    }
+}
+
+/// How long a router may take for its answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// The longest answer.
+const LONGEST: usize = 64 << 20;
+
+/// Asks a router by its control socket.
+fn ask(socket: &Path, question: &Question) -> Result<Answer, Failed> {
+    let failed = |what: &dyn std::fmt::Display| Failed::Other(format!("{}: {what}", socket.display()));
+    let mut stream = UnixStream::connect(socket).map_err(|wrong| failed(&wrong))?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(|wrong| failed(&wrong))?;
+    stream.set_write_timeout(Some(PATIENCE)).map_err(|wrong| failed(&wrong))?;
+    let bytes = postcard::to_stdvec(question).map_err(|wrong| failed(&wrong))?;
+    let sent = stream.write_all(&(bytes.len() as u32).to_be_bytes()).and_then(|()| stream.write_all(&bytes));
+    // Who finds the question too long answers before it has read it all.
+    let mut head = [0; 4];
+    stream.read_exact(&mut head).map_err(|wrong| failed(&sent.err().unwrap_or(wrong)))?;
+    let length = u32::from_be_bytes(head) as usize;
+    if length > LONGEST {
+        return Err(failed(&"an answer that is too long"));
+    }
+    let mut answer = vec![0; length];
+    stream.read_exact(&mut answer).map_err(|wrong| failed(&wrong))?;
+    postcard::from_bytes(&answer).map_err(|wrong| failed(&wrong))
+}
+
+fn as_json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string_pretty(value).map(|text| text + "\n").unwrap_or_default()
+}
+
+fn sources(sources: &[SourceSpec]) -> String {
+    let all: Vec<String> = sources.iter().map(|source| format!("{}({})", source.name, source.rank)).collect();
+    if all.is_empty() {
+        "-".to_string()
+    } else {
+        all.join(" ")
+    }
+}
+
+fn shown_text(shown: &Shown) -> String {
+    let mut out = format!(
+        "version {}, digest {}: {} nodes, {} edges suspended, {} held back, {} batches waiting\n",
+        shown.version, shown.digest, shown.nodes, shown.suspended, shown.held_back, shown.waiting_batches
+    );
+    out += &format!("fills: {} out, {} waiting\n", shown.out, shown.waiting_fills);
+    for m in &shown.moves {
+        out += &format!(
+            "to {} by batch {}/{}: {}, {:.0}% of the objects, tries {}, late {:.2} (old source {:.2})\n",
+            m.to,
+            m.author,
+            m.number,
+            m.stage,
+            m.part * 100.0,
+            m.tries,
+            m.late_new,
+            m.late_old
+        );
+    }
+    for budget in &shown.budgets {
+        let limit = budget.limit.map_or("no limit".to_string(), |limit| format!("limit {limit:.1}"));
+        out += &format!("{}: {:.1} fills a second, {limit}\n", budget.target, budget.per_second);
+    }
+    let counts: Vec<String> = shown.counts.iter().map(|(name, count)| format!("{name}={count}")).collect();
+    out + &counts.join(" ") + "\n"
+}
+
+fn nodes_text(nodes: &[NodeSpec]) -> String {
+    let line = |node: &NodeSpec| {
+        let role = format!("{:?}", node.role).to_lowercase();
+        let retiring = if node.retiring { " retiring" } else { "" };
+        format!(
+            "{} {role} tier {} at {}{retiring}: {}\n",
+            node.name,
+            node.tier,
+            node.site,
+            sources(&node.sources)
+        )
+    };
+    nodes.iter().map(line).collect()
+}
+
+fn plan_text(plan: &PlanSpec) -> String {
+    let mut out = String::new();
+    for (what, names) in [("add", &plan.added), ("remove", &plan.removed), ("alter", &plan.altered)] {
+        names.iter().for_each(|name| out += &format!("{what} {name}\n"));
+    }
+    for (name, before, after) in &plan.rerouted {
+        out += &format!("reroute {name}: {} -> {}\n", sources(before), sources(after));
+    }
+    for way in &plan.loops {
+        out += &format!("LOOP, the edge would be suspended: {}\n", way.join(" -> "));
+    }
+    if plan.resumed > 0 {
+        out += &format!("{} suspended edges would come back\n", plan.resumed);
+    }
+    for (to, before, after, tier, heavy) in &plan.pushes {
+        let heavy = if *heavy { "HEAVY, " } else { "" };
+        out += &format!("push {to}: {heavy}{before:.2} -> {after:.2} of the capacity below it for each of its own (tier {tier:.2})\n");
+    }
+    let (now, flip, staged) = plan.origin;
+    out + &format!(
+        "origin: {now:.1} fills a second now; on top, estimated at the worst, {flip:.1} at a flip and {staged:.1} by stages\n"
+    )
+}
+
+fn applied_text(batch: &BatchSpec, routers: usize) -> String {
+    let (author, number, changes) = (batch.author, batch.number, batch.changes.len());
+    let routers = if routers == 1 { String::new() } else { format!(" at {routers} routers") };
+    format!("batch {author}/{number}: {changes} changes taken{routers}; to take it back: rollback {author} {number}\n")
+}
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -8,7 +8,7 @@
 use linnethook_settings::{Told, Transport};
 use serde::Deserialize;
 
-use crate::journal::Page;
+use crate::told::Page;
 
 pub type Failure = Box<dyn std::error::Error>;
 
@@ -124,6 +124,10 @@
     pub stop_most: f64,
     /// Log lines a second.
     pub log_lines: u32,
+    /// Commands at once on the control socket, the bytes of a question, and how long one may take.
+    pub control_connections: usize,
+    pub control_message: usize,
+    pub control_time: f64,
 }
 
 /// Descriptors left over on either side for what is neither a client nor a cache.
@@ -176,6 +180,9 @@
             stop_least: 1_000.0,
             stop_most: longest.min(3_000.0) + 450.0,
             log_lines: 20,
+            control_connections: 4,
+            control_message: 16 * 1024 * 1024,
+            control_time: 5_000.0,
         }
     }
 }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethook::interface::{
-    Action, AttemptId, CacheId, Event, ListKind, Load, Member, Note, ObjectId, Outcome, Phase, Request,
-    RequestId, Status,
+    Action, AttemptId, CacheId, Class, Event, Feed, Feeds, ListKind, Load, Member, Note, ObjectId, Outcome,
+    Phase, Request, RequestId, Status,
 };
 use linnethook::Brain;
 use linnethook_settings::{load, LoadField, Names, Told as Settings};
@@ -35,6 +35,14 @@
     pub fn of(uid: &str) -> Self {
         Self(xxh3_64(uid.as_bytes()))
     }
+
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
+    pub fn from_number(number: u64) -> Self {
+        Self(number)
+    }
 }
 
 /// What a client asks for.
@@ -105,6 +113,8 @@
     SourceLacks,
     NoPlace,
     OriginFailed,
+    /// The fill came back to a node that it had passed, and never ran.
+    CameRound,
 }
 
 /// What came of an attempt.
@@ -142,6 +152,20 @@
         well: bool,
         gauges: Vec<(String, f64)>,
     },
+    /// What a cache may be filled from.
+    Feeds {
+        place: Place,
+        lists: Lists,
+    },
+}
+
+/// The sources of a cache's fills with their ranks, also in the course of a change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Lists {
+    pub now: Vec<(Place, u16)>,
+    pub before: Vec<(Place, u16)>,
+    pub part: f64,
+    pub salt: u64,
 }
 
 /// Where a miss is filled from, and how.
@@ -152,6 +176,8 @@
     pub rank: u8,
     /// The oldest copy that will do; 0 = the fresh time of the class.
     pub max_age: Ms,
+    /// The oldest that will do where no fill is to be had.
+    pub ageing: Ms,
     pub join: bool,
     pub only_held: bool,
     pub renew: bool,
@@ -191,6 +217,10 @@
 pub struct Decider {
     brain: Brain,
     names: Names,
+    classes: Vec<Class>,
+    flow_kb_per_s: f64,
+    zone: u16,
+    longest_wait: Ms,
     report: Vec<LoadField>,
     report_names: Vec<String>,
     owed: BTreeMap<Ticket, Owed>,
@@ -201,6 +231,10 @@
 impl Decider {
     pub fn new(told: Settings, seed: u64) -> Self {
         Self {
+            classes: told.settings.classes.clone(),
+            flow_kb_per_s: told.settings.flow_kb_per_s,
+            zone: told.settings.zone,
+            longest_wait: told.settings.max_retry_after,
             brain: Brain::new(told.settings, seed),
             names: told.names,
             report: told.report,
@@ -215,6 +249,24 @@
         self.names.classes.contains(&wish.class)
     }
 
+    /// Within what time a request is wanted, and whether it is a write.
+    pub fn wanted(&self, wish: &Wish) -> (Ms, bool) {
+        let class = self.names.classes.iter().position(|name| *name == wish.class);
+        let class = class.and_then(|n| self.classes.get(n)).cloned().unwrap_or_default();
+        let sending = if self.flow_kb_per_s > 0.0 { wish.size_kb / self.flow_kb_per_s * 1000.0 } else { 0.0 };
+        (class.aim + class.aim_stretch * sending, class.write)
+    }
+
+    /// The longest that a refused client may be told to stay away.
+    pub fn longest_wait(&self) -> Ms {
+        self.longest_wait
+    }
+
+    /// Whether a cache stands in this router's own location.
+    pub fn is_own(&self, host: &Host) -> bool {
+        self.names.zones.iter().position(|zone| *zone == host.zone) == Some(usize::from(self.zone))
+    }
+
     /// Takes a request in; the orders say where it goes.
     pub fn pick(&mut self, now: Ms, ticket: Ticket, wish: &Wish) -> Vec<Order> {
         let class = self.names.classes.iter().position(|name| *name == wish.class);
@@ -256,6 +308,13 @@
                 let load = self.load(&gauges);
                 self.tell(now, &Event::Probed { cache: CacheId(place.0), ok: well, load })
             }
+            News::Feeds { place, lists } => {
+                let feed = |(place, rank): &(Place, u16)| Feed { source: CacheId(place.0), rank: *rank };
+                let all = |list: &[(Place, u16)]| list.iter().map(feed).collect();
+                let Lists { part, salt, .. } = lists;
+                let feeds = Feeds { now: all(&lists.now), before: all(&lists.before), part, salt };
+                self.tell(now, &Event::Feeds { cache: CacheId(place.0), feeds: Some(feeds) })
+            }
         }
     }
 
@@ -349,6 +408,7 @@
                     source: None,
                     rank: 0,
                     max_age: 0.0,
+                    ageing: 0.0,
                     join: false,
                     only_held: false,
                     renew: false,
@@ -360,6 +420,7 @@
                     source: (fill.source != cache).then_some(Place(fill.source.0)),
                     rank: fill.rank,
                     max_age: fill.max_age,
+                    ageing: fill.ageing,
                     join: fill.join,
                     only_held: fill.only_held,
                     renew: fill.renew,
@@ -435,6 +496,8 @@
         How::SourceLacks => Note::SourceLacks,
         How::NoPlace => Note::NoPlace,
         How::OriginFailed => Note::OriginFailed,
+        // Nobody's doing, and it never ran.
+        How::CameRound => Note::NoPlace,
     }
 }
 
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -8,129 +8,15 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use serde::{Deserialize, Deserializer};
 
 use crate::caches::connect;
 use crate::config::Limits;
-use crate::decider::{Host, HostState, Ms, News};
+use crate::decider::Ms;
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
+use crate::told::{Entry, Page};
 use crate::Router;
 
-/// Events up to a number.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Page {
-    pub pos: u64,
-    #[serde(deserialize_with = "readable")]
-    pub entries: Vec<Entry>,
-}
-
-/// Passes over single events that can't be read: with a poll lost for each of them, none would be heard of again.
-fn readable<'a, D: Deserializer<'a>>(from: D) -> Result<Vec<Entry>, D::Error> {
-    let entries = Vec::<serde_json::Value>::deserialize(from)?;
-    let read =
-        |entry| serde_json::from_value(entry).inspect_err(|wrong| log_line!("journal: an event: {wrong}"));
-    Ok(entries.into_iter().filter_map(|entry| read(entry).ok()).collect())
-}
-
-#[derive(Debug, Clone, Deserialize)]
-pub struct Entry {
-    pub pos: u64,
-    #[serde(default)]
-    pub hosts: Option<Hosts>,
-    #[serde(default)]
-    pub expire: Option<Expire>,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-pub struct Hosts {
-    #[serde(default)]
-    pub all: bool,
-    #[serde(default)]
-    pub targets: Vec<Target>,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    #[serde(default)]
-    pub endpoint: Option<SocketAddr>,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u16,
-    state: State,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: Ms,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-pub struct Expire {
-    #[serde(default)]
-    name: Option<String>,
-    #[serde(default)]
-    set: u32,
-    stamp: Ms,
-}
-
-impl Hosts {
-    pub fn news(&self) -> News {
-        News::Hosts { complete: self.all, hosts: self.targets.iter().map(Target::host).collect() }
-    }
-}
-
-impl Target {
-    pub fn ready(&self) -> bool {
-        self.state == State::Ready
-    }
-
-    pub fn gone(&self) -> bool {
-        self.state == State::Gone
-    }
-
-    pub fn started(&self) -> Ms {
-        self.boot_ms
-    }
-
-    fn host(&self) -> Host {
-        Host {
-            uid: self.uid.clone(),
-            zone: self.az.clone(),
-            kind: self.model.clone(),
-            cell: self.pod_group,
-            weight: self.capacity_hint,
-            started: self.boot_ms,
-            state: match self.state {
-                State::Ready => HostState::Ready,
-                State::Terminating => HostState::Draining,
-                State::Gone => HostState::Gone,
-            },
-        }
-    }
-}
-
-impl Expire {
-    /// `None` where the object's name can't be read.
-    pub fn news(&self) -> Option<News> {
-        let object = match &self.name {
-            Some(name) => Some(u64::from_str_radix(name, 16).ok()?),
-            None => None,
-        };
-        Some(News::Expired { object, group: self.set, stamp: self.stamp })
-    }
-}
-
 /// Where the poll stands.
 #[derive(Debug)]
 enum Stage {
@@ -369,6 +255,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::decider::News;
+    use crate::told::Expire;
 
     const PAGE: &str = r#"{"pos":43,"entries":[
         {"pos":41,"hosts":{"rev":7,"all":false,"targets":[{"uid":"s-1","endpoint":"127.1.0.9:8080","az":"east",
--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -1,12 +1,17 @@
-//! Owns the log lines: one macro for standard error, held to a rate.
+//! Owns the log lines: one macro over `tracing`, held to a rate, as text or as JSON lines on standard error.
 //!
 //! Must never flood the log, end the router because nobody reads it, or take part in a decision.
 
 use std::cell::Cell;
 use std::fmt;
-use std::io::{self, Write};
 use std::time::{Duration, Instant};
 
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
+
 /// How many lines may go out in each second.
 #[derive(Debug, Clone, Copy)]
 struct Budget {
@@ -43,23 +48,59 @@
     admitted.then_some(held_back)
 }
 
-/// Writes a line as `eprintln` does, but for its panic when the line can't be written: guards against the end
-/// of whoever reads the log being the router's end too.
-pub fn write(line: fmt::Arguments) {
-    let _ = io::stderr().lock().write_fmt(format_args!("linnethook: {line}\n"));
+/// `linnethook: message name=value ...`, as it always was.
+struct Plain;
+
+impl<S, N> FormatEvent<S, N> for Plain
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(&self, _: &FmtContext<'_, S, N>, mut to: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        let mut line = Line::default();
+        event.record(&mut line);
+        writeln!(to, "linnethook: {}{}", line.message, line.fields)
+    }
+}
+
+#[derive(Default)]
+struct Line {
+    message: String,
+    fields: String,
+}
+
+impl Visit for Line {
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        match field.name() {
+            "message" => self.message = format!("{value:?}"),
+            name => self.fields += &format!(" {name}={value:?}"),
+        }
+    }
+}
+
+/// Has lines written from here on. A line that can't be written is passed over: guards against the end of whoever
+/// reads the log being the router's end too.
+pub fn begin(json: bool) {
+    let builder = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
+    // A second call changes nothing: the first one stands.
+    let _ = match json {
+        true => tracing::subscriber::set_global_default(builder.json().flatten_event(true).finish()),
+        false => tracing::subscriber::set_global_default(builder.event_format(Plain).finish()),
+    };
 }
 
-/// Writes a line to the log; one that begins with `always` is not held back.
+/// Writes a line to the log, with fields before the message where there are any; one that begins with `always` is
+/// not held back.
 macro_rules! log_line {
     (always $($part:tt)*) => {
-        $crate::log::write(format_args!($($part)*))
+        tracing::info!($($part)*)
     };
     ($($part:tt)*) => {
         if let Some(held_back) = $crate::log::admit() {
             if held_back > 0 {
-                $crate::log::write(format_args!("{held_back} lines held back"));
+                tracing::info!("{held_back} lines held back");
             }
-            $crate::log::write(format_args!($($part)*));
+            tracing::info!($($part)*);
         }
     };
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,8 +3,10 @@
 //! Must never look into a message or weigh anything: orders come from the decider, bytes from the others.
 
 mod caches;
+mod cli;
 mod clients;
 mod config;
+mod control;
 mod counters;
 mod decider;
 mod frames;
@@ -12,6 +14,9 @@
 mod log;
 mod pool;
 mod resp;
+mod steer;
+mod told;
+mod upstream;
 
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -21,16 +26,24 @@
 
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, Readiness};
+use clap::Parser;
+use linnethook_operator::script::Kind;
+use linnethook_operator::{apart, Operator};
 
-use caches::{Brought, Caches, Parcel};
+use caches::{Brought, Caches, Ordered, Parcel};
+use cli::{Cli, Command};
 use clients::{Asker, ClientId, Clients, Said};
 use config::{Config, Failure, Limits};
+use control::Control;
 use counters::Counters;
-use decider::{Decider, End, Final, Ms, News, Order, Ticket};
+use decider::{Decider, End, Final, Ms, News, Order, Ticket, Wish};
 use frames::Code;
-use journal::{Entry, Journal};
+use journal::Journal;
 use log::log_line;
 use pool::{Chain, Pool};
+use steer::Evaluation;
+use told::Entry;
+use upstream::{Asked, Step, Upstream};
 
 /// Unix milliseconds at the start and a clock that never goes back: stamps compare, and time never jumps.
 #[derive(Debug, Clone, Copy)]
@@ -54,6 +67,7 @@
 struct Held {
     asker: Asker,
     parcel: Parcel,
+    asked: Asked,
 }
 
 /// The requests that are open, and what each id among them is for.
@@ -112,13 +126,25 @@
     caches: Caches,
     journal: Journal,
     requests: Requests,
+    /// The operator file and what it switches on; nothing on the platform.
+    operator: Option<PathBuf>,
+    upstream: Option<Upstream>,
+    control: Option<Control>,
+    /// The evaluation of the operator file that is under way.
+    evaluation: Option<Evaluation>,
+    handle: LoopHandle<'static, Self>,
     wake: Option<Ms>,
     run: Run,
     counters: Counters,
 }
 
 impl Router {
-    fn new(path: &Path, config: Config, handle: &LoopHandle<'static, Self>) -> Result<Self, Failure> {
+    fn new(
+        path: &Path,
+        config: Config,
+        operator: Option<(PathBuf, Operator)>,
+        handle: &LoopHandle<'static, Self>,
+    ) -> Result<Self, Failure> {
         let limits = config.limits;
         let pool = Pool::new(limits.block, limits.blocks_kept, limits.blocks_most);
         let known = config.file.known;
@@ -132,10 +158,19 @@
             journal: Journal::new(limits, &pool, handle.clone(), config.file.journal, known.pos),
             pool,
             requests: Requests::default(),
+            operator: None,
+            upstream: None,
+            control: None,
+            evaluation: None,
+            handle: handle.clone(),
             wake: None,
             run: Run::Serving,
             counters: Counters::default(),
         };
+        if let Some((file, operator)) = operator {
+            router.switch_on(&config.file.name, &operator)?;
+            router.operator = Some(file);
+        }
         router.learn(known.entries);
         // Clients come only once the list is known.
         let address = router.clients.listen(config.file.listen)?;
@@ -148,8 +183,15 @@
         let now = self.clock.now();
         for entry in entries {
             self.counters.journal_events += 1;
+            if let (Some(batch), Some(upstream)) = (&entry.shape, &mut self.upstream) {
+                if let Err(why) = upstream.hear(now, batch) {
+                    log_line!("hierarchy: batch {}/{}: {why}", batch.author, batch.number);
+                }
+                self.tell_feeds();
+            }
             if let Some(hosts) = &entry.hosts {
                 self.caches.hosts(now, &hosts.targets, hosts.all);
+                self.list_upstream(hosts);
                 let orders = self.decider.report(now, hosts.news());
                 self.carry_out(orders, Brought::Nothing);
             }
@@ -178,10 +220,21 @@
                         self.caches.drop_unsent(now, attempt, place);
                         continue;
                     };
-                    self.counters.sent += 1;
-                    self.caches.send(now, attempt, place, timeout, &filling, &held.parcel);
+                    let ordered = Ordered { attempt, place, timeout, filling };
+                    let step = match &mut self.upstream {
+                        Some(upstream) => upstream.admit(now, ordered, held.asked),
+                        None => Some(Step::Send(ordered, None)),
+                    };
+                    self.take(step);
+                }
+                Order::Cancel(attempt) => {
+                    match self.upstream.as_mut().and_then(|upstream| upstream.cancel(attempt)) {
+                        Some(Step::TurnBack(ordered, _)) => {
+                            self.caches.drop_unsent(now, attempt, ordered.place);
+                        }
+                        _ => self.caches.cancel(now, attempt),
+                    }
                 }
-                Order::Cancel(attempt) => self.caches.cancel(now, attempt),
                 Order::Answer { ticket, answer } => {
                     self.answer(ticket, answer, brought.take().unwrap_or(Brought::Nothing));
                 }
@@ -193,6 +246,7 @@
     }
 
     fn answer(&mut self, ticket: Ticket, answer: Final, brought: Brought) {
+        let come_back = self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
         let Some(held) = self.requests.remove(ticket) else { return };
         let nothing = Chain::new(&self.pool);
         let client = held.asker.client;
@@ -208,6 +262,10 @@
             }
             (Final::Refused { wait }, _) => {
                 self.counters.refused += 1;
+                // Where advice is given at all, the shield may know of a better time.
+                let longest = self.decider.longest_wait();
+                let told = come_back.filter(|_| wait > 0.0).map_or(wait, |at| wait.max(at.min(longest)));
+                let wait = told;
                 let wait = format!("{}", wait.ceil());
                 let fields: &[(&str, &str)] = if wait == "0" { &[] } else { &[("w", &wait)] };
                 self.clients.answer(held.asker, Code::Refused, fields, nothing);
@@ -240,7 +298,10 @@
                         continue;
                     }
                     let crowded = self.requests.len() >= self.limits.open;
-                    self.requests.insert(ticket, Held { asker, parcel: taken.parcel });
+                    let (aim, write) = self.decider.wanted(&taken.wish);
+                    let Wish { object, part, size_kb, .. } = taken.wish;
+                    let asked = Asked { object, part, write, bytes: size_kb * 1000.0, aim, since: now };
+                    self.requests.insert(ticket, Held { asker, parcel: taken.parcel, asked });
                     if crowded {
                         self.answer(ticket, Final::Refused { wait: 0.0 }, Brought::Nothing);
                         continue;
@@ -251,6 +312,7 @@
                 Said::GivenUp(ticket) => {
                     self.counters.given_up += 1;
                     self.requests.remove(ticket);
+                    self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
                     let orders = self.decider.report(now, News::Left(ticket));
                     self.carry_out(orders, Brought::Nothing);
                 }
@@ -277,6 +339,10 @@
             let now = self.clock.now();
             if let Some(ended) = self.caches.next_ended() {
                 self.count(ended.ending.end, &ended.brought);
+                if let Some(upstream) = &mut self.upstream {
+                    let steps = upstream.ended(now, &ended);
+                    self.take(steps);
+                }
                 let orders = self.decider.report(now, News::Ended(ended.ending));
                 self.carry_out(orders, ended.brought);
             } else if let Some(probed) = self.caches.next_probed() {
@@ -353,6 +419,15 @@
             self.carry_out(orders, Brought::Nothing);
             self.settle();
         }
+        if let Some(upstream) = &mut self.upstream {
+            let steps = upstream.tick(now);
+            self.take(steps);
+            self.tell_feeds();
+            self.settle();
+        }
+        if let Some(control) = &mut self.control {
+            control.tick(now);
+        }
         self.journal.tick(now);
         let mut said = Vec::new();
         self.clients.tick(now, &mut said);
@@ -374,8 +449,10 @@
             }
             Run::Stopping(since) => Some(since + self.limits.stop_most),
         };
-        let next =
-            [self.wake, self.caches.next(), Some(self.journal.next()), Some(self.clients.next()), stop];
+        let upstream = self.upstream.as_ref().map(|upstream| upstream.next(now));
+        let control = self.control.as_ref().and_then(Control::next);
+        let (journal, clients) = (Some(self.journal.next()), Some(self.clients.next()));
+        let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control];
         let next = next.into_iter().flatten().reduce(Ms::min).unwrap_or(now + 1000.0);
         Duration::from_secs_f64((next - now).clamp(0.0, 1000.0) / 1000.0)
     }
@@ -407,6 +484,7 @@
             }
             Err(failure) => log_line!(always "not reloaded: {failure}"),
         }
+        self.read_operator();
     }
 
     /// Answers all that is still open as failed: what it came to is not known in time.
@@ -448,18 +526,30 @@
     }
 }
 
-fn run() -> Result<(), Failure> {
+/// Reads the operator file at the start, in a process beside this one.
+fn operator(run: &cli::Run) -> Result<Option<(PathBuf, Operator)>, Failure> {
+    let Some(file) = run.operator.clone() else { return Ok(None) };
+    let program = cli::program().map_err(|failed| failed.text().to_string())?;
+    let operator =
+        apart::run(&program, Kind::Operator, &file).and_then(|bytes| apart::operator(&file, &bytes))?;
+    Ok(Some((file, operator)))
+}
+
+fn run(arguments: &cli::Run) -> Result<(), Failure> {
+    let operator = operator(arguments)?;
+    let written = operator.as_ref().and_then(|(_, operator)| operator.log);
+    log::begin(written.is_some_and(|log| log.json));
     let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG names no configuration")?;
     let path = PathBuf::from(path);
     let config = Config::read(&path)?;
-    log::hold_to(config.limits.log_lines);
+    log::hold_to(written.map_or(config.limits.log_lines, |log| log.lines_per_second));
     let mut events: EventLoop<'static, Router> = EventLoop::try_new()?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])?;
     let signalled = |event: calloop::signals::Event, _: &mut (), router: &mut Router| {
         router.signalled(event.signal());
     };
     events.handle().insert_source(signals, signalled).map_err(|wrong| wrong.error)?;
-    let mut router = Router::new(&path, config, &events.handle())?;
+    let mut router = Router::new(&path, config, operator, &events.handle())?;
     while !router.done() {
         events.dispatch(router.rest(), &mut router)?;
         router.tick();
@@ -471,9 +561,31 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let said = Cli::parse();
+    let arguments = match said.command {
+        None => said.run,
+        Some(Command::Run(run)) => run,
+        Some(command) => {
+            return match cli::carry_out(&command) {
+                Ok(text) => {
+                    // Whoever reads it may have seen enough.
+                    let _ = std::io::Write::write_all(&mut std::io::stdout(), text.as_bytes());
+                    ExitCode::SUCCESS
+                }
+                Err(failed) => {
+                    let _ = std::io::Write::write_all(
+                        &mut std::io::stderr(),
+                        format!("{}\n", failed.text()).as_bytes(),
+                    );
+                    failed.code()
+                }
+            };
+        }
+    };
+    match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
+            log::begin(false);
             log_line!(always "{failure}");
             ExitCode::FAILURE
         }
--- /dev/null
+++ b/crates/router/src/steer.rs
@@ -0,0 +1,244 @@
+//! Owns what the operator file, the control socket and the hierarchy have the router do: the wiring beside the
+//! ordinary path. With no operator file nothing here is reached.
+//!
+//! Must never weigh anything: what a change does is judged by the hierarchy, what is picked by the decider.
+
+use std::fs::File;
+use std::io::{ErrorKind, Read};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixListener;
+use std::path::Path;
+use std::process::Child;
+
+use calloop::generic::{Generic, NoIoDrop};
+use calloop::{Interest, Mode, PostAction, Readiness};
+use linnethook_operator::script::Kind;
+use linnethook_operator::{apart, Operator};
+
+use crate::caches::Brought;
+use crate::cli;
+use crate::config::Failure;
+use crate::control::{Answer, BudgetLine, Control, MoveLine, Question, Shown};
+use crate::decider::{Ms, News};
+use crate::log::log_line;
+use crate::told::Hosts;
+use crate::upstream::{Applied, Step, Upstream};
+use crate::Router;
+
+/// An operator file that is read again by a process beside this one.
+pub struct Evaluation {
+    child: Child,
+    bytes: Vec<u8>,
+}
+
+impl Router {
+    /// Begins with what the operator file has.
+    pub fn switch_on(&mut self, name: &str, operator: &Operator) -> Result<(), Failure> {
+        let now = self.clock.now();
+        if let Some(hierarchy) = &operator.hierarchy {
+            self.upstream = Some(Upstream::new(now, name, hierarchy)?);
+        }
+        if let Some(path) = &operator.control {
+            let control = Control::listen(self.limits, &self.pool, self.handle.clone(), Path::new(path));
+            self.control = Some(control.map_err(|wrong| format!("control socket {path}: {wrong}"))?);
+        }
+        Ok(())
+    }
+
+    /// Tells the hierarchy of the list, and takes back what waits for those that may not be used any more.
+    pub fn list_upstream(&mut self, hosts: &Hosts) {
+        let now = self.clock.now();
+        let Some(upstream) = &mut self.upstream else { return };
+        let decider = &self.decider;
+        let steps = upstream.hosts(now, hosts, |target| decider.is_own(&target.host()));
+        self.take(steps);
+        self.tell_feeds();
+    }
+
+    /// Tells the decider of what caches may be filled from, where that has changed.
+    pub fn tell_feeds(&mut self) {
+        let now = self.clock.now();
+        let changed = self.upstream.as_mut().map(|upstream| upstream.changed(now)).unwrap_or_default();
+        for (place, lists) in changed {
+            let orders = self.decider.report(now, News::Feeds { place, lists });
+            self.carry_out(orders, Brought::Nothing);
+        }
+    }
+
+    /// Carries out what the hierarchy says of attempts.
+    pub fn take(&mut self, steps: impl IntoIterator<Item = Step>) {
+        let now = self.clock.now();
+        for step in steps {
+            match step {
+                Step::Send(ordered, way) => {
+                    let Some(held) = self.requests.held.get(&ordered.attempt.ticket) else {
+                        self.caches.drop_unsent(now, ordered.attempt, ordered.place);
+                        continue;
+                    };
+                    self.counters.sent += 1;
+                    self.caches.send(now, &ordered, &held.parcel, way.as_ref());
+                }
+                Step::TurnBack(ordered, since) => {
+                    self.caches.turn_back(now, ordered.attempt, ordered.place, since);
+                }
+            }
+        }
+    }
+
+    /// Has the operator file read again, beside this process; one reading at a time.
+    pub fn read_operator(&mut self) {
+        let (Some(file), true) = (self.operator.clone(), self.evaluation.is_none()) else { return };
+        let started = cli::program().map_err(|failed| failed.text().to_string()).and_then(|program| {
+            apart::start(&program, Kind::Operator, &file).map_err(|wrong| wrong.to_string())
+        });
+        let mut child = match started {
+            Ok(child) => child,
+            Err(why) => return log_line!(always "{}: not read: {why}", file.display()),
+        };
+        let Some(out) = child.stdout.take() else { return };
+        let source = Generic::new(File::from(OwnedFd::from(out)), Interest::READ, Mode::Level);
+        let ready = |_: Readiness, out: &mut NoIoDrop<File>, router: &mut Self| Ok(router.evaluated(out));
+        self.evaluation = Some(Evaluation { child, bytes: Vec::new() });
+        if let Err(wrong) = self.handle.insert_source(source, ready) {
+            log_line!(always "{}: not read: {}", file.display(), wrong.error);
+            self.evaluation = None;
+        }
+    }
+
+    /// Reads on what the evaluation writes; takes it over once it is whole.
+    fn evaluated(&mut self, mut out: &File) -> PostAction {
+        let Some(evaluation) = &mut self.evaluation else { return PostAction::Remove };
+        let mut block = [0; 65_536];
+        // Level-triggered: one read does not wait.
+        match out.read(&mut block) {
+            Ok(n) if n > 0 && evaluation.bytes.len() < self.limits.control_message => {
+                evaluation.bytes.extend_from_slice(&block[..n]);
+                return PostAction::Continue;
+            }
+            Err(wrong) if wrong.kind() == ErrorKind::Interrupted => return PostAction::Continue,
+            _ => {}
+        }
+        let Some(Evaluation { mut child, bytes }) = self.evaluation.take() else { return PostAction::Remove };
+        let Some(file) = self.operator.clone() else { return PostAction::Remove };
+        // It has closed its output: its end is near, or it is ended.
+        let _ = child.kill();
+        let _ = child.wait();
+        match apart::operator(&file, &bytes) {
+            Ok(operator) => self.take_over(&file, &operator),
+            Err(wrong) => log_line!(always "not reloaded: {wrong}"),
+        }
+        PostAction::Remove
+    }
+
+    /// Takes over what of the operator file may change while the router runs: the nodes of the hierarchy.
+    fn take_over(&mut self, file: &Path, operator: &Operator) {
+        let now = self.clock.now();
+        let (Some(upstream), Some(hierarchy)) = (&mut self.upstream, &operator.hierarchy) else {
+            return log_line!(always "{}: read again; nothing in it can change while this runs", file.display());
+        };
+        match upstream.reload(now, &hierarchy.nodes) {
+            Ok(changes) => {
+                log_line!(always "{}: read again, {changes} changes of the hierarchy", file.display())
+            }
+            Err(why) => log_line!(always "{}: the hierarchy stays as it is: {why}", file.display()),
+        }
+        self.tell_feeds();
+    }
+
+    pub fn control_waits(&mut self, listener: &UnixListener) {
+        let now = self.clock.now();
+        if let Some(control) = &mut self.control {
+            control.accept(now, listener);
+        }
+    }
+
+    pub fn control_ready(&mut self, id: u64) {
+        let question = self.control.as_mut().and_then(|control| {
+            control.flush(id);
+            control.read(id)
+        });
+        let Some(question) = question else { return };
+        let answer = self.reply(question);
+        if let Some(control) = &mut self.control {
+            control.answer(id, &answer);
+        }
+        self.tell_feeds();
+    }
+
+    fn reply(&mut self, question: Question) -> Answer {
+        let now = self.clock.now();
+        let Some(upstream) = &mut self.upstream else {
+            return Answer::No("the hierarchy is off: the operator file has no hierarchy()".to_string());
+        };
+        match question {
+            Question::Show => Answer::Shown(Box::new(shown(upstream, now))),
+            Question::Nodes => Answer::Nodes(upstream.nodes()),
+            Question::Plan(changes) => match upstream.plan(now, &changes) {
+                Ok(plan) => Answer::Plan(Box::new(plan)),
+                Err(why) => Answer::No(why),
+            },
+            Question::Apply(changes) => match upstream.apply(now, changes) {
+                Applied::Done(batch) => {
+                    log_line!(author = batch.author, number = batch.number, "hierarchy: a batch was applied");
+                    Answer::Applied(batch)
+                }
+                Applied::No(why) => Answer::No(why),
+            },
+            Question::Hear(batch) => match upstream.hear(now, &batch) {
+                Ok(()) => Answer::Done("heard".to_string()),
+                Err(why) => Answer::No(why),
+            },
+            Question::RollBack { author, number } => match upstream.roll_back(now, author, number) {
+                Ok(changes) => {
+                    log_line!(author, number, "hierarchy: a batch was rolled back");
+                    Answer::Done(format!("batch {author}/{number} rolled back: {changes} changes"))
+                }
+                Err(why) => Answer::No(why),
+            },
+        }
+    }
+}
+
+/// What of the hierarchy is shown to people.
+fn shown(upstream: &Upstream, now: Ms) -> Shown {
+    let view = upstream.view(now);
+    let (waiting_fills, out) = upstream.kept();
+    let moves = view.moves.iter().map(|m| MoveLine {
+        to: upstream.name(m.to),
+        author: m.author,
+        number: m.number,
+        stage: format!("{:?}", m.stage).to_lowercase(),
+        part: m.part,
+        tries: m.tries,
+        late_new: m.late_new,
+        late_old: m.late_old,
+    });
+    let budgets = view.budgets.iter().map(|budget| BudgetLine {
+        target: upstream.name(budget.target),
+        per_second: budget.per_second,
+        limit: budget.limit,
+    });
+    let counts = [
+        ("gone", view.counts.gone),
+        ("joined", view.counts.joined),
+        ("waited", view.counts.waited),
+        ("over_fetched", view.counts.over_fetched),
+        ("over_budget", view.counts.over_budget),
+        ("over_queue", view.counts.over_queue),
+        ("over_time", view.counts.over_time),
+        ("leases_lost", view.counts.leases_lost),
+    ];
+    Shown {
+        version: view.version,
+        nodes: view.nodes,
+        suspended: view.suspended,
+        held_back: view.held_back,
+        waiting_batches: view.waiting_batches,
+        waiting_fills,
+        out,
+        moves: moves.collect(),
+        budgets: budgets.collect(),
+        counts: counts.into_iter().map(|(name, count)| (name.to_string(), count)).collect(),
+        digest: view.digest,
+    }
+}
--- /dev/null
+++ b/crates/router/src/told.rs
@@ -0,0 +1,128 @@
+//! Owns what the journal service says: its events as they stand in an answer and in the configuration.
+//!
+//! Must never hold a connection, nor what comes of an event.
+
+use std::net::SocketAddr;
+
+use linnethook_hierarchy::named::BatchSpec;
+use serde::{Deserialize, Deserializer};
+
+use crate::decider::{Host, HostState, Ms, News};
+use crate::log::log_line;
+
+/// Events up to a number.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Page {
+    pub pos: u64,
+    #[serde(deserialize_with = "readable")]
+    pub entries: Vec<Entry>,
+}
+
+/// Passes over single events that can't be read: with a poll lost for each of them, none would be heard of again.
+fn readable<'a, D: Deserializer<'a>>(from: D) -> Result<Vec<Entry>, D::Error> {
+    let entries = Vec::<serde_json::Value>::deserialize(from)?;
+    let read =
+        |entry| serde_json::from_value(entry).inspect_err(|wrong| log_line!("journal: an event: {wrong}"));
+    Ok(entries.into_iter().filter_map(|entry| read(entry).ok()).collect())
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Entry {
+    pub pos: u64,
+    #[serde(default)]
+    pub hosts: Option<Hosts>,
+    #[serde(default)]
+    pub expire: Option<Expire>,
+    /// A change of the hierarchy; only an extended journal service tells of these.
+    #[serde(default)]
+    pub shape: Option<BatchSpec>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Hosts {
+    #[serde(default)]
+    pub all: bool,
+    #[serde(default)]
+    pub targets: Vec<Target>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Target {
+    pub uid: String,
+    #[serde(default)]
+    pub endpoint: Option<SocketAddr>,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u16,
+    state: State,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: Ms,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+enum State {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Expire {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    set: u32,
+    stamp: Ms,
+}
+
+impl Hosts {
+    pub fn news(&self) -> News {
+        News::Hosts { complete: self.all, hosts: self.targets.iter().map(Target::host).collect() }
+    }
+}
+
+impl Target {
+    pub fn ready(&self) -> bool {
+        self.state == State::Ready
+    }
+
+    pub fn gone(&self) -> bool {
+        self.state == State::Gone
+    }
+
+    pub fn started(&self) -> Ms {
+        self.boot_ms
+    }
+
+    pub fn host(&self) -> Host {
+        Host {
+            uid: self.uid.clone(),
+            zone: self.az.clone(),
+            kind: self.model.clone(),
+            cell: self.pod_group,
+            weight: self.capacity_hint,
+            started: self.boot_ms,
+            state: match self.state {
+                State::Ready => HostState::Ready,
+                State::Terminating => HostState::Draining,
+                State::Gone => HostState::Gone,
+            },
+        }
+    }
+}
+
+impl Expire {
+    /// `None` where the object's name can't be read.
+    pub fn news(&self) -> Option<News> {
+        let object = match &self.name {
+            Some(name) => Some(u64::from_str_radix(name, 16).ok()?),
+            None => None,
+        };
+        Some(News::Expired { object, group: self.set, stamp: self.stamp })
+    }
+}
--- /dev/null
+++ b/crates/router/src/upstream.rs
@@ -0,0 +1,437 @@
+//! Owns the router's side of the hierarchy: what the decider may choose from, and what becomes of the fills that it
+//! has chosen on their way to the sockets.
+//!
+//! Must never choose a source, send an attempt twice, or keep one waiting that was taken back.
+
+use std::collections::HashMap;
+
+use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, Names, NodeSpec, PlanSpec};
+use linnethook_hierarchy::passed::Passed;
+use linnethook_hierarchy::shield::{Priority, Released, Verdict};
+use linnethook_hierarchy::{
+    Author, Brought, Feeds, Heard, Hierarchy, Hop, NodeId, Phase, Picked, Role, Serial, Source, View,
+};
+use linnethook_operator::Hierarchy as Settings;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::caches::{Ended, Ordered, Way};
+use crate::decider::{Attempt, End, How, Lists, Ms, Place, Ticket};
+use crate::log::log_line;
+use crate::told::{Hosts, Target};
+
+/// What is known of the request that it is for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Asked {
+    pub object: u64,
+    pub part: u32,
+    pub write: bool,
+    pub bytes: f64,
+    /// Within what time it is wanted, and since when.
+    pub aim: Ms,
+    pub since: Ms,
+}
+
+/// What is to be done with an attempt now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    Send(Ordered, Option<Way>),
+    /// It is not sent: it waited for its fill since then, and may not go.
+    TurnBack(Ordered, Ms),
+}
+
+/// A fill that went.
+#[derive(Debug, Clone, Copy)]
+struct Out {
+    child: NodeId,
+    source: NodeId,
+    aim: Ms,
+    /// It asks only for what is held, and passed no shield.
+    held: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ordered: Ordered,
+    asked: Asked,
+    since: Ms,
+}
+
+/// What came of a change that somebody wanted.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Applied {
+    Done(BatchSpec),
+    No(String),
+}
+
+pub struct Upstream {
+    hierarchy: Hierarchy,
+    names: Names,
+    /// The author of the operator file's batches, and that of the control socket's.
+    file: Author,
+    socket: Author,
+    /// Whether nodes understand more than the platform's protocol.
+    extended: bool,
+    waiting: HashMap<Attempt, Waiting>,
+    out: HashMap<Attempt, Out>,
+    /// When the clients of requests that were held back had better come again.
+    come_back: HashMap<Ticket, Ms>,
+}
+
+/// One name for both numbers: the shield knows attempts, not requests.
+fn ticket(attempt: Attempt) -> u64 {
+    attempt.ticket << 8 | u64::from(attempt.number)
+}
+
+fn attempt(ticket: u64) -> Attempt {
+    Attempt { ticket: ticket >> 8, number: (ticket & 255) as u8 }
+}
+
+fn node(place: Place) -> NodeId {
+    NodeId(place.number())
+}
+
+fn lists(feeds: &Feeds) -> Lists {
+    let all = |list: &[Source]| list.iter().map(|s| (Place::from_number(s.node.0), s.rank)).collect();
+    Lists { now: all(&feeds.now), before: all(&feeds.before), part: feeds.part, salt: feeds.salt }
+}
+
+/// The author of a router's control socket: half of the numbers are for these.
+fn socket_author(router: &str) -> Author {
+    Author(0x8000 | (xxh3_64_with_seed(router.as_bytes(), 0) as u16))
+}
+
+impl Upstream {
+    /// Begins with the shape of the operator file, which is there since ever.
+    pub fn new(now: Ms, router: &str, settings: &Settings) -> Result<Self, String> {
+        let mut upstream = Self {
+            hierarchy: Hierarchy::new(settings.part.rules),
+            names: Names::default(),
+            file: Author(settings.part.author),
+            socket: socket_author(router),
+            extended: settings.part.extended,
+            waiting: HashMap::new(),
+            out: HashMap::new(),
+            come_back: HashMap::new(),
+        };
+        if !settings.nodes.is_empty() {
+            let changes = upstream.names.difference(upstream.hierarchy.shape(), &settings.nodes);
+            // The same at all routers that read the same file.
+            let batch = upstream.hierarchy.draft(upstream.file, 0.0, changes);
+            upstream.take(now, batch)?;
+        }
+        Ok(upstream)
+    }
+
+    // ---- Changes.
+
+    fn take(&mut self, now: Ms, batch: linnethook_hierarchy::Batch) -> Result<(), String> {
+        let serial = batch.serial;
+        match self.hierarchy.hear(now, batch) {
+            Heard::Taken(_) => match self.hierarchy.history().verdict(serial) {
+                Some(Err(refusal)) => Err(refusal.to_string()),
+                _ => Ok(()),
+            },
+            Heard::Repeated => Ok(()),
+            Heard::Waiting(missing) => {
+                Err(format!("it waits for batch {} of author {}", missing.number, missing.author.0))
+            }
+            Heard::Unusable(wrong) => Err(wrong.to_string()),
+        }
+    }
+
+    /// The operator file was read again: what differs from the present shape is one batch.
+    pub fn reload(&mut self, now: Ms, nodes: &[NodeSpec]) -> Result<usize, String> {
+        let changes = self.names.difference(self.hierarchy.shape(), nodes);
+        let count = changes.len();
+        if count > 0 {
+            let batch = self.hierarchy.draft(self.file, now, changes);
+            self.take(now, batch)?;
+            self.names.retain(self.hierarchy.shape());
+        }
+        Ok(count)
+    }
+
+    /// A batch that another has written.
+    pub fn hear(&mut self, now: Ms, spec: &BatchSpec) -> Result<(), String> {
+        let batch = self.names.batch(spec);
+        let taken = self.take(now, batch);
+        self.names.retain(self.hierarchy.shape());
+        taken
+    }
+
+    /// What changes would do now.
+    pub fn plan(&mut self, now: Ms, changes: &[ChangeSpec]) -> Result<PlanSpec, String> {
+        let read = self.names.changes(changes);
+        let batch = self.hierarchy.draft(self.socket, now, read);
+        let plan = self.hierarchy.plan(now, &batch).map(|plan| self.names.plan(&plan));
+        self.names.retain(self.hierarchy.shape());
+        plan.map_err(|wrong| wrong.to_string())
+    }
+
+    /// Has changes take effect, as a batch of this router's control socket.
+    pub fn apply(&mut self, now: Ms, changes: Vec<ChangeSpec>) -> Applied {
+        let read = self.names.changes(&changes);
+        let batch = self.hierarchy.draft(self.socket, now, read);
+        let spec = BatchSpec {
+            author: batch.serial.author.0,
+            number: batch.serial.number,
+            stamp: batch.stamp,
+            basis: batch.basis.iter().map(|(author, number)| (author.0, *number)).collect(),
+            at: batch.at,
+            changes,
+        };
+        let applied = match self.take(now, batch) {
+            Ok(()) => Applied::Done(spec),
+            Err(why) => Applied::No(why),
+        };
+        self.names.retain(self.hierarchy.shape());
+        applied
+    }
+
+    /// Takes a batch back: its stages at once, and what it wrote by a batch of its own.
+    pub fn roll_back(&mut self, now: Ms, author: u16, number: u64) -> Result<usize, String> {
+        let serial = Serial { author: Author(author), number };
+        let changes = self.hierarchy.roll_back(now, serial);
+        let changes = changes.ok_or("no such batch is kept, or it was not applied")?;
+        let count = changes.len();
+        let batch = self.hierarchy.draft(self.socket, now, changes);
+        self.take(now, batch).map(|()| count)
+    }
+
+    pub fn view(&self, now: Ms) -> View {
+        self.hierarchy.view(now)
+    }
+
+    pub fn nodes(&self) -> Vec<NodeSpec> {
+        self.names.nodes(self.hierarchy.shape())
+    }
+
+    /// A node's name, by its number.
+    pub fn name(&self, id: u64) -> String {
+        self.names.of(NodeId(id))
+    }
+
+    // ---- What the decider is told.
+
+    /// Lines of the list of caches. `own` says which stand in this router's location. What waits for one that may
+    /// not be used any more comes back.
+    pub fn hosts(&mut self, now: Ms, hosts: &Hosts, own: impl Fn(&Target) -> bool) -> Vec<Step> {
+        let mut back = Vec::new();
+        for target in &hosts.targets {
+            let place = Place::of(&target.uid);
+            let phase = match (target.ready(), target.gone()) {
+                (true, _) => Phase::Ready,
+                (_, true) => Phase::Gone,
+                _ => Phase::Draining,
+            };
+            let (entered, withdrawn) = self.hierarchy.listed(now, node(place), phase, target.started());
+            self.note(&entered);
+            back.extend(withdrawn.into_iter().filter_map(|ticket| self.turn_back(attempt(ticket))));
+            if phase != Phase::Ready {
+                let to_it: Vec<Attempt> = (self.waiting.iter())
+                    .filter(|(_, waiting)| waiting.ordered.place == place)
+                    .map(|(attempt, _)| *attempt)
+                    .collect();
+                for attempt in to_it {
+                    self.hierarchy.forget(ticket(attempt));
+                    back.extend(self.turn_back(attempt));
+                }
+            }
+            let is_cache = self.hierarchy.shape().node(node(place)).is_none_or(|n| n.role == Role::Cache);
+            if phase != Phase::Gone && is_cache && own(target) {
+                self.hierarchy.watch(now, node(place));
+            }
+        }
+        back
+    }
+
+    /// The sources that caches may be filled from, where these are other ones than were told last.
+    pub fn changed(&mut self, now: Ms) -> Vec<(Place, Lists)> {
+        let changed = self.hierarchy.changed_feeds(now);
+        changed.into_iter().map(|(id, feeds)| (Place::from_number(id.0), lists(&feeds))).collect()
+    }
+
+    fn note(&self, entered: &[linnethook_hierarchy::stages::Entered]) {
+        for entered in entered {
+            let (to, serial) = (self.names.of(entered.id.to), entered.id.by.serial());
+            log_line!(
+                to,
+                author = serial.author.0,
+                number = serial.number,
+                stage = ?entered.stage,
+                for_good = entered.for_good,
+                "hierarchy: a change enters its next stage"
+            );
+        }
+    }
+
+    // ---- Fills.
+
+    /// What is to be done with an attempt; `None` where it waits.
+    pub fn admit(&mut self, now: Ms, ordered: Ordered, asked: Asked) -> Option<Step> {
+        let Some((child, source)) = self.ends(&ordered) else { return Some(Step::Send(ordered, None)) };
+        let priority = if asked.write { Priority::Booking } else { Priority::Demand };
+        let left = asked.since + asked.aim - now;
+        let picked = Picked {
+            ticket: ticket(ordered.attempt),
+            child,
+            source,
+            object: asked.object,
+            key: xxh3_64_with_seed(&asked.object.to_le_bytes(), u64::from(asked.part)),
+            priority,
+            bytes: asked.bytes,
+            joins: ordered.filling.join,
+            // Half of what is left of the wanted time, so that there is some left to be served in.
+            patience: (left / 2.0).max(0.0),
+        };
+        // What a source holds costs the tiers above nothing.
+        if ordered.filling.only_held {
+            return Some(self.send(now, ordered, asked, true));
+        }
+        match self.hierarchy.send(now, &picked) {
+            Verdict::Go => Some(self.send(now, ordered, asked, false)),
+            Verdict::Wait { .. } => {
+                self.waiting.insert(ordered.attempt, Waiting { ordered, asked, since: now });
+                None
+            }
+            Verdict::Over { come_back, .. } => Some(self.only_held(now, ordered, asked, come_back)),
+        }
+    }
+
+    /// Who fills, and from where; nothing where no fill may take place.
+    fn ends(&self, ordered: &Ordered) -> Option<(NodeId, NodeId)> {
+        let (child, source) = (node(ordered.place), ordered.filling.source.map(node));
+        let shape = self.hierarchy.shape();
+        match source {
+            // A sibling gives what it holds: no tier above is asked.
+            Some(source) if shape.node(source).is_some_and(|n| n.role != Role::Cache) => {
+                Some((child, source))
+            }
+            Some(_) => None,
+            // Straight to a parent or the origin.
+            None if shape.node(child).is_some_and(|n| n.role != Role::Cache) => Some((child, child)),
+            None => None,
+        }
+    }
+
+    fn send(&mut self, now: Ms, ordered: Ordered, asked: Asked, held: bool) -> Step {
+        if let Some((child, source)) = self.ends(&ordered) {
+            self.out.insert(ordered.attempt, Out { child, source, aim: asked.aim, held });
+        }
+        let way = self.way(now, &ordered, asked.object, held);
+        Step::Send(ordered, way)
+    }
+
+    /// It may not fill: what is held will do, also an ageing copy, at the source and beside it.
+    fn only_held(&mut self, now: Ms, mut ordered: Ordered, asked: Asked, come_back: Ms) -> Step {
+        let filling = &mut ordered.filling;
+        filling.only_held = true;
+        filling.renew = false;
+        if filling.ageing > 0.0 {
+            filling.max_age = filling.ageing;
+        }
+        self.come_back.insert(ordered.attempt.ticket, come_back);
+        self.send(now, ordered, asked, true)
+    }
+
+    /// What goes with a fill where nodes understand it.
+    fn way(&self, now: Ms, ordered: &Ordered, object: u64, held: bool) -> Option<Way> {
+        let source = ordered.filling.source.filter(|_| self.extended)?;
+        let passed = Passed::new(self.hierarchy.version());
+        let hops = self.hierarchy.way(now, node(ordered.place), node(source), object);
+        let named = |hop: &Hop| {
+            let name = self.names.of(hop.node);
+            if hop.only_held {
+                format!("{name}:h")
+            } else {
+                name
+            }
+        };
+        let via = hops.iter().filter(|hop| !held || hop.only_held).map(named).collect();
+        Some(Way { passed: passed.to_string(), via })
+    }
+
+    /// How an attempt ended that went.
+    pub fn ended(&mut self, now: Ms, ended: &Ended) -> Vec<Step> {
+        let ending = &ended.ending;
+        let Some(out) = self.out.remove(&ending.attempt) else { return Vec::new() };
+        if let Some((from, to, version)) = &ended.round {
+            self.came_round(now, &out, from, to, *version);
+        }
+        if out.held {
+            return Vec::new();
+        }
+        let late = ending.took > out.aim;
+        let brought = match (ending.end, ending.how) {
+            (End::Answered, Some(How::Filled)) => Brought::Held,
+            (End::Answered, Some(How::FilledByOrigin)) => Brought::FromOrigin,
+            (End::Answered, Some(How::Hit | How::Stale)) => Brought::NoFill,
+            (End::Answered, _) => Brought::Somehow,
+            (End::Cancelled | End::Moot, _) | (_, Some(How::NoPlace | How::CameRound)) => Brought::Unknown,
+            // It never reached the cache, or the cache did not take it: the source was not asked.
+            (End::Unreached, _) | (End::Full, None) => Brought::Unknown,
+            _ => Brought::Nothing,
+        };
+        let released = self.hierarchy.ended(now, ticket(ending.attempt), brought, late);
+        self.go_on(now, released)
+    }
+
+    /// Holds back the edge on which a fill came round. Where that is none of this shape, its nodes go by another one,
+    /// and this router can only leave the source by which it got there.
+    fn came_round(&mut self, now: Ms, out: &Out, from: &str, to: &str, version: u64) {
+        let id = |name: &str| NodeId(Place::of(name).number());
+        let known = self.hierarchy.shape().allows(id(from), id(to));
+        let (a, b) = if known { (id(from), id(to)) } else { (out.child, out.source) };
+        self.hierarchy.came_round(now, a, b, version);
+        log_line!(from, to, version, "hierarchy: a fill came round; an edge is held back for a while");
+    }
+
+    fn go_on(&mut self, now: Ms, released: Vec<Released>) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for word in released {
+            let Some(waiting) = self.waiting.remove(&attempt(word.ticket)) else { continue };
+            let Waiting { mut ordered, asked, since } = waiting;
+            ordered.timeout -= now - since;
+            steps.push(match word.verdict {
+                Verdict::Over { come_back, .. } => self.only_held(now, ordered, asked, come_back),
+                Verdict::Go | Verdict::Wait { .. } => self.send(now, ordered, asked, false),
+            });
+        }
+        steps
+    }
+
+    fn turn_back(&mut self, attempt: Attempt) -> Option<Step> {
+        let waiting = self.waiting.remove(&attempt)?;
+        Some(Step::TurnBack(waiting.ordered, waiting.since))
+    }
+
+    /// An attempt is called off. Where it waits here it goes no further, and ends.
+    pub fn cancel(&mut self, attempt: Attempt) -> Option<Step> {
+        if self.waiting.contains_key(&attempt) {
+            self.hierarchy.forget(ticket(attempt));
+        }
+        self.turn_back(attempt)
+    }
+
+    /// When a client that is refused had better come back; said once.
+    pub fn come_back(&mut self, ticket: Ticket) -> Option<Ms> {
+        self.come_back.remove(&ticket)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Ms) -> Vec<Step> {
+        let (released, entered) = self.hierarchy.tick(now);
+        self.note(&entered);
+        self.go_on(now, released)
+    }
+
+    /// When `tick` is due.
+    pub fn next(&self, now: Ms) -> Ms {
+        self.hierarchy.next(now)
+    }
+
+    /// Attempts that wait, and fills that are out.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.waiting.len(), self.out.len())
+    }
+}
--- /dev/null
+++ b/crates/router/tests/commands.rs
@@ -0,0 +1,148 @@
+//! The command line and the operator file, with the program as people run it.
+
+use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::process::Output;
+
+use linnethook_standins::fleet::{operator_file, Fleet};
+use linnethook_standins::node::Makeup;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_linnethook");
+
+fn fleet(settings: &str) -> Fleet {
+    let mut fleet = Fleet::two_hubs(PROGRAM, 2, Makeup::new).expect("a fleet");
+    let operator = operator_file(2, "south", settings);
+    fleet.start_router("n0", Some(&operator), |_| {}).expect("a router");
+    fleet
+}
+
+fn text(output: &Output) -> (i32, String, String) {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code().unwrap_or(-1), text(&output.stdout), text(&output.stderr))
+}
+
+fn ask(fleet: &Fleet, words: &[&str]) -> (i32, String, String) {
+    let socket = fleet.socket("n0").display().to_string();
+    let words = [&["hierarchy"], words, &["--socket", &socket]].concat();
+    text(&fleet.command(&words).expect("the program runs"))
+}
+
+/// What asks for gigabytes in one step is ended by the system, and the program that asked says so.
+#[test]
+fn a_file_is_checked_in_bounds() {
+    let fleet = Fleet::new(PROGRAM).expect("a folder");
+    let good = operator_file(2, "south", "warm = 3");
+    let doubled = "x = \"a\"\nfor n in range(60):\n    x = x + x";
+    let table = [
+        (good.replace("SOCKET", "/tmp/x.sock"), 0, "good (control socket: /tmp/x.sock; hierarchy: 5 nodes)"),
+        ("hierarchy(warm = \"\")".to_string(), 2, ":1:1: hierarchy(): warm: expected a number"),
+        (doubled.to_string(), 2, "its evaluation needs more than"),
+        ("x = [0] * 2000000000".to_string(), 2, "evaluation"),
+        ("x = [a for a in range(1000000000)]".to_string(), 2, ":"),
+    ];
+    for (content, code, expected) in table {
+        let path = fleet.write_file("operator.star", &content).expect("written").display().to_string();
+        let (found, out, err) = text(&fleet.command(&["check", &path]).expect("the program runs"));
+        assert_eq!(found, code, "{content}: {out}{err}");
+        assert!(format!("{out}{err}").contains(expected), "{out}{err}");
+        assert_eq!(format!("{out}{err}").lines().count(), 1, "{err}");
+    }
+    for (words, code, expected) in [
+        (&["check", "/nowhere.star"][..], 2, "/nowhere.star: No such file"),
+        (&["fly"], 2, "unrecognized subcommand"),
+        (&["settings"], 0, "| `warm` | 30 seconds | 0.1 to 86400 |"),
+        (&["completions", "bash"], 0, "_linnethook()"),
+        (&["man"], 0, ".TH linnethook"),
+        (&["hierarchy", "show"], 2, "--socket"),
+        (&["hierarchy", "show", "--socket", "/nowhere.sock"], 1, "/nowhere.sock: No such file"),
+    ] {
+        let (found, out, err) = text(&fleet.command(words).expect("the program runs"));
+        assert_eq!(found, code, "{words:?}: {out}{err}");
+        assert!(format!("{out}{err}").contains(expected), "{words:?}: {out}{err}");
+    }
+}
+
+#[test]
+fn the_hierarchy_is_shown_planned_applied_and_rolled_back() {
+    let fleet = fleet("");
+    let (code, out, err) = ask(&fleet, &["show"]);
+    assert_eq!((code, err.as_str()), (0, ""));
+    assert!(out.starts_with("version 1, digest ") && out.contains(": 5 nodes, 0 edges suspended"), "{out}");
+    let (_, before, _) = ask(&fleet, &["nodes", "--format", "json"]);
+    let changes = r#"
+[rerank("cache-%d" % n, sources = [("centre", 0), ("origin", 9)]) for n in range(2)]
+rerank("south", sources = ["centre", "origin"])
+rerank("centre", sources = ["south", "origin"])
+"#;
+    let file = fleet.write_file("changes.star", changes).expect("written").display().to_string();
+    let (code, out, _) = ask(&fleet, &["plan", &file]);
+    assert_eq!(code, 0);
+    assert!(out.contains("reroute cache-0: south(0) origin(9) -> centre(0) origin(9)"), "{out}");
+    assert!(out.contains("LOOP, the edge would be suspended:") && out.contains("push centre: "), "{out}");
+    assert_eq!(ask(&fleet, &["nodes", "--format", "json"]).1, before, "a plan changes nothing");
+    let (code, out, _) = ask(&fleet, &["apply", &file]);
+    assert_eq!(code, 0);
+    let back: Vec<&str> = out.trim().rsplit(' ').take(2).collect();
+    let (_, out, _) = ask(&fleet, &["show", "--format", "json"]);
+    let shown: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((shown["version"].as_u64(), shown["suspended"].as_u64()), (Some(2), Some(1)));
+    assert_eq!(shown["moves"][0]["to"], "centre");
+    let (code, out, err) = ask(&fleet, &["rollback", back[1], back[0]]);
+    assert_eq!(code, 0, "{out}{err}");
+    assert_eq!(ask(&fleet, &["nodes", "--format", "json"]).1, before);
+    let bad = fleet.write_file("bad.star", "remove(\"nobody\")").expect("written").display().to_string();
+    for verb in ["plan", "apply"] {
+        let (code, _, err) = ask(&fleet, &[verb, &bad]);
+        assert!(code == 1 && err.contains("is not in the shape"), "{code} {err}");
+    }
+    let (code, _, err) = ask(&fleet, &["rollback", "7", "7"]);
+    assert!(code == 1 && err.contains("no such batch"), "{err}");
+}
+
+/// A question that is cut in half, garbage, or of four gigabytes: nothing is done, and the next one is answered.
+#[test]
+fn a_control_message_counts_only_whole() {
+    let fleet = fleet("");
+    let path = fleet.socket("n0");
+    let mode = std::fs::metadata(&path).expect("the socket").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let (_, before, _) = ask(&fleet, &["nodes"]);
+    for bytes in
+        [&[0, 0, 0, 9, 3, 1][..], &[0, 0], &[0, 0, 0, 3, 250, 250, 250], &[255, 255, 255, 255, 1], &[]]
+    {
+        let mut stream = UnixStream::connect(&path).expect("a connection");
+        stream.write_all(bytes).expect("sent");
+        stream.shutdown(std::net::Shutdown::Write).expect("the rest never comes");
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+    }
+    // Held open without a word: others are served all the same.
+    let _held: Vec<UnixStream> = (0..3).map(|_| UnixStream::connect(&path).expect("a connection")).collect();
+    assert_eq!(ask(&fleet, &["nodes"]).1, before);
+}
+
+/// SIGHUP takes the file's hierarchy over as one batch; a bad file changes nothing.
+#[test]
+fn the_operator_file_is_read_again() {
+    let fleet = fleet("");
+    let process = Pid::from_raw(fleet.process_id("n0").expect("it runs") as i32);
+    let file = fleet.operator_file("n0");
+    let good = std::fs::read_to_string(&file).expect("the file");
+    let (_, before, _) = ask(&fleet, &["nodes"]);
+    for (content, expected) in [
+        (good.replace("hierarchy(", "hierarchy(wram = 3"), "not reloaded: "),
+        (good.replace("(\"south\", 0)", "(\"cache-0\", 0)"), "fills would go round"),
+        (String::new(), "nothing in it can change"),
+        (good.replace("(\"south\", 0)", "(\"centre\", 0)"), "read again, 2 changes"),
+    ] {
+        assert_eq!(ask(&fleet, &["nodes"]).1, before, "before {expected}");
+        std::fs::write(&file, content).expect("written");
+        kill(process, Signal::SIGHUP).expect("signalled");
+        fleet.logged("n0", expected).expect("logged");
+    }
+    let (_, out, _) = ask(&fleet, &["nodes"]);
+    assert!(out.contains("cache-0 cache tier 0 at shop: centre(0) origin(9)"), "{out}");
+}
--- /dev/null
+++ b/crates/standins/src/checker.rs
@@ -0,0 +1,321 @@
+//! Owns the judgement of a record: the five rules, and two of the hierarchy.
+//!
+//! Reads what crossed the sockets and nothing else. Each rule is a pass of its own over the lines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use crate::record::{Cold, Line, Ms, Phase, What};
+
+/// The figures of the rules.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    pub drain_grace: Ms,
+    pub purge_grace: Ms,
+    /// What sockets and threads may add to any time.
+    pub slack: Ms,
+    /// By how much a node's own count of what it bears may be passed by chance.
+    pub push_slack: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self { drain_grace: 250.0, purge_grace: 1_000.0, slack: 50.0, push_slack: 1.1 }
+    }
+}
+
+/// A rule that was broken, by whom and when.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Breach {
+    pub at: Ms,
+    pub rule: Rule,
+    pub what: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    OneAnswer,
+    NoSecondEffect,
+    Drains,
+    NoPush,
+    Purges,
+    /// No fill passes a node twice.
+    NoLoop,
+    /// No fill uses an edge that the shape has not got at its version.
+    NoStrangeEdge,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.0} {:?}: {}", self.at, self.rule, self.what)
+    }
+}
+
+/// Judges a record. Requests that are open at its end and in time are no breach.
+pub fn judge(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let passes = [one_answer, no_second_effect, drains, no_push, purges, no_loop, no_strange_edge];
+    let mut breaches: Vec<Breach> = passes.iter().flat_map(|pass| pass(lines, rules)).collect();
+    breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
+    breaches
+}
+
+const SERVED: u8 = 1;
+const REFUSED: u8 = 2;
+
+fn one_answer(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut open = BTreeMap::<u64, Ms>::new();
+    let mut known = BTreeSet::new();
+    let mut breach = |at, what| out.push(Breach { at, rule: Rule::OneAnswer, what });
+    let end = lines.last().map_or(0.0, |line| line.at);
+    for line in lines {
+        match &line.what {
+            What::Requested { request, deadline, .. } => {
+                open.insert(*request, *deadline);
+                known.insert(*request);
+            }
+            What::Final { request, .. } => match open.remove(request) {
+                Some(deadline) if line.at > deadline + rules.slack => {
+                    breach(
+                        line.at,
+                        format!("request {request} was answered {:.0} ms late", line.at - deadline),
+                    );
+                }
+                Some(_) => {}
+                None if known.contains(request) => {
+                    breach(
+                        line.at,
+                        format!("request {request} got another answer, or one that nobody waited for"),
+                    );
+                }
+                None => breach(line.at, format!("request {request} was never asked")),
+            },
+            What::Released { request } => {
+                open.remove(request);
+            }
+            _ => {}
+        }
+    }
+    for (request, deadline) in open {
+        if deadline + rules.slack < end {
+            breach(deadline, format!("request {request} was never answered"));
+        }
+    }
+    out
+}
+
+/// An attempt at a harmful request: when it was out, and whether it ran.
+#[derive(Debug, Clone)]
+struct Attempt {
+    from: Ms,
+    to: Ms,
+    ran: bool,
+}
+
+fn no_second_effect(lines: &[Line], _: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut harmful = BTreeMap::<&str, u64>::new();
+    let mut names = BTreeMap::<u64, &str>::new();
+    let mut attempts = BTreeMap::<&str, Vec<Attempt>>::new();
+    let mut of = BTreeMap::<u64, (&str, usize)>::new();
+    let mut breach = |at, what| out.push(Breach { at, rule: Rule::NoSecondEffect, what });
+    for line in lines {
+        match &line.what {
+            What::Requested { request, id, harmful: true, .. } => {
+                harmful.insert(id, *request);
+                names.insert(*request, id);
+            }
+            // Attempts of routers; nodes on the way to the origin pass the same one on.
+            What::Asked { attempt, asked }
+                if asked.router.is_some() && harmful.contains_key(asked.id.as_str()) =>
+            {
+                let all = attempts.entry(asked.id.as_str()).or_default();
+                if let Some(before) = all.iter().find(|before| before.to > line.at || before.ran) {
+                    let how = if before.ran { "after one that ran" } else { "beside one that is out" };
+                    breach(line.at, format!("request {} had another attempt {how}", asked.id));
+                }
+                of.insert(*attempt, (asked.id.as_str(), all.len()));
+                all.push(Attempt { from: line.at, to: f64::INFINITY, ran: false });
+            }
+            What::Ended { attempt, ran, .. } => {
+                let Some((id, n)) = of.get(attempt) else { continue };
+                if let Some(known) = attempts.get_mut(id).and_then(|all| all.get_mut(*n)) {
+                    (known.to, known.ran) = (line.at, *ran);
+                }
+            }
+            What::Final { request, code: REFUSED, .. } => {
+                let Some(id) = names.get(request) else { continue };
+                let may_have_run = |a: &Attempt| a.ran || (a.to > line.at && a.from <= line.at);
+                if attempts.get(id).is_some_and(|all| all.iter().any(may_have_run)) {
+                    breach(line.at, format!("request {id} was refused, and may have run"));
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn drains(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    // By router and node: since when it is told not to use it.
+    let mut barred = BTreeMap::<(&str, &str), Ms>::new();
+    for line in lines {
+        match &line.what {
+            What::Listed { router, node, phase: Phase::Ready } => {
+                barred.remove(&(router, node));
+            }
+            What::Listed { router, node, .. } => {
+                barred.entry((router, node)).or_insert(line.at);
+            }
+            What::Asked { asked, .. } => {
+                let Some(router) = asked.router.as_deref() else { continue };
+                let via = asked.via.iter().map(|hop| hop.trim_end_matches(":h"));
+                let named = std::iter::once(asked.at.as_str()).chain(asked.source.as_deref()).chain(via);
+                for node in named {
+                    let Some(since) = barred.get(&(router, node)) else { continue };
+                    let late = line.at - since - rules.drain_grace - rules.slack;
+                    if late > 0.0 {
+                        let what =
+                            format!("{router} named {node} {late:.0} ms too late, asking {}", asked.at);
+                        out.push(Breach { at: line.at, rule: Rule::Drains, what });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn no_push(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut started = BTreeMap::<&str, (Ms, Cold)>::new();
+    let mut came = BTreeMap::<&str, Vec<Ms>>::new();
+    for line in lines {
+        match &line.what {
+            What::Started { node, cold } => {
+                started.insert(node, (line.at, *cold));
+                came.remove(node.as_str());
+            }
+            What::Asked { asked, .. } => {
+                let Some((since, cold)) = started.get(asked.at.as_str()) else { continue };
+                let age = line.at - since;
+                if age > cold.warm_in || cold.fall_multiple <= 0.0 {
+                    continue;
+                }
+                let all = came.entry(asked.at.as_str()).or_default();
+                all.push(line.at);
+                all.retain(|at| line.at - at < cold.window);
+                let bears = cold.able(age) * cold.fall_multiple * cold.window / 1000.0 * rules.push_slack;
+                if all.len() as f64 > bears {
+                    let what = format!(
+                        "{} got {} in {:.0} ms, it bears {bears:.0}",
+                        asked.at,
+                        all.len(),
+                        cold.window
+                    );
+                    out.push(Breach { at: line.at, rule: Rule::NoPush, what });
+                    all.clear();
+                }
+            }
+            What::Fell { node } => {
+                let what = format!("{node} fell over");
+                out.push(Breach { at: line.at, rule: Rule::NoPush, what });
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn purges(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut asked = BTreeMap::<u64, (&str, u32, &str, Ms)>::new();
+    let mut told = Vec::<(&str, Option<&str>, Option<u32>, Ms, Ms)>::new();
+    for line in lines {
+        match &line.what {
+            What::Purged { router, object, group, stamp } => {
+                told.push((router, object.as_deref(), *group, *stamp, line.at));
+            }
+            What::Requested { request, object, group, router, .. } => {
+                asked.insert(*request, (object, *group, router, line.at));
+            }
+            What::Final { request, code: SERVED, dated: Some(dated) } => {
+                let Some((object, group, router, since)) = asked.get(request) else { continue };
+                let meant = |(by, o, g, ..): &&(&str, Option<&str>, Option<u32>, Ms, Ms)| {
+                    by == router && (o.is_some_and(|o| o == *object) || g.is_some_and(|g| g == *group))
+                };
+                // An attempt that was made within the grace may still bring the old copy.
+                for (_, _, _, stamp, at) in told.iter().filter(meant) {
+                    let bound = at + rules.purge_grace + rules.slack;
+                    if *since > bound && dated < stamp {
+                        let what =
+                            format!("request {request} got {object} of {dated:.0}, purged at {stamp:.0}");
+                        out.push(Breach { at: line.at, rule: Rule::Purges, what });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn no_loop(lines: &[Line], _: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut round = BTreeSet::new();
+    for line in lines {
+        match &line.what {
+            What::Asked { attempt, asked } => {
+                let mut met = BTreeSet::new();
+                let twice = asked.passed.iter().find(|node| !met.insert(node.as_str()));
+                if let Some(node) = twice {
+                    let what = format!("a fill of {} passed {node} twice", asked.object);
+                    out.push(Breach { at: line.at, rule: Rule::NoLoop, what });
+                } else if asked.passed.contains(&asked.at) {
+                    round.insert(*attempt);
+                }
+            }
+            // It came back, which only others could see; it must not have been let through.
+            What::Ended { attempt, res, .. } if round.remove(attempt) && res != "LOOP" => {
+                let what = format!("attempt {attempt} came back to its node, which took it: {res}");
+                out.push(Breach { at: line.at, rule: Rule::NoLoop, what });
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn no_strange_edge(lines: &[Line], _: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    // A record may begin with later shapes: versions count, not times.
+    let mut shapes = BTreeMap::<u64, BTreeSet<(&str, &str)>>::new();
+    for line in lines {
+        if let What::Shape { version, edges } = &line.what {
+            shapes.insert(*version, edges.iter().map(|(from, to)| (from.as_str(), to.as_str())).collect());
+        }
+    }
+    for line in lines {
+        let What::Asked { asked, .. } = &line.what else { continue };
+        let Some(version) = asked.version else { continue };
+        let Some((_, edges)) = shapes.range(..=version).next_back() else { continue };
+        // An old source beside the new one gives what it holds, and is asked by the shape before.
+        let before = shapes.range(..version).next_back().map(|(_, edges)| edges);
+        let mut edge = |from: &str, to: &str, held: bool| {
+            let known = |edges: &BTreeSet<(&str, &str)>| edges.contains(&(from, to));
+            if !known(edges) && !before.is_some_and(known) && !held {
+                let what = format!("a fill of {} used {from} to {to} at version {version}", asked.object);
+                out.push(Breach { at: line.at, rule: Rule::NoStrangeEdge, what });
+            }
+        };
+        if let Some(last) = asked.passed.last().filter(|_| asked.router.is_none()) {
+            edge(last, &asked.at, asked.only_held);
+        }
+        if let Some(source) = &asked.source {
+            edge(&asked.at, source, asked.only_held);
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,375 @@
+//! Owns a small fleet: nodes, a journal service for each router, and the routers as processes.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, SourceSpec};
+use linnethook_toy::Journal;
+use serde_json::{json, Value};
+
+use crate::load::{self, Load, Numbers, Running};
+use crate::node::{Directory, Kind, Makeup, Node};
+use crate::record::{Phase, Record, What};
+
+/// Longer than anything that is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A node as the list of caches has it.
+struct Listed {
+    node: Node,
+    zone: String,
+    capacity: f64,
+    started: f64,
+}
+
+/// All of a fleet.
+pub struct Fleet {
+    pub record: Record,
+    pub numbers: Numbers,
+    program: PathBuf,
+    folder: PathBuf,
+    directory: Directory,
+    attempts: Arc<AtomicU64>,
+    nodes: BTreeMap<String, Listed>,
+    routers: BTreeMap<String, Router>,
+    /// The edges of each version of the shape.
+    edges: BTreeMap<String, Vec<String>>,
+}
+
+struct Router {
+    journal: Journal,
+    config: PathBuf,
+    operator: Option<PathBuf>,
+    process: Option<Process>,
+}
+
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.routers.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// An empty fleet for routers that run `program`.
+    pub fn new(program: impl Into<PathBuf>) -> io::Result<Self> {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let n = COUNT.fetch_add(1, Ordering::Relaxed);
+        // Short: a control socket's path must fit into its address.
+        let folder = std::env::temp_dir().join(format!("lh-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(Self {
+            record: Record::default(),
+            numbers: Numbers::default(),
+            program: program.into(),
+            folder,
+            directory: Directory::default(),
+            attempts: Arc::default(),
+            nodes: BTreeMap::new(),
+            routers: BTreeMap::new(),
+            edges: BTreeMap::new(),
+        })
+    }
+
+    /// Two hubs with a parent each, caches of one location, and the origin: all fill by `south`.
+    pub fn two_hubs(
+        program: impl Into<PathBuf>,
+        caches: usize,
+        makeup: impl Fn(Kind) -> Makeup,
+    ) -> io::Result<Self> {
+        let mut fleet = Self::new(program)?;
+        fleet.add("origin", "hub", 20.0, makeup(Kind::Origin))?;
+        for hub in ["south", "centre"] {
+            fleet.add(hub, "hub", 30.0, makeup(Kind::Parent))?;
+        }
+        for n in 0..caches {
+            fleet.add(&format!("cache-{n}"), "shop", 8.0, makeup(Kind::Cache))?;
+        }
+        Ok(fleet)
+    }
+
+    pub fn add(&mut self, name: &str, zone: &str, capacity: f64, makeup: Makeup) -> io::Result<()> {
+        let node = Node::start(name, makeup, &self.directory, &self.record, &self.attempts)?;
+        self.nodes.insert(name.to_string(), Listed { node, zone: zone.to_string(), capacity, started: 0.0 });
+        Ok(())
+    }
+
+    pub fn node(&self, name: &str) -> &Node {
+        &self.nodes[name].node
+    }
+
+    pub fn node_names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// The line of the list that tells a router of a node.
+    fn line(&self, router: &str, name: &str, phase: Phase) -> io::Result<Value> {
+        let listed = &self.nodes[name];
+        let kind = match (name, listed.zone.as_str()) {
+            ("origin", _) => "store",
+            (_, "hub") => "hub-box",
+            _ => "box",
+        };
+        let state = match phase {
+            Phase::Ready => "Ready",
+            Phase::Draining => "Terminating",
+            Phase::Gone => "Gone",
+        };
+        let address = listed.node.front(router)?;
+        Ok(json!({"uid": name, "endpoint": address.to_string(), "az": listed.zone, "model": kind,
+            "pod_group": 0, "state": state, "capacity_hint": listed.capacity, "boot_ms": listed.started}))
+    }
+
+    /// Starts a router with an operator file, if there is one; `patch` changes its configuration.
+    pub fn start_router(
+        &mut self,
+        name: &str,
+        operator: Option<&str>,
+        patch: impl Fn(&mut Value),
+    ) -> io::Result<SocketAddr> {
+        let names = self.node_names();
+        let lines: io::Result<Vec<Value>> = names.iter().map(|n| self.line(name, n, Phase::Ready)).collect();
+        let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": lines?}})];
+        let journal = Journal::start("127.0.0.1:0", known)?;
+        let mut config: Value = serde_json::from_str(include_str!("../../../examples/config.json"))?;
+        config["name"] = json!(name);
+        config["listen"] = json!("127.0.0.1:0");
+        config["journal"] = json!(journal.address.to_string());
+        patch(&mut config);
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, config.to_string())?;
+        let operator = operator.map(|text| (self.folder.join(format!("{name}.star")), text));
+        if let Some((path, text)) = &operator {
+            std::fs::write(path, text.replace("SOCKET", &self.socket(name).display().to_string()))?;
+        }
+        let operator = operator.map(|(path, _)| path);
+        let router = Router { journal, config: path, operator, process: None };
+        self.routers.insert(name.to_string(), router);
+        self.start_again(name)
+    }
+
+    /// Starts a router's process, with the journal's events up to now.
+    pub fn start_again(&mut self, name: &str) -> io::Result<SocketAddr> {
+        let program = self.program.clone();
+        let router = self.routers.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
+        router.process = None;
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&router.config)?)?;
+        config["known"] = router.journal.known();
+        std::fs::write(&router.config, config.to_string())?;
+        let mut command = Command::new(program);
+        command.env("LB_CONFIG", &router.config).stdin(Stdio::null()).stderr(Stdio::piped());
+        if let Some(operator) = &router.operator {
+            command.env("LB_OPERATOR", operator);
+        }
+        let mut child = command.spawn()?;
+        let stderr = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let (sender, log) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        let mut process = Process { child, address: ([127, 0, 0, 1], 0).into(), log };
+        let line = wait(&process.log, "listens on")?;
+        let address = line.rsplit(' ').next().and_then(|address| address.parse().ok());
+        process.address = address.ok_or(io::ErrorKind::InvalidData)?;
+        let address = process.address;
+        router.process = Some(process);
+        Ok(address)
+    }
+
+    /// A router is killed outright; what it held is owed no more.
+    pub fn kill_router(&mut self, name: &str) {
+        if let Some(router) = self.routers.get_mut(name) {
+            router.process = None;
+        }
+    }
+
+    pub fn address(&self, router: &str) -> Option<SocketAddr> {
+        self.routers.get(router)?.process.as_ref().map(|process| process.address)
+    }
+
+    /// The next line of a router's log with that in it.
+    pub fn logged(&self, router: &str, part: &str) -> io::Result<String> {
+        let process = self.routers.get(router).and_then(|router| router.process.as_ref());
+        wait(&process.ok_or(io::ErrorKind::NotFound)?.log, part)
+    }
+
+    /// Sends a signal to a router, by its name as `kill` has it.
+    pub fn process_id(&self, router: &str) -> Option<u32> {
+        self.routers.get(router)?.process.as_ref().map(|process| process.child.id())
+    }
+
+    /// The control socket that an operator file names as `SOCKET`.
+    pub fn socket(&self, router: &str) -> PathBuf {
+        self.folder.join(format!("{router}.sock"))
+    }
+
+    /// The operator file of a router.
+    pub fn operator_file(&self, router: &str) -> PathBuf {
+        self.folder.join(format!("{router}.star"))
+    }
+
+    /// A file of the fleet's folder.
+    pub fn write_file(&self, name: &str, text: &str) -> io::Result<PathBuf> {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).map(|()| path)
+    }
+
+    /// Runs a command of the program.
+    pub fn command(&self, words: &[&str]) -> io::Result<Output> {
+        Command::new(&self.program).args(words).stdin(Stdio::null()).output()
+    }
+
+    // ---- What routers are told.
+
+    fn routers(&self) -> Vec<String> {
+        self.routers.keys().cloned().collect()
+    }
+
+    /// Tells all routers of a node.
+    pub fn tell(&self, node: &str, phase: Phase) -> io::Result<()> {
+        for router in self.routers() {
+            self.tell_one(&router, node, phase)?;
+        }
+        Ok(())
+    }
+
+    pub fn tell_one(&self, router: &str, node: &str, phase: Phase) -> io::Result<()> {
+        let target = self.line(router, node, phase)?;
+        let event = json!({"hosts": {"rev": 2, "all": false, "targets": [target]}});
+        self.record.note(What::Listed { router: router.to_string(), node: node.to_string(), phase });
+        self.routers[router].journal.tell(event);
+        Ok(())
+    }
+
+    /// A node starts again, cold, and all routers are told.
+    pub fn restart(&mut self, node: &str) -> io::Result<()> {
+        let listed = self.nodes.get_mut(node).ok_or(io::ErrorKind::NotFound)?;
+        listed.started = listed.node.start_again()?;
+        self.tell(node, Phase::Ready)
+    }
+
+    /// Tells all routers of a purge; nodes drop their old copies after `drop_after`.
+    pub fn purge(&self, object: &str, drop_after: Duration) {
+        let stamp = crate::record::now().floor();
+        for router in self.routers() {
+            let event = json!({"expire": {"name": object, "stamp": stamp}});
+            let object = Some(object.to_string());
+            self.record.note(What::Purged { router: router.clone(), object, group: None, stamp });
+            self.routers[&router].journal.tell(event);
+        }
+        thread::sleep(drop_after);
+        self.nodes.values().for_each(|listed| listed.node.purge(object, stamp));
+    }
+
+    /// Puts a batch into a router's journal.
+    pub fn tell_batch(&self, router: &str, batch: &BatchSpec) -> io::Result<()> {
+        self.routers[router].journal.tell(json!({"shape": serde_json::to_value(batch)?}));
+        Ok(())
+    }
+
+    /// Notes which edges may be used from a version on, for the checker: those of before, and what changes.
+    pub fn note_shape(&mut self, version: u64, lists: &[(&str, &[&str])]) {
+        for (node, sources) in lists {
+            self.edges.insert(node.to_string(), sources.iter().map(|source| source.to_string()).collect());
+        }
+        let pairs = self
+            .edges
+            .iter()
+            .flat_map(|(node, sources)| sources.iter().map(move |source| (node.clone(), source.clone())));
+        self.record.note(What::Shape { version, edges: pairs.collect() });
+    }
+
+    /// Starts clients of a router.
+    pub fn load(&self, router: &str, load: &Load) -> io::Result<Running> {
+        let address = self.address(router).ok_or(io::ErrorKind::NotFound)?;
+        load::start(load, router, address, &self.record, &self.numbers)
+    }
+}
+
+fn wait(log: &Receiver<String>, part: &str) -> io::Result<String> {
+    loop {
+        let line = log.recv_timeout(PATIENCE).map_err(|_| {
+            io::Error::new(io::ErrorKind::TimedOut, format!("nothing was logged with {part:?} in it"))
+        })?;
+        if line.contains(part) {
+            return Ok(line);
+        }
+    }
+}
+
+/// An operator file for [`Fleet::two_hubs`]: all caches fill by `parent`, and else from the origin.
+pub fn operator_file(caches: usize, parent: &str, settings: &str) -> String {
+    format!(
+        r#"control(path = "SOCKET")
+hierarchy({settings})
+node("origin", role = "origin", site = "hub", capacity = 20)
+for hub in ["south", "centre"]:
+    node(hub, role = "parent", site = hub, capacity = 30, sources = ["origin"])
+for n in range({caches}):
+    node("cache-%d" % n, site = "shop", capacity = 8, sources = [("{parent}", 0), ("origin", 9)])
+"#
+    )
+}
+
+/// Sources with ranks 0 and, for the last one, 9.
+pub fn sources(names: &[&str]) -> Vec<SourceSpec> {
+    let last = names.len().saturating_sub(1);
+    let rank = |n: usize| if n == last && n > 0 { 9 } else { n as u16 };
+    names.iter().enumerate().map(|(n, name)| SourceSpec { name: name.to_string(), rank: rank(n) }).collect()
+}
+
+/// A batch that gives nodes other sources.
+pub fn reroute(
+    author: u16,
+    number: u64,
+    stamp: u64,
+    basis: &[(u16, u64)],
+    lists: &[(&str, &[&str])],
+) -> BatchSpec {
+    let change = |(node, names): &(&str, &[&str])| ChangeSpec::Rerank {
+        node: node.to_string(),
+        sources: sources(names),
+    };
+    let at = crate::record::now();
+    BatchSpec {
+        author,
+        number,
+        stamp,
+        basis: basis.to_vec(),
+        at,
+        changes: lists.iter().map(change).collect(),
+    }
+}
+
+/// Where the router's program is, for the programs of this package: given, or beside the one that runs.
+pub fn router_program(given: Option<&Path>) -> io::Result<PathBuf> {
+    match given {
+        Some(path) => Ok(path.to_path_buf()),
+        None => Ok(std::env::current_exe()?.with_file_name("linnethook")),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for what a router talks to, the faults that befall them, and the checker of the rules.
+//!
+//! - [`record`]: what crossed the sockets, with times, written by the stand-ins and not by the router;
+//! - [`checker`]: judges a record by the rules, without trusting the program;
+//! - [`faults`]: what befalls a node, by time or by count;
+//! - [`server`], [`node`]: caches, parents and the origin on sockets: they keep, age, fill, join and fall over;
+//! - [`fleet`]: a whole small fleet with its journal services and routers as processes;
+//! - [`load`]: clients that ask in an open loop.
+//!
+//! They stand on loopback, on ports that the system gives, and are no yardstick for speed.
+
+pub mod checker;
+pub mod faults;
+pub mod fleet;
+pub mod load;
+pub mod node;
+pub mod record;
+pub mod server;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,266 @@
+//! Owns the clients: requests at random times in an open loop, each noted before it is written.
+//!
+//! A client that waits for an answer holds none of the others back: the next request goes out at its time.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use linnethook_toy::Client;
+use rand::SeedableRng;
+use rand_distr::{Distribution, Exp, Uniform, Zipf};
+use rand_pcg::Pcg64Mcg;
+
+use crate::record::{now, Ms, Record, What};
+
+/// What clients ask for.
+#[derive(Debug, Clone)]
+pub struct Load {
+    pub seed: u64,
+    /// Requests a second, of all clients together.
+    pub rate: f64,
+    pub clients: usize,
+    /// Objects, and how uneven their popularity is (Zipf's exponent).
+    pub objects: u64,
+    pub skew: f64,
+    /// The part of requests that are bookings.
+    pub bookings: f64,
+    /// The class of the others.
+    pub class: String,
+    /// How long a client waits.
+    pub wait: Ms,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            rate: 200.0,
+            clients: 4,
+            objects: 2_000,
+            skew: 0.9,
+            bookings: 0.0,
+            class: "video".to_string(),
+            wait: 2_000.0,
+        }
+    }
+}
+
+/// How requests ended, by second since the start of the load.
+#[derive(Debug, Clone, Default)]
+pub struct Ends {
+    pub asked: Vec<u32>,
+    pub served: Vec<u32>,
+    pub refused: Vec<u32>,
+    pub failed: Vec<u32>,
+}
+
+impl Ends {
+    fn count(list: &mut Vec<u32>, second: usize) {
+        if list.len() <= second {
+            list.resize(second + 1, 0);
+        }
+        list[second] += 1;
+    }
+
+    /// The share of requests served among those of some seconds.
+    pub fn served_share(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let sum = |list: &[u32]| f64::from(list.iter().skip(seconds.start).take(seconds.len()).sum::<u32>());
+        sum(&self.served) / sum(&self.asked).max(1.0)
+    }
+}
+
+/// Clients under way.
+pub struct Running {
+    threads: Vec<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+    pub ends: Arc<Mutex<Ends>>,
+    pub since: Ms,
+}
+
+impl Running {
+    pub fn ends(&self) -> Ends {
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// No new requests; waits until those that are out are answered or past their time.
+    pub fn finish(self) -> Ends {
+        self.stop.store(true, Ordering::Release);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// Names of requests: never the same twice in a fleet.
+#[derive(Debug, Clone, Default)]
+pub struct Numbers(Arc<AtomicU64>);
+
+impl Numbers {
+    pub fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::Relaxed) + 1
+    }
+}
+
+/// Starts clients of one router.
+pub fn start(
+    load: &Load,
+    router: &str,
+    address: SocketAddr,
+    record: &Record,
+    numbers: &Numbers,
+) -> io::Result<Running> {
+    let (stop, ends, since) =
+        (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Ends::default())), now());
+    let mut threads = Vec::new();
+    for n in 0..load.clients.max(1) {
+        let one = One {
+            load: Load { rate: load.rate / load.clients.max(1) as f64, ..load.clone() },
+            router: router.to_string(),
+            record: record.clone(),
+            numbers: numbers.clone(),
+            stop: stop.clone(),
+            ends: ends.clone(),
+            since,
+            open: Arc::default(),
+        };
+        let client = Client::connect(address)?;
+        let reading = Client { stream: client.stream.try_clone()? };
+        let reader = one.clone();
+        threads.push(thread::spawn(move || reader.read(reading)));
+        threads.push(thread::spawn(move || one.write(client, n as u64)));
+    }
+    Ok(Running { threads, stop, ends, since })
+}
+
+/// By stream: the request, until when its client waits, and the second in which it was asked.
+type Open = HashMap<u32, (u64, Ms, usize)>;
+
+#[derive(Clone)]
+struct One {
+    load: Load,
+    router: String,
+    record: Record,
+    numbers: Numbers,
+    stop: Arc<AtomicBool>,
+    ends: Arc<Mutex<Ends>>,
+    since: Ms,
+    open: Arc<Mutex<Open>>,
+}
+
+/// A client has at most that many requests open; beyond it the next one is not asked at all.
+const OPEN: usize = 30;
+
+impl One {
+    fn second(&self, at: Ms) -> usize {
+        ((at - self.since) / 1000.0).max(0.0) as usize
+    }
+
+    fn write(&self, mut client: Client, n: u64) {
+        let mut chance = Pcg64Mcg::seed_from_u64(self.load.seed.wrapping_mul(1_000).wrapping_add(n));
+        let (Ok(gap), Ok(popular), Ok(even)) = (
+            Exp::new(self.load.rate.max(1e-6)),
+            Zipf::new(self.load.objects.max(1) as f64, self.load.skew),
+            Uniform::new(0.0, 1.0),
+        ) else {
+            return;
+        };
+        let begun = Instant::now();
+        let mut at = 0.0;
+        let mut stream = 0;
+        while !self.stop.load(Ordering::Acquire) {
+            at += gap.sample(&mut chance);
+            let due = Duration::from_secs_f64(at);
+            while let Some(left) = due.checked_sub(begun.elapsed()).filter(|left| !left.is_zero()) {
+                if self.stop.load(Ordering::Acquire) {
+                    return;
+                }
+                thread::sleep(left.min(Duration::from_millis(50)));
+            }
+            let object = popular.sample(&mut chance) as u64;
+            let booking = even.sample(&mut chance) < self.load.bookings;
+            if self.open.lock().unwrap_or_else(PoisonError::into_inner).len() >= OPEN {
+                continue;
+            }
+            stream += 1;
+            if self.ask(&mut client, stream, object, booking).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn ask(&self, client: &mut Client, stream: u32, object: u64, booking: bool) -> io::Result<()> {
+        let request = self.numbers.next();
+        // Objects are told apart by hash everywhere: neighbours must not be alike.
+        let object = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(&object.to_le_bytes()));
+        let (id, wait) = (format!("{request:016x}"), format!("{}", self.load.wait));
+        let class = if booking { "booking" } else { self.load.class.as_str() };
+        let fields = [("c", class), ("i", &id), ("d", &wait), ("o", &object), ("tag", "3"), ("m", "20")];
+        let at = now();
+        let deadline = at + self.load.wait;
+        let second = self.second(at);
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(stream, (request, deadline, second));
+        Ends::count(&mut self.ends.lock().unwrap_or_else(PoisonError::into_inner).asked, second);
+        self.record.note(What::Requested {
+            request,
+            id: id.clone(),
+            object: object.clone(),
+            group: 3,
+            deadline,
+            harmful: booking,
+            router: self.router.clone(),
+        });
+        client.ask(stream, &fields, b"")
+    }
+
+    fn read(&self, mut client: Client) {
+        let _ = client.stream.set_read_timeout(Some(Duration::from_millis(200)));
+        let mut idle = 0;
+        loop {
+            match client.read() {
+                Ok(frame) if frame.kind == 66 && frame.stream > 0 => {
+                    idle = 0;
+                    let known =
+                        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&frame.stream);
+                    // One that is not known is noted too: the checker must see it.
+                    let (request, _, second) = known.unwrap_or((u64::MAX, 0.0, 0));
+                    self.record.note(What::Final { request, code: frame.code, dated: dated(&frame.body) });
+                    let mut ends = self.ends.lock().unwrap_or_else(PoisonError::into_inner);
+                    let list = match frame.code {
+                        1 => &mut ends.served,
+                        2 => &mut ends.refused,
+                        _ => &mut ends.failed,
+                    };
+                    Ends::count(list, second);
+                }
+                Ok(_) => {}
+                Err(wrong) if matches!(wrong.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    idle += 1;
+                    let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+                    let late = open.values().all(|(_, deadline, _)| now() > deadline + 500.0);
+                    if self.stop.load(Ordering::Acquire) && (open.is_empty() || late || idle > 100) {
+                        return;
+                    }
+                }
+                Err(_) => {
+                    // The router has gone: nothing is owed any more.
+                    for (request, ..) in self.open.lock().unwrap_or_else(PoisonError::into_inner).values() {
+                        self.record.note(What::Released { request: *request });
+                    }
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// When the origin gave out a copy, as it stands in its body.
+fn dated(body: &[u8]) -> Option<Ms> {
+    let start = String::from_utf8_lossy(&body[..body.len().min(120)]).into_owned();
+    start.split(' ').nth(2).and_then(|at| at.parse().ok())
+}
--- a/examples/toy/src/cache.rs
+++ b/examples/toy/src/cache.rs
@@ -119,12 +119,14 @@
     }
 }
 
-fn fields(text: &str) -> HashMap<String, String> {
+/// The fields in `name=value,name=value`.
+pub fn fields(text: &str) -> HashMap<String, String> {
     let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
     pairs.map(|(name, value)| (name.to_string(), value.to_string())).collect()
 }
 
-fn array(input: &mut impl BufRead) -> io::Result<Vec<Vec<u8>>> {
+/// The strings of the next message.
+pub fn array(input: &mut impl BufRead) -> io::Result<Vec<Vec<u8>>> {
     let count = number(input, '*')?;
     (0..count)
         .map(|_| {
@@ -145,7 +147,8 @@
     digits.ok_or(io::ErrorKind::InvalidData.into())
 }
 
-fn encode(id: &str, answer: &Answer) -> Vec<u8> {
+/// The bytes of an answer.
+pub fn encode(id: &str, answer: &Answer) -> Vec<u8> {
     let mut out = b"*4\r\n".to_vec();
     for part in [id.as_bytes(), answer.word.as_bytes(), answer.fields.as_bytes(), &answer.body] {
         out.extend(format!("${}\r\n", part.len()).bytes());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -586,6 +586,7 @@
             source,
             rank,
             max_age: self.max_age(request, stale),
+            ageing: self.max_age(request, true),
             join: self.set.joins,
             only_held: false,
             renew: rank > 0 && self.set.class(request.class).fresh > 0.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -361,6 +361,8 @@
     pub rank: u8,
     /// The oldest copy that will do; 0 = as old as the class allows.
     pub max_age: Ms,
+    /// The oldest copy that will do where whoever carries this out lets no fill through.
+    pub ageing: Ms,
     pub join: bool,
     /// The source gives only what it holds.
     pub only_held: bool,
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -53,7 +53,7 @@
 impl Run {
     fn tell(&mut self, event: &Event) {
         for action in self.brain.handle(self.now, event) {
-            self.hash.update(format!("{action:?}\n").as_bytes());
+            self.hash.update(format!("{}\n", as_then(&action)).as_bytes());
             match action {
                 Action::Ask { request, cache, .. } | Action::Fetch { request, cache, .. } => {
                     let number = self.sent.entry(request).or_default();
@@ -122,6 +122,15 @@
     }
 }
 
+/// An action as it was written then: `ageing` is new, and is for whoever holds fills back.
+fn as_then(action: &Action) -> String {
+    let text = format!("{action:?}");
+    match (text.find(", ageing: "), text.find(", join: ")) {
+        (Some(from), Some(to)) => format!("{}{}", &text[..from], &text[to..]),
+        _ => text,
+    }
+}
+
 #[test]
 fn the_same_events_give_the_same_actions_as_before() {
     let mut chance = Chance(1);
