--- a/crates/hierarchy/src/hierarchy.rs
+++ b/crates/hierarchy/src/hierarchy.rs
@@ -36,9 +36,9 @@
     /// Cold keys that are remembered, and for how long.
     pub keys: usize,
     pub horizon: Ms,
-    /// The likelihood that a fill goes on to the origin that was fetched through its source lately, before that
-    /// was seen, and the weight of a fill in what was seen.
-    pub reach_seen: f64,
+    /// The likelihood that a cache fills what was asked of it lately, and that such a fill goes on from its source
+    /// to the origin, before that was seen; and the weight of one in what was seen.
+    pub likely_seen: f64,
     pub weight: f64,
     /// Children that sources are picked for here.
     pub children: usize,
@@ -61,7 +61,7 @@
             retire: 120_000.0,
             keys: 65_536,
             horizon: 120_000.0,
-            reach_seen: 0.1,
+            likely_seen: 0.1,
             weight: 0.05,
             children: 4_096,
             grain: 1.0 / 128.0,
@@ -154,8 +154,8 @@
     child: NodeId,
     source: NodeId,
     key: u64,
-    /// The class of what was remembered of the key.
-    age: usize,
+    /// The classes of what was remembered of the key, at the child and at the source.
+    ages: (usize, usize),
 }
 
 /// How old what is remembered of a key may be, in classes: the last one is what is not remembered at all.
@@ -173,6 +173,8 @@
 struct Known {
     /// The share of fills that went on to the origin, by how long ago the object was fetched through it.
     reach: [Mean; AGES],
+    /// As a child: the share of requests that it had to fill, likewise.
+    fills: [Mean; AGES],
     retiring_since: Option<Ms>,
 }
 
@@ -213,6 +215,8 @@
 
 /// Keeps the hash by which objects go over apart from all others.
 const SALT_GOING_OVER: u64 = 0x676f_6f76;
+/// What is remembered of a key at a child, apart from what is remembered of it at a source.
+const SALT_CHILD: u64 = 0x6368_696c;
 
 pub struct Hierarchy {
     rules: Rules,
@@ -390,7 +394,7 @@
             // What it held is gone.
             self.stages.started(id, started);
             if let Some(known) = self.known.get_mut(&id) {
-                known.reach = Default::default();
+                (known.reach, known.fills) = Default::default();
             }
         }
         if phase == Phase::Ready {
@@ -496,25 +500,41 @@
 
     // ---- Fills.
 
-    /// How likely a fill goes on from its source to the origin: what was seen of others like it.
-    fn reach(&self, now: Ms, source: NodeId, key: u64) -> (usize, f64) {
-        let age = self.recency.age(now, mix(key, source.0));
+    /// How likely something happens to what was last asked for so long ago: what was seen of others like it.
+    fn likely(&self, age: Option<Ms>, seen: Option<&[Mean; AGES]>) -> (usize, f64) {
         let class = age_class(age);
-        let seen = self.known.get(&source).map(|known| known.reach[class]).filter(|mean| mean.seen > 0.0);
-        let guess = if age.is_some() { self.rules.reach_seen } else { 1.0 };
-        (class, seen.map_or(guess, |mean| mean.value))
+        let guess = if age.is_some() { self.rules.likely_seen } else { 1.0 };
+        let mean = seen.map(|seen| seen[class]).filter(|mean| mean.seen > 0.0);
+        (class, mean.map_or(guess, |mean| mean.value))
+    }
+
+    /// How likely a cache has to fill, with the class of what is remembered. What goes straight to a source does
+    /// reach it.
+    fn fills(&self, now: Ms, picked: &Picked) -> (usize, f64) {
+        if picked.child == picked.source {
+            return (AGES - 1, 1.0);
+        }
+        let age = self.recency.age(now, mix(picked.key, picked.child.0 ^ SALT_CHILD));
+        self.likely(age, self.known.get(&picked.child).map(|known| &known.fills))
+    }
+
+    /// How likely a fill goes on from its source to the origin.
+    fn reach(&self, now: Ms, picked: &Picked) -> (usize, f64) {
+        let age = self.recency.age(now, mix(picked.key, picked.source.0));
+        self.likely(age, self.known.get(&picked.source).map(|known| &known.reach))
     }
 
     /// The tiers that a fill is likely to reach, and how likely. What gives only what it holds is not held back.
-    fn tolls(source: NodeId, way: &[Hop], reach: f64) -> Vec<(NodeId, f64)> {
-        let above = way.iter().filter(|hop| !hop.only_held).map(|hop| (hop.node, reach));
-        std::iter::once((source, 1.0)).chain(above).collect()
+    fn tolls(source: NodeId, way: &[Hop], fills: f64, reach: f64) -> Vec<(NodeId, f64)> {
+        let above = way.iter().filter(|hop| !hop.only_held).map(|hop| (hop.node, fills * reach));
+        std::iter::once((source, fills)).chain(above).collect()
     }
 
     /// Asks for a picked fill to go.
     pub fn send(&mut self, now: Ms, picked: &Picked) -> Verdict {
         let way = self.way(now, picked.child, picked.source, picked.object);
-        let (age, reach) = self.reach(now, picked.source, picked.key);
+        let (child_age, fills) = self.fills(now, picked);
+        let (source_age, reach) = self.reach(now, picked);
         let verdict = match self.rules.shielded {
             true => self.shield.ask(
                 now,
@@ -525,7 +545,8 @@
                     bytes: picked.bytes,
                     joins: picked.joins,
                     patience: picked.patience,
-                    tolls: Self::tolls(picked.source, &way, reach),
+                    tolls: Self::tolls(picked.source, &way, fills, reach),
+                    leased: fills >= 0.5,
                 },
             ),
             false => Verdict::Go,
@@ -535,7 +556,7 @@
         }
         if !matches!(verdict, Verdict::Over { .. }) {
             let Picked { child, source, key, .. } = *picked;
-            self.out.insert(picked.ticket, Out { child, source, key, age });
+            self.out.insert(picked.ticket, Out { child, source, key, ages: (child_age, source_age) });
         }
         verdict
     }
@@ -549,20 +570,29 @@
             let on = by.filter(|id| self.stages.get(*id).is_some());
             self.stages.report(on, out.source, late || brought == Brought::Nothing);
         }
-        let reached = match brought {
-            Brought::Held => Some(false),
-            Brought::FromOrigin => Some(true),
-            _ => None,
+        let (filled, reached) = match brought {
+            Brought::NoFill => (Some(false), Some(false)),
+            Brought::Held => (Some(true), Some(false)),
+            Brought::FromOrigin => (Some(true), Some(true)),
+            Brought::Somehow | Brought::Nothing | Brought::Unknown => (None, None),
         };
-        if let Some(reached) = reached {
+        let weight = self.rules.weight;
+        if let Some(filled) = filled.filter(|_| out.child != out.source) {
+            let known = self.known.entry(out.child).or_default();
+            known.fills[out.ages.0].add(f64::from(u8::from(filled)), weight);
+        }
+        if let (Some(true), Some(reached)) = (filled, reached) {
             let known = self.known.entry(out.source).or_default();
-            known.reach[out.age].add(f64::from(u8::from(reached)), self.rules.weight);
+            known.reach[out.ages.1].add(f64::from(u8::from(reached)), weight);
+        }
+        if !matches!(brought, Brought::Nothing | Brought::Unknown) {
+            self.recency.note(now, mix(out.key, out.child.0 ^ SALT_CHILD));
         }
         if matches!(brought, Brought::Held | Brought::FromOrigin | Brought::Somehow) {
             self.recency.note(now, mix(out.key, out.source.0));
         }
         let late = told.then_some(late || brought == Brought::Nothing);
-        let end = FillEnd { brought: brought != Brought::Nothing, late, reached };
+        let end = FillEnd { brought: brought != Brought::Nothing, late, filled, reached };
         let released = self.shield.ended(now, ticket, end);
         self.let_go(now, released)
     }
--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -38,6 +38,8 @@
     pub bytes: f64,
     /// Whether it may join one that is under way where it goes.
     pub joins: bool,
+    /// Whether it will most likely take place. What a cache holds is asked for by many at once, and none waits.
+    pub leased: bool,
     /// How long it can wait and still be in time.
     pub patience: Ms,
     /// The tiers that it will reach, with how likely: its source first.
@@ -87,7 +89,8 @@
     /// There is a copy now.
     pub brought: bool,
     pub late: Option<bool>,
-    /// It went on beyond its source.
+    /// It reached its source, and went on beyond it.
+    pub filled: Option<bool>,
     pub reached: Option<bool>,
 }
 
@@ -223,7 +226,7 @@
 
     /// Lets it go if nobody fetches the same and the tiers above bear it.
     fn try_go(&mut self, now: Ms, fill: &Fill) -> Result<(), Over> {
-        if self.leases.is_taken(now, fill.fetch) {
+        if fill.leased && self.leases.is_taken(now, fill.fetch) {
             if !fill.joins {
                 return Err(Over::Fetched);
             }
@@ -238,9 +241,10 @@
         if !fill.tolls.iter().all(bears) {
             return Err(Over::Budget);
         }
-        let lease = match self.leases.ask(now, fill.fetch, self.rule.lease) {
-            Grant::Granted(id) => Some(id),
-            Grant::Taken(_) | Grant::Untracked => None,
+        let lease = fill.leased.then(|| self.leases.ask(now, fill.fetch, self.rule.lease));
+        let lease = match lease {
+            Some(Grant::Granted(id)) => Some(id),
+            Some(Grant::Taken(_) | Grant::Untracked) | None => None,
         };
         self.go(now, fill, lease);
         Ok(())
@@ -336,7 +340,7 @@
         for (n, (target, cost)) in out.tolls.iter().enumerate() {
             let Some(budget) = self.budgets.get_mut(target) else { continue };
             // What was only likely is set right now that it is known.
-            let cost = match end.reached.filter(|_| n > 0) {
+            let cost = match if n == 0 { end.filled } else { end.reached } {
                 Some(reached) => {
                     let true_cost = f64::from(u8::from(reached));
                     budget.spend(now, true_cost - cost);
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use linnethook_toy::cache::{array, encode, fields, Answer};
 
@@ -47,7 +48,7 @@
 impl Server {
     /// Listens, on a port that the system gives where none is said.
     pub fn start(address: SocketAddr, answers: Arc<dyn Answers>) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen(address)?;
         let address = listener.local_addr()?;
         let (connections, down) = (Connections::default(), Arc::new(AtomicBool::new(false)));
         let (all, over) = (connections.clone(), down.clone());
@@ -93,6 +94,19 @@
     }
 }
 
+/// Binds; one that was killed at that address may need a moment to let go of it.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..200 {
+        match TcpListener::bind(address) {
+            Err(wrong) if wrong.kind() == io::ErrorKind::AddrInUse => {
+                thread::sleep(Duration::from_millis(10))
+            }
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(address)
+}
+
 fn talk(stream: &TcpStream, answers: &dyn Answers) -> io::Result<()> {
     let mut input = BufReader::new(stream);
     let mut output = stream;
@@ -129,7 +143,7 @@
     id: &str,
     fields_text: &str,
     body: &[u8],
-    patience: std::time::Duration,
+    patience: Duration,
 ) -> io::Result<(String, HashMap<String, String>, Vec<u8>)> {
     let stream = TcpStream::connect_timeout(&address, patience)?;
     stream.set_nodelay(true)?;
