--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run toy ask
+.PHONY: build test lint run toy ask hierarchy
 
 build:
 	cargo build --release
@@ -22,3 +22,8 @@
 
 ask:
 	cargo run --release -p linnethook-toy --bin toy-client -- 127.0.0.1:8080 video 7f3a9c21e0b4d655
+
+# Moves a hub cache under load, by stages and by a plain flip, and prints what reached the origin. Half a minute.
+hierarchy:
+	cargo build --release --workspace
+	target/release/hub-move --short
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -284,7 +284,7 @@
         rules.staged = arguments.flag("staged", rules.staged)?;
         rules.shielded = arguments.flag("shielded", rules.shielded)?;
         let extended = arguments.flag("extended", false)?;
-        let author = arguments.number("author", (1.0, 65_535.0), true)?.unwrap_or(1.0) as u16;
+        let author = arguments.number("author", (1.0, 32_767.0), true)?.unwrap_or(1.0) as u16;
         arguments.end()?;
         let at = at(eval);
         let part = HierarchyPart { author, extended, rules };
--- /dev/null
+++ b/crates/standins/src/bin/hub-move.rs
@@ -0,0 +1,138 @@
+//! Moves a hub cache under load and prints what reached the origin, second by second: by stages with the shield, and
+//! beside it the plain flip, each with a fleet and a router of its own on loopback.
+//!
+//! `hub-move [--short] [ROUTER_PROGRAM]`; without a program the one beside this is run. `--short` takes half a minute
+//! and is for a look; the whole takes some three minutes.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use linnethook_standins::checker::{judge, Rules};
+use linnethook_standins::fleet::{operator_file, reroute, router_program, Fleet};
+use linnethook_standins::load::Load;
+use linnethook_standins::node::{Kind, Makeup};
+use linnethook_standins::record::now;
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// How long each part takes, and how large the load is.
+#[derive(Debug, Clone, Copy)]
+struct Scale {
+    before: usize,
+    after: usize,
+    rate: f64,
+    objects: u64,
+    settings: &'static str,
+}
+
+const WHOLE: Scale = Scale { before: 60, after: 120, rate: 600.0, objects: 20_000, settings: "" };
+const SHORT: Scale = Scale {
+    before: 15,
+    after: 20,
+    rate: 300.0,
+    objects: 4_000,
+    settings: "announce = 1, warm = 8, settle = 6",
+};
+
+/// What one variant came to.
+struct Outcome {
+    name: &'static str,
+    origin: Vec<u32>,
+    steady: f64,
+    served_before: f64,
+    served_after: f64,
+    breaches: usize,
+}
+
+impl Outcome {
+    /// The worst mean of so many seconds in a row after the change, over the steady rate.
+    fn worst(&self, scale: Scale, seconds: usize) -> f64 {
+        let after = &self.origin[scale.before..];
+        let sums = after.windows(seconds).map(|window| window.iter().sum::<u32>());
+        f64::from(sums.max().unwrap_or(0)) / seconds as f64 / self.steady.max(1e-9)
+    }
+}
+
+/// Caches keep a fortieth of the objects each, parents two fifths: so some always have to come from the origin.
+fn makeup(scale: Scale) -> impl Fn(Kind) -> Makeup {
+    move |kind| {
+        let copies = match kind {
+            Kind::Cache => scale.objects / 40,
+            Kind::Parent => scale.objects * 2 / 5,
+            Kind::Origin => 1,
+        };
+        Makeup { copies: copies as usize, ..Makeup::new(kind) }
+    }
+}
+
+fn play(program: &Path, name: &'static str, switches: &str, scale: Scale) -> Result<Outcome, Failure> {
+    let mut fleet = Fleet::two_hubs(program, 3, makeup(scale))?;
+    let settings = format!("extended = True, {switches}, {}", scale.settings);
+    fleet.start_router("n0", Some(&operator_file(3, "south", &settings)), |_| {})?;
+    let load = Load { rate: scale.rate, clients: 16, objects: scale.objects, skew: 0.7, ..Load::default() };
+    let running = fleet.load("n0", &load)?;
+    let since = running.since;
+    thread::sleep(Duration::from_secs(scale.before as u64));
+    let lists: BTreeMap<String, [&str; 2]> =
+        (0..3).map(|n| (format!("cache-{n}"), ["centre", "origin"])).collect();
+    let lists: Vec<(&str, &[&str])> = lists.iter().map(|(node, list)| (node.as_str(), &list[..])).collect();
+    fleet.tell_batch("n0", &reroute(9, 1, 2, &[(1, 1)], &lists))?;
+    thread::sleep(Duration::from_secs(scale.after as u64));
+    let ends = running.finish();
+    let origin = fleet.record.by_second("origin", since, scale.before + scale.after);
+    let steady = f64::from(origin[scale.before - 10..scale.before].iter().sum::<u32>()) / 10.0;
+    let breaches = judge(&fleet.record.lines(), &Rules { slack: 150.0, ..Rules::default() });
+    breaches.iter().take(5).for_each(|breach| println!("{name}: {breach}"));
+    Ok(Outcome {
+        name,
+        origin,
+        steady,
+        served_before: ends.served_share(scale.before - 10..scale.before),
+        served_after: ends.served_share(scale.before..scale.before + scale.after),
+        breaches: breaches.len(),
+    })
+}
+
+fn main() -> Result<(), Failure> {
+    let mut words: Vec<String> = std::env::args().skip(1).collect();
+    let short = words.iter().position(|word| word == "--short").map(|n| words.remove(n)).is_some();
+    let scale = if short { SHORT } else { WHOLE };
+    let program = router_program(words.first().map(Path::new))?;
+    let variants =
+        [("by stages", "staged = True, shielded = True"), ("plain flip", "staged = False, shielded = False")];
+    println!("{scale:?}, begun at {:.0}", now());
+    let threads: Vec<_> = variants
+        .into_iter()
+        .map(|(name, switches)| {
+            let program = program.clone();
+            thread::spawn(move || play(&program, name, switches, scale))
+        })
+        .collect();
+    let mut outcomes = Vec::new();
+    for thread in threads {
+        outcomes.push(thread.join().map_err(|_| "a variant has failed")??);
+    }
+    println!("requests at the origin by second; the hub cache moves at 0");
+    println!("{:>6} {:>10} {:>10}", "second", outcomes[0].name, outcomes[1].name);
+    for second in scale.before.saturating_sub(10)..scale.before + scale.after {
+        let at = second as i64 - scale.before as i64;
+        println!("{at:>6} {:>10} {:>10}", outcomes[0].origin[second], outcomes[1].origin[second]);
+    }
+    for outcome in &outcomes {
+        println!(
+            "{}: steady {:.1} a second; worst second {:.2} times that, worst three {:.2}, worst ten {:.2}; served {:.4} \
+             before and {:.4} after; {} breaches",
+            outcome.name,
+            outcome.steady,
+            outcome.worst(scale, 1),
+            outcome.worst(scale, 3),
+            outcome.worst(scale, 10),
+            outcome.served_before,
+            outcome.served_after,
+            outcome.breaches
+        );
+    }
+    Ok(())
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,6 +13,8 @@
 
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, SourceSpec};
 use linnethook_toy::Journal;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::{json, Value};
 
 use crate::load::{self, Load, Numbers, Running};
@@ -208,6 +210,17 @@
         }
     }
 
+    /// A router is asked to end, and is waited for.
+    pub fn stop_router(&mut self, name: &str) -> io::Result<()> {
+        let router = self.routers.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
+        if let Some(mut process) = router.process.take() {
+            let id = i32::try_from(process.child.id()).map_err(io::Error::other)?;
+            kill(Pid::from_raw(id), Signal::SIGTERM)?;
+            process.child.wait()?;
+        }
+        Ok(())
+    }
+
     pub fn address(&self, router: &str) -> Option<SocketAddr> {
         self.routers.get(router)?.process.as_ref().map(|process| process.address)
     }
@@ -218,7 +231,7 @@
         wait(&process.ok_or(io::ErrorKind::NotFound)?.log, part)
     }
 
-    /// Sends a signal to a router, by its name as `kill` has it.
+    /// The process of a router, to be signalled.
     pub fn process_id(&self, router: &str) -> Option<u32> {
         self.routers.get(router)?.process.as_ref().map(|process| process.child.id())
     }
--- /dev/null
+++ b/crates/standins/tests/checker.rs
@@ -0,0 +1,176 @@
+//! The checker catches a broken record: one for each rule, beside a record that keeps it.
+
+use linnethook_standins::checker::{judge, Breach, Rule, Rules};
+use linnethook_standins::record::{Asked, Cold, Line, Ms, Phase, What};
+
+const ROUTER: &str = "n0";
+
+fn line(at: Ms, what: What) -> Line {
+    Line { at, what }
+}
+
+fn requested(at: Ms, request: u64, harmful: bool) -> Line {
+    let (id, object) = (format!("id{request}"), "o".to_string());
+    let router = ROUTER.to_string();
+    line(at, What::Requested { request, id, object, group: 3, deadline: at + 1_000.0, harmful, router })
+}
+
+fn answered(at: Ms, request: u64, code: u8, dated: Option<Ms>) -> Line {
+    line(at, What::Final { request, code, dated })
+}
+
+fn asked(at: Ms, attempt: u64, node: &str, id: &str) -> Line {
+    let router = Some(ROUTER.to_string());
+    let (id, object) = (id.to_string(), "o".to_string());
+    line(
+        at,
+        What::Asked {
+            attempt,
+            asked: Asked { at: node.to_string(), id, object, router, ..Asked::default() },
+        },
+    )
+}
+
+/// A fill that node asks of node, having passed some.
+fn fill(at: Ms, attempt: u64, node: &str, passed: &[&str], version: u64) -> Line {
+    let passed = passed.iter().map(|name| name.to_string()).collect();
+    let object = "o".to_string();
+    let asked = Asked { at: node.to_string(), object, passed, version: Some(version), ..Asked::default() };
+    line(at, What::Asked { attempt, asked })
+}
+
+fn ended(at: Ms, attempt: u64, res: &str, ran: bool) -> Line {
+    line(at, What::Ended { attempt, word: String::new(), res: res.to_string(), ran })
+}
+
+fn listed(at: Ms, node: &str, phase: Phase) -> Line {
+    line(at, What::Listed { router: ROUTER.to_string(), node: node.to_string(), phase })
+}
+
+fn shape(at: Ms, version: u64, edges: &[(&str, &str)]) -> Line {
+    let edges = edges.iter().map(|(from, to)| (from.to_string(), to.to_string())).collect();
+    line(at, What::Shape { version, edges })
+}
+
+fn purged(at: Ms) -> Line {
+    let (object, router) = (Some("o".to_string()), ROUTER.to_string());
+    line(at, What::Purged { router, object, group: None, stamp: at })
+}
+
+/// Requests a second that a node of ten bears when it has just started: 3 in half a second.
+fn cold(at: Ms) -> Line {
+    let cold = Cold { capacity: 10.0, from: 0.3, warm_in: 10_000.0, fall_multiple: 2.0, window: 500.0 };
+    line(at, What::Started { node: "p".to_string(), cold })
+}
+
+#[test]
+fn each_rule_is_seen_kept_and_broken() {
+    let late = line(9_000.0, What::Released { request: 99 });
+    let source = |at: Ms, named: Asked| line(at, What::Asked { attempt: 1, asked: named });
+    let router = Some(ROUTER.to_string());
+    let by_source =
+        Asked { at: "a".into(), source: Some("p".into()), router: router.clone(), ..Asked::default() };
+    let by_way = Asked { at: "a".into(), via: vec!["p:h".into()], router, ..Asked::default() };
+    let booking =
+        |more: Vec<Line>| [vec![requested(0.0, 1, true), asked(10.0, 1, "o", "id1")], more].concat();
+    let edges = [("a", "p"), ("p", "o")];
+    // What is kept, what is broken, and how many breaches that makes.
+    let table: Vec<(Rule, Vec<Line>, Vec<Vec<Line>>)> = vec![
+        (
+            Rule::OneAnswer,
+            vec![requested(0.0, 1, false), answered(1_040.0, 1, 2, None), late.clone()],
+            vec![
+                vec![requested(0.0, 1, false), answered(1_100.0, 1, 1, None)],
+                vec![requested(0.0, 1, false), late.clone()],
+                vec![requested(0.0, 1, false), answered(10.0, 1, 1, None), answered(20.0, 1, 1, None)],
+                vec![answered(20.0, 1, 1, None)],
+                vec![
+                    requested(0.0, 1, false),
+                    line(10.0, What::Released { request: 1 }),
+                    answered(20.0, 1, 1, None),
+                ],
+            ],
+        ),
+        (
+            Rule::NoSecondEffect,
+            booking(vec![
+                ended(20.0, 1, "", false),
+                asked(30.0, 2, "o", "id1"),
+                ended(40.0, 2, "", true),
+                answered(50.0, 1, 3, None),
+            ]),
+            vec![
+                booking(vec![
+                    ended(20.0, 1, "", true),
+                    asked(30.0, 2, "o", "id1"),
+                    answered(50.0, 1, 1, None),
+                ]),
+                booking(vec![asked(30.0, 2, "o", "id1"), answered(50.0, 1, 1, None)]),
+                booking(vec![ended(20.0, 1, "", true), answered(50.0, 1, 2, None)]),
+                booking(vec![answered(50.0, 1, 2, None)]),
+            ],
+        ),
+        (
+            Rule::Drains,
+            vec![
+                listed(0.0, "p", Phase::Draining),
+                source(290.0, by_source.clone()),
+                listed(300.0, "p", Phase::Ready),
+                source(900.0, by_source.clone()),
+            ],
+            vec![
+                vec![listed(0.0, "p", Phase::Draining), source(310.0, by_source.clone())],
+                vec![listed(0.0, "p", Phase::Gone), source(310.0, by_way)],
+                vec![listed(0.0, "a", Phase::Gone), source(310.0, by_source.clone())],
+                vec![
+                    listed(0.0, "p", Phase::Draining),
+                    listed(200.0, "p", Phase::Gone),
+                    source(310.0, by_source),
+                ],
+            ],
+        ),
+        (
+            Rule::NoPush,
+            [vec![cold(0.0)], (0..3).map(|n| asked(f64::from(n), n as u64, "p", "x")).collect()].concat(),
+            vec![
+                [vec![cold(0.0)], (0..4).map(|n| asked(f64::from(n), n as u64, "p", "x")).collect()].concat(),
+                vec![line(0.0, What::Fell { node: "p".to_string() })],
+            ],
+        ),
+        (
+            Rule::Purges,
+            vec![purged(100.0), requested(1_000.0, 1, false), answered(1_200.0, 1, 1, Some(50.0))],
+            vec![vec![purged(100.0), requested(1_160.0, 1, false), answered(1_200.0, 1, 1, Some(50.0))]],
+        ),
+        (
+            Rule::NoLoop,
+            vec![fill(0.0, 1, "p", &["a", "p", "q"], 1), ended(1.0, 1, "LOOP", false)],
+            vec![
+                vec![fill(0.0, 1, "p", &["a", "p", "q"], 1), ended(1.0, 1, "MISS", true)],
+                vec![fill(0.0, 1, "o", &["a", "p", "a"], 1)],
+            ],
+        ),
+        (
+            Rule::NoStrangeEdge,
+            vec![
+                shape(0.0, 1, &edges),
+                fill(1.0, 1, "o", &["a", "p"], 1),
+                shape(2.0, 2, &[("a", "o")]),
+                fill(500.0, 2, "p", &["a"], 2),
+            ],
+            vec![
+                vec![shape(0.0, 1, &edges), fill(1.0, 1, "q", &["a"], 1)],
+                vec![shape(0.0, 1, &edges), shape(2.0, 2, &[("a", "o")]), fill(3_000.0, 1, "p", &["a"], 2)],
+                vec![shape(0.0, 1, &[("a", "o")]), fill(1.0, 1, "p", &["a"], 1)],
+            ],
+        ),
+    ];
+    let rules = Rules { going_over: 1_000.0, ..Rules::default() };
+    for (rule, kept, broken) in table {
+        assert_eq!(judge(&kept, &rules), [], "{rule:?} is kept");
+        for (n, record) in broken.iter().enumerate() {
+            let found: Vec<Rule> = judge(record, &rules).iter().map(|breach: &Breach| breach.rule).collect();
+            assert_eq!(found, [rule], "the broken record {n} of {rule:?}");
+        }
+    }
+}
