--- a/crates/hierarchy/src/hierarchy.rs
+++ b/crates/hierarchy/src/hierarchy.rs
@@ -603,6 +603,12 @@
         self.out.remove(&ticket);
     }
 
+    /// Whether a tier above what changes has hardly more room, or fills were turned away lately: what could be served
+    /// as it is had better not be fetched anew now.
+    pub fn is_short(&self, now: Ms) -> bool {
+        now < self.short_until || self.shield.is_tight(now)
+    }
+
     /// A node has found itself on the way of a fill that was sent on from `from`.
     pub fn came_round(&mut self, now: Ms, from: NodeId, to: NodeId, version: u64) {
         self.held_back.hold(now, from, to, version.max(self.version()));
@@ -626,7 +632,7 @@
         }
         self.held_back.expire(now);
         self.see_ways_back(now);
-        let short = now < self.short_until || self.shield.is_tight(now);
+        let short = self.is_short(now);
         let listed = &self.listed;
         let ready = |id: NodeId| listed.get(&id).is_none_or(|listed| listed.phase == Phase::Ready);
         let entered = self.stages.tick(now, short, ready);
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -18,7 +18,7 @@
 use crate::pool::{Chain, Pool};
 use crate::resp::{self, Decoder, Pairs, Reply, Word};
 use crate::told::Target;
-use crate::Router;
+use crate::wakes::Wakes;
 
 /// What of a request is passed on unchanged.
 #[derive(Debug)]
@@ -153,10 +153,10 @@
     known: Option<String>,
 }
 
-pub struct Caches {
+pub struct Caches<W: Wakes> {
     limits: Limits,
     pool: Pool,
-    handle: LoopHandle<'static, Router>,
+    handle: LoopHandle<'static, W>,
     peers: HashMap<Place, Peer>,
     connections: HashMap<ConnectionId, Connection>,
     last: ConnectionId,
@@ -180,8 +180,8 @@
     }
 }
 
-impl Caches {
-    pub fn new(limits: Limits, pool: &Pool, handle: LoopHandle<'static, Router>) -> Self {
+impl<W: Wakes> Caches<W> {
+    pub fn new(limits: Limits, pool: &Pool, handle: LoopHandle<'static, W>) -> Self {
         Self {
             limits,
             pool: pool.clone(),
@@ -415,7 +415,7 @@
         self.last += 1;
         let id = self.last;
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let ready = move |readiness: calloop::Readiness, _: &mut _, router: &mut Router| {
+        let ready = move |readiness: calloop::Readiness, _: &mut _, router: &mut W| {
             router.cache_ready(id, readiness);
             Ok(PostAction::Continue)
         };
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -18,7 +18,7 @@
 use crate::frames::{self, Code, Fields, Message};
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
-use crate::Router;
+use crate::wakes::Wakes;
 
 pub type ClientId = u64;
 
@@ -108,10 +108,10 @@
     }
 }
 
-pub struct Clients {
+pub struct Clients<W: Wakes> {
     limits: Limits,
     pool: Pool,
-    handle: LoopHandle<'static, Router>,
+    handle: LoopHandle<'static, W>,
     clients: HashMap<ClientId, Client>,
     last: ClientId,
     /// To be read on later: they do not take their answers, or others had to have their turn.
@@ -129,8 +129,8 @@
     pub taken_back: u64,
 }
 
-impl Clients {
-    pub fn new(limits: Limits, pool: &Pool, handle: LoopHandle<'static, Router>) -> Self {
+impl<W: Wakes> Clients<W> {
+    pub fn new(limits: Limits, pool: &Pool, handle: LoopHandle<'static, W>) -> Self {
         Self {
             limits,
             pool: pool.clone(),
@@ -161,7 +161,7 @@
         let listener = TcpListener::from(socket);
         let address = listener.local_addr()?;
         let source = Generic::new(listener, Interest::READ, Mode::Level);
-        let ready = |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, router: &mut Router| {
+        let ready = |_, listener: &mut calloop::generic::NoIoDrop<TcpListener>, router: &mut W| {
             Ok(if router.client_waits(listener) { PostAction::Continue } else { PostAction::Disable })
         };
         self.listener = Some(self.handle.insert_source(source, ready).map_err(|wrong| wrong.error)?);
@@ -224,7 +224,7 @@
         let id = self.last;
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-        let ready = move |readiness: calloop::Readiness, _: &mut _, router: &mut Router| {
+        let ready = move |readiness: calloop::Readiness, _: &mut _, router: &mut W| {
             router.client_ready(id, readiness);
             Ok(PostAction::Continue)
         };
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -19,7 +19,7 @@
 use crate::decider::Ms;
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
-use crate::Router;
+use crate::wakes::Wakes;
 
 /// A command of this program, in postcard behind a length of four bytes.
 #[derive(Debug, Serialize, Deserialize)]
@@ -89,21 +89,21 @@
     until: Ms,
 }
 
-pub struct Control {
+pub struct Control<W: Wakes> {
     limits: Limits,
     pool: Pool,
-    handle: LoopHandle<'static, Router>,
+    handle: LoopHandle<'static, W>,
     path: PathBuf,
     connections: BTreeMap<u64, Connection>,
     last: u64,
 }
 
-impl Control {
+impl<W: Wakes> Control<W> {
     /// Listens; a socket that a router before this one left behind is taken over, one in use is not.
     pub fn listen(
         limits: Limits,
         pool: &Pool,
-        handle: LoopHandle<'static, Router>,
+        handle: LoopHandle<'static, W>,
         path: &Path,
     ) -> io::Result<Self> {
         if path.exists() {
@@ -117,7 +117,7 @@
         std::fs::set_permissions(path, PermissionsExt::from_mode(0o600))?;
         listener.set_nonblocking(true)?;
         let source = Generic::new(listener, Interest::READ, Mode::Level);
-        let ready = |_: Readiness, listener: &mut NoIoDrop<UnixListener>, router: &mut Router| {
+        let ready = |_: Readiness, listener: &mut NoIoDrop<UnixListener>, router: &mut W| {
             router.control_waits(listener);
             Ok(PostAction::Continue)
         };
@@ -138,7 +138,7 @@
             let id = self.last;
             let stream = Rc::new(stream);
             let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
-            let ready = move |_: Readiness, _: &mut _, router: &mut Router| {
+            let ready = move |_: Readiness, _: &mut _, router: &mut W| {
                 router.control_ready(id);
                 Ok(PostAction::Continue)
             };
@@ -237,7 +237,7 @@
     }
 }
 
-impl Drop for Control {
+impl<W: Wakes> Drop for Control<W> {
     fn drop(&mut self) {
         // Whoever comes next takes it over in any case.
         let _ = std::fs::remove_file(&self.path);
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -15,7 +15,7 @@
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
 use crate::told::{Entry, Page};
-use crate::Router;
+use crate::wakes::Wakes;
 
 /// Where the poll stands.
 #[derive(Debug)]
@@ -35,10 +35,10 @@
     output: Chain,
 }
 
-pub struct Journal {
+pub struct Journal<W: Wakes> {
     limits: Limits,
     pool: Pool,
-    handle: LoopHandle<'static, Router>,
+    handle: LoopHandle<'static, W>,
     address: SocketAddr,
     pos: u64,
     state: Stage,
@@ -46,11 +46,11 @@
     pub lost: u64,
 }
 
-impl Journal {
+impl<W: Wakes> Journal<W> {
     pub fn new(
         limits: Limits,
         pool: &Pool,
-        handle: LoopHandle<'static, Router>,
+        handle: LoopHandle<'static, W>,
         address: SocketAddr,
         pos: u64,
     ) -> Self {
@@ -107,7 +107,7 @@
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let token = self
             .handle
-            .insert_source(source, |readiness, _, router: &mut Router| {
+            .insert_source(source, |readiness, _, router: &mut W| {
                 router.journal_ready(readiness);
                 Ok(PostAction::Continue)
             })
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -17,9 +17,11 @@
 mod steer;
 mod told;
 mod upstream;
+mod wakes;
 
 use std::collections::HashMap;
 use std::net::TcpListener;
+use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -44,6 +46,7 @@
 use steer::Evaluation;
 use told::Entry;
 use upstream::{Asked, Step, Upstream};
+use wakes::Wakes;
 
 /// Unix milliseconds at the start and a clock that never goes back: stamps compare, and time never jumps.
 #[derive(Debug, Clone, Copy)]
@@ -122,14 +125,14 @@
     limits: Limits,
     pool: Pool,
     decider: Decider,
-    clients: Clients,
-    caches: Caches,
-    journal: Journal,
+    clients: Clients<Self>,
+    caches: Caches<Self>,
+    journal: Journal<Self>,
     requests: Requests,
     /// The operator file and what it switches on; nothing on the platform.
     operator: Option<PathBuf>,
     upstream: Option<Upstream>,
-    control: Option<Control>,
+    control: Option<Control<Self>>,
     /// The evaluation of the operator file that is under way.
     evaluation: Option<Evaluation>,
     handle: LoopHandle<'static, Self>,
@@ -371,43 +374,6 @@
         *counter += 1;
     }
 
-    /// New clients wait at the listener; false where there is no room for more.
-    pub fn client_waits(&mut self, listener: &TcpListener) -> bool {
-        let mut said = Vec::new();
-        let room = self.clients.accept(self.clock.now(), listener, &mut said);
-        self.hear(said);
-        self.settle();
-        room
-    }
-
-    pub fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
-        let now = self.clock.now();
-        let mut said = Vec::new();
-        if readiness.writable {
-            self.clients.flush(now, id, &mut said);
-        }
-        if readiness.readable || readiness.error {
-            self.clients.read(now, id, &mut said);
-        }
-        self.hear(said);
-        let mut said = Vec::new();
-        self.clients.flush(now, id, &mut said);
-        self.hear(said);
-        self.settle();
-    }
-
-    pub fn cache_ready(&mut self, id: u64, readiness: Readiness) {
-        let readable = readiness.readable || readiness.error;
-        self.caches.ready(self.clock.now(), id, readable, readiness.writable || readiness.error);
-        self.settle();
-    }
-
-    pub fn journal_ready(&mut self, readiness: Readiness) {
-        let entries = self.journal.ready(self.clock.now(), readiness.writable || readiness.error);
-        self.learn(entries);
-        self.settle();
-    }
-
     /// All that is due by now.
     fn tick(&mut self) {
         let now = self.clock.now();
@@ -526,6 +492,64 @@
     }
 }
 
+impl Wakes for Router {
+    fn client_waits(&mut self, listener: &TcpListener) -> bool {
+        let mut said = Vec::new();
+        let room = self.clients.accept(self.clock.now(), listener, &mut said);
+        self.hear(said);
+        self.settle();
+        room
+    }
+
+    fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
+        let now = self.clock.now();
+        let mut said = Vec::new();
+        if readiness.writable {
+            self.clients.flush(now, id, &mut said);
+        }
+        if readiness.readable || readiness.error {
+            self.clients.read(now, id, &mut said);
+        }
+        self.hear(said);
+        let mut said = Vec::new();
+        self.clients.flush(now, id, &mut said);
+        self.hear(said);
+        self.settle();
+    }
+
+    fn cache_ready(&mut self, id: u64, readiness: Readiness) {
+        let readable = readiness.readable || readiness.error;
+        self.caches.ready(self.clock.now(), id, readable, readiness.writable || readiness.error);
+        self.settle();
+    }
+
+    fn journal_ready(&mut self, readiness: Readiness) {
+        let entries = self.journal.ready(self.clock.now(), readiness.writable || readiness.error);
+        self.learn(entries);
+        self.settle();
+    }
+
+    fn control_waits(&mut self, listener: &UnixListener) {
+        let now = self.clock.now();
+        if let Some(control) = &mut self.control {
+            control.accept(now, listener);
+        }
+    }
+
+    fn control_ready(&mut self, id: u64) {
+        let question = self.control.as_mut().and_then(|control| {
+            control.flush(id);
+            control.read(id)
+        });
+        let Some(question) = question else { return };
+        let answer = self.reply(question);
+        if let Some(control) = &mut self.control {
+            control.answer(id, &answer);
+        }
+        self.tell_feeds();
+    }
+}
+
 /// Reads the operator file at the start, in a process beside this one.
 fn operator(run: &cli::Run) -> Result<Option<(PathBuf, Operator)>, Failure> {
     let Some(file) = run.operator.clone() else { return Ok(None) };
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -6,7 +6,6 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read};
 use std::os::fd::OwnedFd;
-use std::os::unix::net::UnixListener;
 use std::path::Path;
 use std::process::Child;
 
@@ -145,27 +144,7 @@
         self.tell_feeds();
     }
 
-    pub fn control_waits(&mut self, listener: &UnixListener) {
-        let now = self.clock.now();
-        if let Some(control) = &mut self.control {
-            control.accept(now, listener);
-        }
-    }
-
-    pub fn control_ready(&mut self, id: u64) {
-        let question = self.control.as_mut().and_then(|control| {
-            control.flush(id);
-            control.read(id)
-        });
-        let Some(question) = question else { return };
-        let answer = self.reply(question);
-        if let Some(control) = &mut self.control {
-            control.answer(id, &answer);
-        }
-        self.tell_feeds();
-    }
-
-    fn reply(&mut self, question: Question) -> Answer {
+    pub fn reply(&mut self, question: Question) -> Answer {
         let now = self.clock.now();
         let Some(upstream) = &mut self.upstream else {
             return Answer::No("the hierarchy is off: the operator file has no hierarchy()".to_string());
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -268,7 +268,9 @@
     // ---- Fills.
 
     /// What is to be done with an attempt; `None` where it waits.
-    pub fn admit(&mut self, now: Ms, ordered: Ordered, asked: Asked) -> Option<Step> {
+    pub fn admit(&mut self, now: Ms, mut ordered: Ordered, asked: Asked) -> Option<Step> {
+        // Renewals come last: what can still be served as it is waits for better times.
+        ordered.filling.renew &= !self.hierarchy.is_short(now);
         let Some((child, source)) = self.ends(&ordered) else { return Some(Step::Send(ordered, None)) };
         let priority = if asked.write { Priority::Booking } else { Priority::Demand };
         let left = asked.since + asked.aim - now;
--- a/crates/router/tests/hierarchy.rs
+++ b/crates/router/tests/hierarchy.rs
@@ -4,9 +4,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
+use linnethook_hierarchy::Role;
 use linnethook_standins::checker::{judge, Breach, Rule, Rules};
 use linnethook_standins::faults::{Fault, When};
-use linnethook_standins::fleet::{operator_file, reroute, Fleet};
+use linnethook_standins::fleet::{operator_file, reroute, sources, Fleet};
 use linnethook_standins::load::Load;
 use linnethook_standins::node::{Kind, Makeup};
 use linnethook_standins::record::{now, Asked, Cold, Phase, What};
@@ -257,6 +259,45 @@
     clean(&fleet);
 }
 
+/// The parent that caches fill from dies, and a new one gets its address: under its own name, cold, and only once a
+/// change has made it a source.
+#[test]
+fn a_new_parent_at_the_address_of_one_that_has_gone() {
+    let mut fleet = fleet(&["n0"], QUICK, Makeup::new);
+    let running = fleet.load("n0", &Load { rate: 100.0, objects: 600, ..Load::default() }).expect("clients");
+    thread::sleep(Duration::from_millis(600));
+    fleet.succeed("south", "north", Makeup::new(Kind::Parent)).expect("a successor");
+    thread::sleep(Duration::from_millis(500));
+    let strange = |fleet: &Fleet| asks(fleet).iter().filter(|(_, a)| a.at == "north").count();
+    assert_eq!(strange(&fleet), 0, "the shape does not have it yet");
+    let spec = NodeSpec {
+        name: "north".to_string(),
+        role: Role::Parent,
+        site: "north".to_string(),
+        tier: 1,
+        capacity: 30.0,
+        retiring: false,
+        sources: sources(&["origin"]),
+    };
+    let to = caches_to("north");
+    let lists = lists(&to);
+    let lists: Vec<(&str, &[&str])> =
+        lists.iter().map(|(node, list)| (node.as_str(), list.as_slice())).collect();
+    let mut batch = reroute(9, 1, 2, &[(1, 1)], &lists);
+    batch.changes.insert(0, ChangeSpec::Add(spec));
+    fleet.note_shape(2, &[&lists[..], &[("north", &["origin"])]].concat());
+    fleet.tell_batch("n0", &batch).expect("told");
+    until(&fleet, "n0", "all by the new one", |shown| {
+        shown["version"] == 2
+            && shown["moves"].as_array().is_some_and(|moves| moves.iter().all(|m| m["part"] == 1.0))
+    });
+    thread::sleep(Duration::from_millis(500));
+    running.finish();
+    clean(&fleet);
+    assert!(strange(&fleet) > 0);
+    assert!(asks(&fleet).iter().filter(|(_, a)| a.at == "north").all(|(_, a)| a.source.is_none()));
+}
+
 /// A purge in the course of a change: no old copy comes by way of the old parent after its grace. And the same batch
 /// twice, one on an old version, and a router that starts again between the stages.
 #[test]
@@ -298,7 +339,7 @@
         let load = Load { rate: 60.0, bookings: 0.05, seed, ..Load::default() };
         let loads: Vec<_> =
             routers.iter().map(|router| fleet.load(router, &load).expect("clients")).collect();
-        for n in 0..100u64 {
+        for n in 0..200u64 {
             let node = ["cache-0", "cache-1", "cache-2", "south", "centre"][chance.random_range(0..5)];
             let other = if node == "south" { "centre" } else { "south" };
             let source = [other, "centre", "origin"][chance.random_range(0..3)];
@@ -308,10 +349,10 @@
             let to = BTreeMap::from([(node.to_string(), list)]);
             let number = n + 1;
             change(&mut fleet, 9, number, number + 1, &[(1, 1), (9, n)], &to, &routers);
-            thread::sleep(Duration::from_millis(chance.random_range(5..40)));
+            thread::sleep(Duration::from_millis(chance.random_range(5..30)));
         }
-        let version = until(&fleet, "n0", "all heard", |shown| shown["version"] == 101);
-        let other = until(&fleet, "n1", "all heard", |shown| shown["version"] == 101);
+        let version = until(&fleet, "n0", "all heard", |shown| shown["version"] == 201);
+        let other = until(&fleet, "n1", "all heard", |shown| shown["version"] == 201);
         assert_eq!(version["digest"], other["digest"]);
         loads.into_iter().for_each(|load| drop(load.finish()));
         clean(&fleet);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -286,6 +286,19 @@
         self.tell(node, Phase::Ready)
     }
 
+    /// A node dies, and another one that starts now gets its addresses; routers are told of both.
+    pub fn succeed(&mut self, old: &str, new: &str, makeup: Makeup) -> io::Result<()> {
+        let (zone, capacity) = (self.nodes[old].zone.clone(), self.nodes[old].capacity);
+        self.node(old).kill();
+        self.add(new, &zone, capacity, makeup)?;
+        for router in self.routers() {
+            let address = self.node(old).front(&router)?;
+            self.node(new).front_at(&router, address)?;
+        }
+        self.tell(old, Phase::Gone)?;
+        self.tell(new, Phase::Ready)
+    }
+
     /// Tells all routers of a purge; nodes drop their old copies after `drop_after`.
     pub fn purge(&self, object: &str, drop_after: Duration) {
         let stamp = crate::record::now().floor();
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -181,6 +181,13 @@
         Ok(address)
     }
 
+    /// Listens for that router at an address that another node had.
+    pub fn front_at(&self, router: &str, address: SocketAddr) -> io::Result<()> {
+        let server = self.serve(address, router)?;
+        self.servers().insert(router.to_string(), (address, server));
+        Ok(())
+    }
+
     fn serve(&self, address: SocketAddr, router: &str) -> io::Result<Server> {
         let router = (router != NODES).then(|| router.to_string());
         Server::start(address, Arc::new(Front { inner: self.inner.clone(), router }))
