Test the log's JSON lines with the program

Need: structured logs had no test that a program could read them.

Change: a router started with log(format = "json") writes an object a line, with the message and its fields; the fleet finds its address in either form.

--- a/crates/router/tests/commands.rs
+++ b/crates/router/tests/commands.rs
@@ -146,3 +146,20 @@
     let (_, out, _) = ask(&fleet, &["nodes"]);
     assert!(out.contains("cache-0 cache tier 0 at shop: centre(0) origin(9)"), "{out}");
 }
+
+/// Log lines for programs: one JSON object each, with the message and its fields.
+#[test]
+fn the_log_is_written_as_json_where_the_file_says_so() {
+    let mut fleet = Fleet::two_hubs(PROGRAM, 2, Makeup::new).expect("a fleet");
+    let operator = operator_file(2, "south", "announce = 0") + "log(format = \"json\")\n";
+    fleet.start_router("n0", Some(&operator), |_| {}).expect("a router");
+    let file = fleet
+        .write_file("one.star", "rerank(\"cache-0\", sources = [\"centre\", \"origin\"])")
+        .expect("written");
+    let (code, _, err) = ask(&fleet, &["apply", &file.display().to_string()]);
+    assert_eq!(code, 0, "{err}");
+    let line = fleet.logged("n0", "a batch was applied").expect("logged");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("a JSON object");
+    assert_eq!((line["number"].as_u64(), line["level"].as_str()), (Some(1), Some("INFO")));
+    assert!(line["author"].as_u64().is_some_and(|author| author >= 0x8000), "{line}");
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -196,7 +196,10 @@
         });
         let mut process = Process { child, address: ([127, 0, 0, 1], 0).into(), log };
         let line = wait(&process.log, "listens on")?;
-        let address = line.rsplit(' ').next().and_then(|address| address.parse().ok());
+        // As text it ends the line; in a JSON object more follows.
+        let rest = line.rsplit("listens on ").next().unwrap_or_default();
+        let end = rest.find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':')).unwrap_or(rest.len());
+        let address = rest[..end].parse().ok();
         process.address = address.ok_or(io::ErrorKind::InvalidData)?;
         let address = process.address;
         router.process = Some(process);
