--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -385,7 +385,7 @@
             self.carry_out(orders, Brought::Nothing);
             self.settle();
         }
-        if let Some(upstream) = &mut self.upstream {
+        if let Some(upstream) = self.upstream.as_mut().filter(|upstream| upstream.is_due(now)) {
             let steps = upstream.tick(now);
             self.take(steps);
             self.tell_feeds();
@@ -415,7 +415,7 @@
             }
             Run::Stopping(since) => Some(since + self.limits.stop_most),
         };
-        let upstream = self.upstream.as_ref().map(|upstream| upstream.next(now));
+        let upstream = self.upstream.as_ref().map(Upstream::next);
         let control = self.control.as_ref().and_then(Control::next);
         let (journal, clients) = (Some(self.journal.next()), Some(self.clients.next()));
         let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control];
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -75,6 +75,8 @@
     out: HashMap<Attempt, Out>,
     /// When the clients of requests that were held back had better come again.
     come_back: HashMap<Ticket, Ms>,
+    /// When `tick` has something to do next.
+    due: Ms,
 }
 
 /// One name for both numbers: the shield knows attempts, not requests.
@@ -112,6 +114,7 @@
             waiting: HashMap::new(),
             out: HashMap::new(),
             come_back: HashMap::new(),
+            due: now,
         };
         if !settings.nodes.is_empty() {
             let changes = upstream.names.difference(upstream.hierarchy.shape(), &settings.nodes);
@@ -126,6 +129,7 @@
 
     fn take(&mut self, now: Ms, batch: linnethook_hierarchy::Batch) -> Result<(), String> {
         let serial = batch.serial;
+        self.due = now;
         match self.hierarchy.hear(now, batch) {
             Heard::Taken(_) => match self.hierarchy.history().verdict(serial) {
                 Some(Err(refusal)) => Err(refusal.to_string()),
@@ -217,6 +221,7 @@
     /// not be used any more comes back.
     pub fn hosts(&mut self, now: Ms, hosts: &Hosts, own: impl Fn(&Target) -> bool) -> Vec<Step> {
         let mut back = Vec::new();
+        self.due = now;
         for target in &hosts.targets {
             let place = Place::of(&target.uid);
             let phase = match (target.ready(), target.gone()) {
@@ -294,6 +299,7 @@
             Verdict::Go => Some(self.send(now, ordered, asked, false)),
             Verdict::Wait { .. } => {
                 self.waiting.insert(ordered.attempt, Waiting { ordered, asked, since: now });
+                self.due = self.due.min(self.hierarchy.next(now));
                 None
             }
             Verdict::Over { come_back, .. } => Some(self.only_held(now, ordered, asked, come_back)),
@@ -384,6 +390,7 @@
         let id = |name: &str| NodeId(Place::of(name).number());
         let known = self.hierarchy.shape().allows(id(from), id(to));
         let (a, b) = if known { (id(from), id(to)) } else { (out.child, out.source) };
+        self.due = now;
         self.hierarchy.came_round(now, a, b, version);
         log_line!(from, to, version, "hierarchy: a fill came round; an edge is held back for a while");
     }
@@ -420,16 +427,22 @@
         self.come_back.remove(&ticket)
     }
 
+    /// Whether `tick` has something to do.
+    pub fn is_due(&self, now: Ms) -> bool {
+        now >= self.due
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Ms) -> Vec<Step> {
         let (released, entered) = self.hierarchy.tick(now);
+        self.due = self.hierarchy.next(now);
         self.note(&entered);
         self.go_on(now, released)
     }
 
     /// When `tick` is due.
-    pub fn next(&self, now: Ms) -> Ms {
-        self.hierarchy.next(now)
+    pub fn next(&self) -> Ms {
+        self.due
     }
 
     /// Attempts that wait, and fills that are out.
