Put a lowered test assertion back, and hold old edges to the stages' own time

Cause: with the fix to the loop test its bound had been lowered from 0.5 to 0.3 as well, which the fix does not need; and the socket tests let an edge of an earlier shape pass for 15 s, longer than their stages can take.

--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -406,7 +406,7 @@
             let Some(waiting) = self.queue.get(&place) else { continue };
             let behind = self.behind.get(&waiting.fill.fetch).is_some_and(|all| all.contains(&ticket));
             if now >= waiting.until {
-                let delay = self.delay(now, &waiting.fill.clone());
+                let delay = self.delay(now, &waiting.fill);
                 self.leave(ticket);
                 released.push(Released { ticket, verdict: self.over(Over::Time, delay) });
             } else if !behind && !spent {
--- a/crates/router/tests/hierarchy.rs
+++ b/crates/router/tests/hierarchy.rs
@@ -72,7 +72,8 @@
 
 /// No breach of any rule; some are not asked for where a test breaks them by its stand-ins.
 fn clean_but(fleet: &Fleet, expected: &[Rule]) {
-    let rules = Rules { slack: 150.0, going_over: 15_000.0, ..Rules::default() };
+    // As long as the stages of `QUICK` take, with all the time that they may stand still.
+    let rules = Rules { slack: 150.0, going_over: 7_000.0, ..Rules::default() };
     let mut breaches: Vec<Breach> = judge(&fleet.record.lines(), &rules);
     breaches.retain(|breach| !expected.contains(&breach.rule));
     assert!(breaches.is_empty(), "{}", breaches.iter().take(8).map(|b| format!("{b}\n")).collect::<String>());
@@ -195,7 +196,7 @@
     let round = lines.iter().filter(|l| matches!(&l.what, What::Ended { res, .. } if res == "LOOP")).count();
     assert!(round > 0);
     let other_ways = asks(&fleet).iter().filter(|(_, a)| a.source.as_deref() == Some("origin")).count();
-    assert!(other_ways > 0 && ends.served_share(0..100) > 0.3, "{other_ways} {ends:?}");
+    assert!(other_ways > 0 && ends.served_share(0..100) > 0.5, "{other_ways} {ends:?}");
     // The stand-ins go by edges of their own.
     clean_but(&fleet, &[Rule::NoStrangeEdge]);
 }
