Tie the parts of the gateway together, and play two sites in virtual time

Need: the parts of a link stood alone; nothing carried a request across.

A request from another site is let in only while what was known there 200 ms ago is known here. `twosites` in the stand-ins plays two shipped gateways with stores and a link that is cut, silent or slow; the checker has two more rules (no second attempt across before proof, no way back) and catches an attempt after a refusal.

--- a/crates/gateway/src/ledger.rs
+++ b/crates/gateway/src/ledger.rs
@@ -52,8 +52,10 @@
 #[derive(Debug, Clone)]
 struct Attempt {
     ticket: Ticket,
-    /// The receiver's epoch to which it was sent.
+    /// The start of the receiver to which it was sent.
     peer: u64,
+    /// The connection on which it is out.
+    via: u64,
     deadline: Ms,
     standing: Standing,
 }
@@ -94,17 +96,33 @@
     }
 
     /// A token for a request; `None` while another attempt of it is open, or too many are.
-    pub fn begin(&mut self, ticket: Ticket, peer: u64, deadline: Ms) -> Option<Token> {
+    ///
+    /// `peer` is the start of the receiver, `via` the connection.
+    pub fn begin(&mut self, ticket: Ticket, peer: u64, via: u64, deadline: Ms) -> Option<Token> {
         if self.by_ticket.contains_key(&ticket) || self.open.len() >= self.most {
             return None;
         }
         self.last += 1;
         let token = Token { epoch: self.epoch, number: self.last };
-        self.open.insert(token, Attempt { ticket, peer, deadline, standing: Standing::Unwritten });
+        self.open.insert(token, Attempt { ticket, peer, via, deadline, standing: Standing::Unwritten });
         self.by_ticket.insert(ticket, token);
         Some(token)
     }
 
+    /// Whose request a token is for.
+    pub fn ticket(&self, token: Token) -> Option<Ticket> {
+        self.open.get(&token).map(|attempt| attempt.ticket)
+    }
+
+    pub fn is_uncertain(&self, ticket: Ticket) -> bool {
+        self.standing(ticket) == Some(Standing::Uncertain)
+    }
+
+    /// Attempts whose fate is open.
+    pub fn uncertain(&self) -> usize {
+        self.open.values().filter(|attempt| attempt.standing == Standing::Uncertain).count()
+    }
+
     pub fn standing(&self, ticket: Ticket) -> Option<Standing> {
         let token = self.by_ticket.get(&ticket)?;
         self.open.get(token).map(|attempt| attempt.standing)
@@ -123,11 +141,11 @@
         Some(attempt)
     }
 
-    /// The link is down, or silent: what was not written whole is free, all else is uncertain.
-    pub fn lost(&mut self) -> Vec<Verdict> {
-        let unwritten = |attempt: &Attempt| attempt.standing == Standing::Unwritten;
+    /// A connection is down, or silent: what was not written whole there is free, all else on it is uncertain.
+    pub fn lost(&mut self, via: u64) -> Vec<Verdict> {
+        let unwritten = |a: &Attempt| a.via == via && a.standing == Standing::Unwritten;
         let free: Vec<Token> = self.open.iter().filter(|(_, a)| unwritten(a)).map(|(t, _)| *t).collect();
-        for attempt in self.open.values_mut().filter(|attempt| attempt.standing == Standing::Out) {
+        for attempt in self.open.values_mut().filter(|a| a.via == via && a.standing == Standing::Out) {
             attempt.standing = Standing::Uncertain;
         }
         free.into_iter().filter_map(|token| self.close(token)).map(|a| Verdict::Free(a.ticket)).collect()
@@ -135,6 +153,8 @@
 
     /// The link is up again, to that start of the other side: what has to be asked there.
     ///
+    /// A connection that is not known to be down yet may still bring an answer: what is out there is not asked after.
+    ///
     /// One that went to an earlier start of the other side can't be asked after: the new one knows nothing of it. It
     /// stays uncertain until its time is over.
     pub fn found(&self, peer: u64) -> Vec<Token> {
@@ -142,8 +162,9 @@
         self.open.iter().filter(|(_, attempt)| ask(attempt)).map(|(token, _)| *token).collect()
     }
 
-    /// The other side tells what became of a token. An answer in the course of things is told the same way.
-    pub fn told(&mut self, token: Token, fate: Fate) -> Option<Verdict> {
+    /// The other side tells on a connection what became of a token. An answer in the course of things is told the
+    /// same way.
+    pub fn told(&mut self, token: Token, fate: Fate, via: u64) -> Option<Verdict> {
         match fate {
             Fate::Ran(Some(answer)) => self.close(token).map(|a| Verdict::Answered(a.ticket, answer)),
             // It ran, and nobody knows with what result.
@@ -151,7 +172,7 @@
             Fate::Never => self.close(token).map(|a| Verdict::Free(a.ticket)),
             Fate::Running => {
                 let attempt = self.open.get_mut(&token)?;
-                attempt.standing = Standing::Out;
+                (attempt.standing, attempt.via) = (Standing::Out, via);
                 None
             }
             // No proof: it waits for its time, as one does that can't be asked after.
--- a/crates/gateway/src/pulse.rs
+++ b/crates/gateway/src/pulse.rs
@@ -32,7 +32,7 @@
 impl Default for PulseRule {
     fn default() -> Self {
         Self {
-            every: 200.0,
+            every: 60.0,
             gaps: 64,
             least_spread: 20.0,
             phi: 8.0,
@@ -67,13 +67,15 @@
     last: u64,
     best: f64,
     trip: f64,
+    /// When the latest ping that was answered had been sent.
+    proven: Option<Ms>,
 }
 
 impl Pulse {
     /// A session that has just come up.
     pub fn new(now: Ms, rule: PulseRule) -> Self {
         let (gaps, out) = (VecDeque::from([rule.every]), None);
-        Self { rule, gaps, heard: now, out, last: 0, best: f64::INFINITY, trip: 0.0 }
+        Self { rule, gaps, heard: now, out, last: 0, best: f64::INFINITY, trip: 0.0, proven: None }
     }
 
     /// Something came in.
@@ -108,12 +110,23 @@
         self.heard(now);
         if let Some((_, since)) = self.out.filter(|(out, _)| *out == number) {
             self.out = None;
+            self.proven = Some(since);
             let took = (now - since).max(0.1);
             self.best = self.best.min(took);
             self.trip += (took - self.trip) * if self.trip > 0.0 { 0.3 } else { 1.0 };
         }
     }
 
+    /// All that the other side had said up to then is here: its answer to a ping comes behind that.
+    pub fn proven(&self) -> Option<Ms> {
+        self.proven
+    }
+
+    /// How long an answer to a ping takes; 0 where none came yet.
+    pub fn trip(&self) -> Ms {
+        self.trip
+    }
+
     /// How unlikely it is that nothing came for so long if the other side is there: -log10 of that chance.
     pub fn phi(&self, now: Ms) -> f64 {
         let count = self.gaps.len().max(1) as f64;
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -77,6 +77,8 @@
     pub home: Option<Site>,
     /// The sites that it has passed.
     pub passed: Vec<Site>,
+    /// Those that have turned it away.
+    pub tried: Vec<Site>,
     /// A further attempt across.
     pub repeat: bool,
 }
@@ -163,6 +165,16 @@
         }
     }
 
+    /// The sites that can be reached now.
+    pub fn reachable(&self) -> Vec<Site> {
+        self.others.iter().filter(|(_, known)| known.view.reachable).map(|(site, _)| *site).collect()
+    }
+
+    /// What is known of a site, whether it is shut, and the part of its requests that ended badly.
+    pub fn known(&self, site: Site) -> Option<(View, bool, f64)> {
+        self.others.get(&site).map(|known| (known.view, known.shut, known.bad.value))
+    }
+
     /// The part of the objects, by hash, that a site may get now.
     pub fn part(&self, now: Ms, site: Site) -> f64 {
         let Some(known) = self.others.get(&site) else { return 0.0 };
@@ -187,7 +199,8 @@
     /// Where a request goes now.
     pub fn route(&mut self, now: Ms, wish: &Wish) -> Route {
         let home_is_here = wish.home.is_none_or(|home| home == self.me);
-        let own = !self.own.drained && Self::can(&self.own, wish);
+        let tried = |site| wish.tried.contains(&site);
+        let own = !self.own.drained && !tried(self.me) && Self::can(&self.own, wish);
         if home_is_here && own {
             return Route::Home;
         }
@@ -203,7 +216,12 @@
         let mut able: Vec<(u64, Site)> = Vec::new();
         for (site, known) in &self.others {
             let view = &known.view;
-            if wish.passed.contains(site) || !view.reachable || view.drained || !Self::can(view, wish) {
+            if wish.passed.contains(site)
+                || tried(*site)
+                || !view.reachable
+                || view.drained
+                || !Self::can(view, wish)
+            {
                 continue;
             }
             why = Why::Full;
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -12,12 +12,13 @@
 /// One thing that a site says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Fact {
-    /// A cache, by its name: whether it takes new work, and since when it has not.
-    Cache { ready: bool, drains_since: Option<Ms> },
+    /// A cache, by its name: whether it takes new work. Only one that does not is worth a word, or does again.
+    Cache { ready: bool },
     /// An object or group, by its name: copies from before are out of date.
     Purged { stamp: Ms },
-    /// The part of what the site can carry that is in use, and whether its way to the origin is open.
-    Load { used: f64, origin: bool },
+    /// The part of what the site can carry that is in use, how many of its caches take new work, and whether its way
+    /// to the origin is open.
+    Load { used: f64, caches: u32, origin: bool },
     /// It is to be left alone, by its operators.
     Drained(bool),
 }
@@ -183,15 +184,4 @@
         let fresh = self.heard.is_some_and(|heard| now - heard <= bound);
         self.facts.get(about).filter(|_| fresh)
     }
-
-    /// How many caches are ready by its own word.
-    pub fn ready_caches(&self, now: Ms, bound: Ms) -> usize {
-        let fresh = self.heard.is_some_and(|heard| now - heard <= bound);
-        let ready = |fact: &&Fact| matches!(fact, Fact::Cache { ready: true, .. });
-        if fresh {
-            self.facts.values().filter(ready).count()
-        } else {
-            0
-        }
-    }
 }
--- a/crates/gateway/src/transfer.rs
+++ b/crates/gateway/src/transfer.rs
@@ -3,9 +3,10 @@
 //! The client gets one whole, unchanged body, or one that it can tell is cut off. Must never join pieces of two copies.
 
 use linnethook::interface::Ms;
+use serde::{Deserialize, Serialize};
 
 /// By what two copies are told to be the same.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Copy {
     pub tag: String,
     pub dated: Ms,
@@ -85,6 +86,22 @@
         self.passed_on = (self.passed_on + bytes).min(self.came);
     }
 
+    /// Which copy it is, once one has begun.
+    pub fn copy(&self) -> Option<&Copy> {
+        self.copy.as_ref()
+    }
+
+    /// What came of it is dropped.
+    pub fn forget(&mut self) {
+        self.again += self.came;
+        (self.copy, self.came) = (None, 0);
+    }
+
+    /// Bytes of it that are there.
+    pub fn there(&self) -> u64 {
+        self.came
+    }
+
     pub fn is_whole(&self) -> bool {
         self.copy.as_ref().is_some_and(|copy| copy.length == self.came)
     }
--- a/crates/standins/src/checker.rs
+++ b/crates/standins/src/checker.rs
@@ -1,4 +1,4 @@
-//! Owns the judgement of a record: the five rules, and two of the hierarchy.
+//! Owns the judgement of a record: the five rules, two of the hierarchy, and two of links between sites.
 //!
 //! Reads what crossed the sockets and nothing else. Each rule is a pass of its own over the lines.
 
@@ -45,6 +45,10 @@
     NoLoop,
     /// No fill uses an edge that the shape has not got at its version.
     NoStrangeEdge,
+    /// No harmful request has a second attempt across a link before the first is proven not to have run.
+    NoOverlap,
+    /// No request crosses back to a site that it has passed.
+    NoReturn,
 }
 
 impl fmt::Display for Breach {
@@ -55,7 +59,17 @@
 
 /// Judges a record. Requests that are open at its end and in time are no breach.
 pub fn judge(lines: &[Line], rules: &Rules) -> Vec<Breach> {
-    let passes = [one_answer, no_second_effect, drains, no_push, purges, no_loop, no_strange_edge];
+    let passes = [
+        one_answer,
+        no_second_effect,
+        drains,
+        no_push,
+        purges,
+        no_loop,
+        no_strange_edge,
+        no_overlap,
+        no_return,
+    ];
     let mut breaches: Vec<Breach> = passes.iter().flat_map(|pass| pass(lines, rules)).collect();
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     breaches
@@ -120,6 +134,7 @@
     let mut names = BTreeMap::<u64, &str>::new();
     let mut attempts = BTreeMap::<&str, Vec<Attempt>>::new();
     let mut of = BTreeMap::<u64, (&str, usize)>::new();
+    let mut refused = BTreeSet::<&str>::new();
     let mut breach = |at, what| out.push(Breach { at, rule: Rule::NoSecondEffect, what });
     for line in lines {
         match &line.what {
@@ -131,6 +146,9 @@
             What::Asked { attempt, asked }
                 if asked.router.is_some() && harmful.contains_key(asked.id.as_str()) =>
             {
+                if refused.contains(asked.id.as_str()) {
+                    breach(line.at, format!("request {} had an attempt after it was refused", asked.id));
+                }
                 let all = attempts.entry(asked.id.as_str()).or_default();
                 if let Some(before) = all.iter().find(|before| before.to > line.at || before.ran) {
                     let how = if before.ran { "after one that ran" } else { "beside one that is out" };
@@ -147,6 +165,7 @@
             }
             What::Final { request, code: REFUSED, .. } => {
                 let Some(id) = names.get(request) else { continue };
+                refused.insert(id);
                 let may_have_run = |a: &Attempt| a.ran || (a.to > line.at && a.from <= line.at);
                 if attempts.get(id).is_some_and(|all| all.iter().any(may_have_run)) {
                     breach(line.at, format!("request {id} was refused, and may have run"));
@@ -327,3 +346,38 @@
     }
     out
 }
+
+fn no_overlap(lines: &[Line], _: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    // The attempt of each request that may run, by its token.
+    let mut open = BTreeMap::<&str, (u64, u64)>::new();
+    let mut proven = BTreeSet::new();
+    for line in lines {
+        match &line.what {
+            What::Proven { token } => _ = proven.insert(*token),
+            What::Crossed { id, token: Some(token), .. } => {
+                let before = open.insert(id, *token).filter(|before| before != token);
+                if let Some(before) = before.filter(|before| !proven.contains(before)) {
+                    let what = format!("request {id} crossed again while {before:?} may run");
+                    out.push(Breach { at: line.at, rule: Rule::NoOverlap, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+fn no_return(lines: &[Line], _: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    for line in lines {
+        if let What::Crossed { to, id, passed, .. } = &line.what {
+            let mut met = BTreeSet::new();
+            if passed.contains(to) || !passed.iter().all(|site| met.insert(site)) {
+                let what = format!("request {id} crossed to {to}, having passed {passed:?}");
+                out.push(Breach { at: line.at, rule: Rule::NoReturn, what });
+            }
+        }
+    }
+    out
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,8 @@
 //! - [`faults`]: what befalls a node, by time or by count;
 //! - [`server`], [`node`]: caches, parents and the origin on sockets: they keep, age, fill, join and fall over;
 //! - [`fleet`]: a whole small fleet with its journal services and routers as processes;
-//! - [`load`]: clients that ask in an open loop.
+//! - [`load`]: clients that ask in an open loop;
+//! - [`twosites`]: two gateways and the link between them, in virtual time.
 //!
 //! They stand on loopback, on ports that the system gives, and are no yardstick for speed.
 
@@ -16,3 +17,4 @@
 pub mod node;
 pub mod record;
 pub mod server;
+pub mod twosites;
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -102,6 +102,17 @@
     Fell {
         node: String,
     },
+    /// A request passed a link between two sites whole, on its way to `to`; with its token where it has one.
+    Crossed {
+        to: String,
+        id: String,
+        token: Option<(u64, u64)>,
+        passed: Vec<String>,
+    },
+    /// The proof that an attempt with that token never ran passed the link.
+    Proven {
+        token: (u64, u64),
+    },
 }
 
 /// What a node bears after its start, in requests a second.
@@ -147,6 +158,11 @@
         at
     }
 
+    /// Notes something at a time of a clock of its own.
+    pub fn note_at(&self, at: Ms, what: What) {
+        self.lines_mut().push(Line { at, what });
+    }
+
     /// A copy of all lines, by time.
     pub fn lines(&self) -> Vec<Line> {
         let mut lines = self.lines_mut().clone();
--- a/crates/standins/tests/checker.rs
+++ b/crates/standins/tests/checker.rs
@@ -52,6 +52,11 @@
     line(at, What::Shape { version, edges })
 }
 
+fn crossed(to: &str, token: Option<(u64, u64)>, passed: &[&str]) -> Line {
+    let passed = passed.iter().map(|site| site.to_string()).collect();
+    line(0.0, What::Crossed { to: to.to_string(), id: "id1".to_string(), token, passed })
+}
+
 fn purged(at: Ms) -> Line {
     let (object, router) = (Some("o".to_string()), ROUTER.to_string());
     line(at, What::Purged { router, object, group: None, stamp: at })
@@ -108,6 +113,11 @@
                 booking(vec![asked(30.0, 2, "o", "id1"), answered(50.0, 1, 1, None)]),
                 booking(vec![ended(20.0, 1, "", true), answered(50.0, 1, 2, None)]),
                 booking(vec![answered(50.0, 1, 2, None)]),
+                booking(vec![
+                    ended(20.0, 1, "", false),
+                    answered(30.0, 1, 2, None),
+                    asked(50.0, 2, "o", "id1"),
+                ]),
             ],
         ),
         (
@@ -164,6 +174,22 @@
                 vec![shape(0.0, 1, &[("a", "o")]), fill(1.0, 1, "p", &["a"], 1)],
             ],
         ),
+        (
+            Rule::NoOverlap,
+            vec![
+                crossed("b", Some((1, 1)), &["a"]),
+                line(0.0, What::Proven { token: (1, 1) }),
+                crossed("b", Some((1, 2)), &["a"]),
+                crossed("b", Some((1, 2)), &["a"]),
+                crossed("b", None, &["a"]),
+            ],
+            vec![vec![crossed("b", Some((1, 1)), &["a"]), crossed("c", Some((1, 2)), &["a"])]],
+        ),
+        (
+            Rule::NoReturn,
+            vec![crossed("c", None, &["a", "b"])],
+            vec![vec![crossed("a", None, &["a", "b"])], vec![crossed("c", None, &["a", "a"])]],
+        ),
     ];
     let rules = Rules { going_over: 1_000.0, ..Rules::default() };
     for (rule, kept, broken) in table {
--- /dev/null
+++ b/crates/standins/tests/twosites.rs
@@ -0,0 +1,55 @@
+//! Two gateways in virtual time under seeded scripts of cuts, silences, restarts and lost stores: every rule is judged
+//! by what crossed the link and reached the stores.
+
+use linnethook_standins::checker::{judge, Breach, Rules};
+use linnethook_standins::twosites::{bad_day, Blow, Outcome, Play, World};
+
+fn breaches(out: &Outcome) -> Vec<Breach> {
+    judge(&out.lines, &Rules { slack: 5.0, ..Rules::default() })
+}
+
+#[test]
+fn no_booking_runs_twice_and_each_has_one_answer_whatever_befalls_the_link() {
+    let mut sum = [0u64; 4];
+    for seed in 1..=12 {
+        let script = bad_day(seed, 20_000.0, 20);
+        let out = World::new(Play { seed, length: 20_000.0, script, ..Play::default() }).run();
+        let found = breaches(&out);
+        assert!(
+            found.is_empty() && out.ran_twice.is_empty(),
+            "seed {seed}: {:?} {:?}",
+            &found[..found.len().min(3)],
+            out.ran_twice
+        );
+        let b = out.bookings;
+        assert_eq!(b.asked, b.served + b.refused + b.failed + b.released, "seed {seed}: {b:?}");
+        for (sum, n) in sum.iter_mut().zip([b.served, b.refused, b.failed, b.released]) {
+            *sum += n;
+        }
+    }
+    println!("served, refused, failed, released: {sum:?}");
+    assert!(sum[0] > sum[2] * 10, "{sum:?}");
+}
+
+/// The same script twice gives the same record, to the byte.
+#[test]
+fn one_seed_is_one_run() {
+    let play = Play { length: 8_000.0, script: bad_day(3, 8_000.0, 8), ..Play::default() };
+    let one = World::new(play.clone()).run();
+    let other = World::new(play).run();
+    assert_eq!(one.lines, other.lines);
+    assert!(one.lines.len() > 500);
+}
+
+/// A plain day without any blow: nothing crosses, and home serves all.
+#[test]
+fn home_serves_while_it_can() {
+    let out = World::new(Play { length: 5_000.0, ..Play::default() }).run();
+    assert_eq!(out.opened.iter().map(Vec::len).sum::<usize>(), 0);
+    assert_eq!((out.bookings.served, out.reads.served), (out.bookings.asked, out.reads.asked));
+    let script = vec![(100.0, Blow::Caches(0, false)), (100.0, Blow::Store(0, false))];
+    let out = World::new(Play { length: 25_000.0, script, ..Play::default() }).run();
+    println!("{:?} {:?}", out.bookings, out.reads);
+    assert!(out.reads.served * 10 > out.reads.asked * 8, "{:?}", out.reads);
+    assert!(breaches(&out).is_empty());
+}
