Measure cuts between two sites; let routes rise from what is left after a short cut

Change: `cuts` plays 84 seeds in virtual time; the part that goes across is halved for each 1.5 s out of reach instead of beginning anew, writes rise four times as fast, a flapping link still carries a quarter; what a lost link took along no longer counts against the site at its other end.

--- a/crates/gateway/src/across.rs
+++ b/crates/gateway/src/across.rs
@@ -465,12 +465,13 @@
             Verdict::Free(ticket) => {
                 let Some(request) = self.across.remove(ticket) else { return };
                 self.counts.freed += 1;
-                self.ended_there(now, &request, Some(true));
+                self.ended_there(now, &request, None);
                 self.again(now, ticket, request, false);
             }
             Verdict::Failed(ticket) => {
                 let Some(request) = self.across.remove(ticket) else { return };
-                self.ended_there(now, &request, Some(true));
+                let bad = matches!(request.state, State::Out(..)).then_some(true);
+                self.ended_there(now, &request, bad);
                 self.cancel_stream(&request, ticket);
                 self.finish(ticket, Reply::Failed);
             }
@@ -496,8 +497,9 @@
             let Some(request) = self.across.requests.get_mut(&ticket) else { continue };
             let State::Out(_, site) = request.state else { continue };
             if request.token.is_none() {
+                // That the link went says nothing of the site's room.
                 let Some(request) = self.across.remove(ticket) else { continue };
-                self.ended_there(now, &request, Some(true));
+                self.ended_there(now, &request, None);
                 self.again(now, ticket, request, true);
                 continue;
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -555,7 +555,14 @@
             let site = Site(n as u16);
             let flaps = |dialer: &Dialer| dialer.site == self.names[n] && dialer.retry.flaps(now);
             let flapping = self.dialers.iter().any(flaps);
-            let mut view = View { reachable: false, caches: false, origin: false, used: 1.0, drained: false };
+            let mut view = View {
+                reachable: false,
+                caches: false,
+                origin: false,
+                used: 1.0,
+                drained: false,
+                flaps: flapping,
+            };
             for peer in self.peers.values().filter(|peer| peer.site == site) {
                 let up = peer.sessions.iter().filter_map(|conn| self.lines.get(conn));
                 let up = up.filter(|line| !line.session.leaving && line.session.pulse.proven().is_some());
@@ -567,7 +574,7 @@
                 else {
                     continue;
                 };
-                if up && !flapping {
+                if up {
                     view.reachable = true;
                     view.caches |= *caches > 0;
                     view.origin |= *origin;
@@ -688,11 +695,7 @@
     pub fn status(&self, now: Ms) -> Status {
         let site = |n: usize| {
             let site = Site(n as u16);
-            let (view, shut, bad) = self.routes.known(site).unwrap_or((
-                View { reachable: false, caches: false, origin: false, used: 0.0, drained: false },
-                false,
-                0.0,
-            ));
+            let (view, shut, bad) = self.routes.known(site).unwrap_or((View::default(), false, 0.0));
             let peers = self.peers.iter().filter(|(_, peer)| peer.site == site);
             let gateways = peers.map(|(name, peer)| GatewayLine {
                 name: name.clone(),
@@ -705,7 +708,6 @@
                 remembered: peer.taken.kept().0 as u64,
             });
             let window = self.windows.get(&site);
-            let flaps = self.dialers.iter().any(|d| d.site == self.names[n] && d.retry.flaps(now));
             SiteLine {
                 name: self.names[n].clone(),
                 reachable: view.reachable,
@@ -714,9 +716,10 @@
                 used: view.used,
                 drained: view.drained,
                 shut,
-                flapping: flaps,
+                flapping: view.flaps,
                 bad,
-                part: self.routes.part(now, site),
+                part: self.routes.part(now, site, false),
+                part_writes: self.routes.part(now, site, true),
                 window: window.map_or(0.0, Window::limit),
                 out: window.map_or(0, Window::out),
                 gateways: gateways.collect(),
@@ -787,8 +790,9 @@
     pub flapping: bool,
     /// The share of what went there that ended badly.
     pub bad: f64,
-    /// The part of the objects that may go there now.
+    /// The part of the objects that may go there now, and that of writes.
     pub part: f64,
+    pub part_writes: f64,
     /// Requests that may be under way there, and those that are.
     pub window: f64,
     pub out: u32,
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -125,6 +125,7 @@
             origin: !self.sides[Need::Write as usize].unable,
             used: self.used,
             drained: self.drained,
+            flaps: false,
         }
     }
 }
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -17,9 +17,15 @@
 /// How routes move.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RouteRule {
-    /// The part of the requests that a site gets when it has just come back, and how long until it may get all.
+    /// The part of the requests that a site gets when it is new, and how long from there until it may get all.
     pub first: f64,
     pub rise: Ms,
+    /// The same for what runs at the origin: no cache is cold for it.
+    pub rise_writes: Ms,
+    /// While it is out of reach, the part that it had is halved in that time: after a short cut it goes on from there.
+    pub half: Ms,
+    /// The most that it gets while the link to it flaps.
+    pub flapping: f64,
     /// The load by its own word above which a site gets nothing from here, and below which it gets some again.
     pub full: f64,
     pub room: f64,
@@ -40,6 +46,9 @@
         Self {
             first: 0.05,
             rise: 10_000.0,
+            rise_writes: 2_500.0,
+            half: 1_500.0,
+            flapping: 0.25,
             full: 0.9,
             room: 0.75,
             bad: 0.3,
@@ -54,7 +63,7 @@
 }
 
 /// What is known of a site at the moment.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct View {
     /// The link to it is up, and its state is fresh; for the own site always.
     pub reachable: bool,
@@ -65,6 +74,8 @@
     pub used: f64,
     /// Its operators want it left alone.
     pub drained: bool,
+    /// The link to it went down so often of late that being up tells little.
+    pub flaps: bool,
 }
 
 /// A request that looks for a site.
@@ -107,14 +118,23 @@
 #[derive(Debug, Clone)]
 struct Known {
     view: View,
-    /// Since when it can be used without a break.
+    /// Since when it can be used without a break, and the part with which that began.
     since: Option<Ms>,
+    from: f64,
+    /// When it was lost, with that part.
+    lost: Ms,
     bad: Mean,
     /// Shut for being full, or for what went there badly, until it is well below.
     shut: bool,
     saved: f64,
 }
 
+impl Known {
+    fn risen(&self, now: Ms, since: Ms, rise: Ms) -> f64 {
+        (self.from + (now - since) / rise.max(1.0)).min(1.0)
+    }
+}
+
 /// The routes of one gateway.
 #[derive(Debug, Clone)]
 pub struct Routes {
@@ -128,7 +148,8 @@
 
 impl Routes {
     pub fn new(me: Site, rule: RouteRule) -> Self {
-        let own = View { reachable: true, caches: true, origin: true, used: 0.0, drained: false };
+        let own =
+            View { reachable: true, caches: true, origin: true, used: 0.0, drained: false, flaps: false };
         Self { rule, me, own, others: BTreeMap::new() }
     }
 
@@ -140,7 +161,8 @@
     /// What is known of another site now.
     pub fn see(&mut self, now: Ms, site: Site, view: View) {
         let (rule, saved) = (self.rule, self.rule.saved);
-        let fresh = || Known { view, since: None, bad: Mean::new(0.0), shut: false, saved };
+        let fresh =
+            || Known { view, since: None, from: 0.0, lost: now, bad: Mean::new(0.0), shut: false, saved };
         let known = self.others.entry(site).or_insert_with(fresh);
         known.view = view;
         if view.used >= rule.full {
@@ -149,9 +171,17 @@
             known.shut = false;
         }
         // It rises anew each time that it was out of reach.
-        known.since = if view.reachable && !view.drained { known.since.or(Some(now)) } else { None };
-        if known.since.is_none() {
-            known.bad = Mean::new(0.0);
+        match (known.since, view.reachable && !view.drained) {
+            (None, true) => {
+                let left = known.from * 0.5f64.powf((now - known.lost) / rule.half.max(1.0));
+                (known.since, known.from) = (Some(now), left.max(rule.first));
+            }
+            (Some(since), false) => {
+                (known.from, known.lost) = (known.risen(now, since, rule.rise), now);
+                known.since = None;
+                known.bad = Mean::new(0.0);
+            }
+            _ => {}
         }
     }
 
@@ -175,15 +205,18 @@
         self.others.get(&site).map(|known| (known.view, known.shut, known.bad.value))
     }
 
-    /// The part of the objects, by hash, that a site may get now.
-    pub fn part(&self, now: Ms, site: Site) -> f64 {
+    /// The part of the objects, by hash, that a site may get now: of reads, or of writes.
+    pub fn part(&self, now: Ms, site: Site, write: bool) -> f64 {
         let Some(known) = self.others.get(&site) else { return 0.0 };
         let Some(since) = known.since else { return 0.0 };
-        let risen = self.rule.first + (1.0 - self.rule.first) * ((now - since) / self.rule.rise.max(1.0));
         match known.shut {
             // A few try whether it is well again.
             true => self.rule.first,
-            false => risen.min(1.0),
+            false => {
+                let rise = if write { self.rule.rise_writes } else { self.rule.rise };
+                let most = if known.view.flaps { self.rule.flapping } else { 1.0 };
+                known.risen(now, since, rise).min(most)
+            }
         }
     }
 
@@ -225,7 +258,8 @@
                 continue;
             }
             why = Why::Full;
-            let within = fraction(mix(wish.object, u64::from(site.0) ^ SALT)) < self.part(now, *site);
+            let within =
+                fraction(mix(wish.object, u64::from(site.0) ^ SALT)) < self.part(now, *site, wish.write);
             if within {
                 // Its home before all others, and else one order at all gateways.
                 let order =
