Read gateway(), site() and link() from the operator file

Need: a gateway has to be set by its operators, each value checked.

Measured: cargo test -p linnethook-operator -p linnethook-gateway passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -63,7 +63,7 @@
         Self {
             fresh: 200.0,
             bound: 3_000.0,
-            facts: 16_384,
+            facts: 8_192,
             purges: 600_000.0,
             gateways: 64,
             connections: 4,
@@ -424,7 +424,7 @@
             Heard::Bytes(ticket, bytes) => return self.bytes_came(ticket, &bytes),
             Heard::End(ticket) => return self.ends(now, conn, ticket),
             Heard::Never(ticket, why, come_back) => self.never(now, conn, ticket, why, come_back),
-            Heard::State(state) => self.state_came(now, conn, state),
+            Heard::State(state) => return self.state_came(now, conn, state),
             Heard::Behind(epoch, version) => self.tell_state(conn, epoch, version),
             Heard::Leave => self.look(now),
         }
@@ -524,9 +524,11 @@
         }
     }
 
-    fn state_came(&mut self, now: Ms, conn: Conn, state: State) {
-        let Some(peer) = self.peer_of(conn) else { return };
-        match peer.known.hear(now, state) {
+    fn state_came(&mut self, now: Ms, conn: Conn, state: State) -> Result<(), Ended> {
+        let most = self.rules.peers.facts * 2;
+        let Some(peer) = self.peer_of(conn) else { return Ok(()) };
+        match peer.known.hear(now, state, most) {
+            News::TooMuch => return Err(Ended::State),
             News::New(facts) => {
                 for (about, fact) in facts {
                     match about {
@@ -546,6 +548,12 @@
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Whether another site says of a cache that it takes no new work.
+    pub fn bars(&self, cache: &str) -> bool {
+        self.peers.values().any(|peer| peer.known.bars(cache))
     }
 
     /// Looks over what is known of other sites now.
@@ -669,8 +677,12 @@
         }
         if now - self.looked >= LOOK {
             self.look(now);
-            self.own.forget_purges(now - self.rules.peers.purges);
-            self.peers.values_mut().for_each(|peer| peer.taken.expire(now));
+            let before = now - self.rules.peers.purges;
+            self.own.forget(before);
+            for peer in self.peers.values_mut() {
+                peer.taken.expire(now);
+                peer.known.forget(before);
+            }
             self.resume(now);
         }
         self.tick_across(now);
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -36,7 +36,7 @@
         Self {
             streams: Bounds::default(),
             pulse: PulseRule::default(),
-            frame: 384 << 10,
+            frame: 1 << 20,
             crowded: 256 << 10,
             backlog: 2 << 20,
             greeting: 2_000.0,
@@ -70,6 +70,8 @@
     Stranger,
     #[error("an earlier start of its, or another than it had")]
     Epoch,
+    #[error("it says more of its site than is kept")]
+    State,
     #[error("more gateways than may be")]
     Peers,
     #[error("nothing comes in any more")]
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -4,7 +4,7 @@
 //! is older than its bound counts for nothing. Must never take an older word for a newer one, nor hold a purge or a
 //! drain back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use linnethook::interface::Ms;
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,8 @@
 pub enum Fact {
     /// A cache, by its name: whether it takes new work. Only one that does not is worth a word, or does again.
     Cache { ready: bool },
+    /// A cache that is gone for good.
+    Left,
     /// An object or group, by its name: copies from before are out of date.
     Purged { stamp: Ms },
     /// The part of what the site can carry that is in use, how many of its caches take new work, and whether its way
@@ -23,6 +25,13 @@
     Drained(bool),
 }
 
+impl Fact {
+    /// Whether it need not be known for ever.
+    fn ends(&self) -> bool {
+        matches!(self, Self::Purged { .. } | Self::Left | Self::Cache { ready: true })
+    }
+}
+
 /// Where a fact belongs: its kind and its name, so that a later one takes the place of an earlier one.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum About {
@@ -77,23 +86,28 @@
         true
     }
 
-    /// Purges that every copy has heeded by now need not be told any more.
-    pub fn forget_purges(&mut self, before: Ms) {
-        let version = self.version;
-        let old = |about: &About, at: Ms| matches!(about, About::Object(_) | About::Group(_)) && at < before;
+    /// What was said before that and holds for good by now need not be told any more: purges, and caches that are gone
+    /// or back.
+    pub fn forget(&mut self, before: Ms) {
         let count = self.facts.len();
-        self.facts.retain(|about, (_, at, _)| !old(about, *at));
+        let mut newest = self.oldest;
+        self.facts.retain(|_, (version, at, fact)| {
+            let old = fact.ends() && *at < before;
+            if old {
+                newest = newest.max(*version);
+            }
+            !old
+        });
         if self.facts.len() < count {
-            self.oldest = self.oldest.max(version.saturating_sub(self.most as u64));
+            self.oldest = newest;
         }
     }
 
-    /// The purge said longest ago makes room; drains and readiness stay.
+    /// What was said longest ago of such things makes room; drains and readiness stay.
     fn forget_oldest(&mut self) {
-        let purges =
-            self.facts.iter().filter(|(about, _)| matches!(about, About::Object(_) | About::Group(_)));
+        let ends = self.facts.iter().filter(|(_, (_, _, fact))| fact.ends());
         let first =
-            purges.min_by_key(|(_, (version, ..))| *version).map(|(about, (v, ..))| (about.clone(), *v));
+            ends.min_by_key(|(_, (version, ..))| *version).map(|(about, (v, ..))| (about.clone(), *v));
         if let Some((about, version)) = first {
             self.facts.remove(&about);
             self.oldest = self.oldest.max(version);
@@ -123,6 +137,8 @@
     Old,
     /// Something before it is missing: to be asked for from that version on.
     Gap(u64),
+    /// It says more than is kept of a site.
+    TooMuch,
 }
 
 /// What is known of another site.
@@ -130,7 +146,7 @@
 pub struct Other {
     epoch: u64,
     version: u64,
-    facts: BTreeMap<About, Fact>,
+    facts: BTreeMap<About, (Ms, Fact)>,
     heard: Option<Ms>,
 }
 
@@ -147,7 +163,8 @@
         }
     }
 
-    pub fn hear(&mut self, now: Ms, state: State) -> Heard {
+    /// Takes in a state; at most so many facts are kept.
+    pub fn hear(&mut self, now: Ms, state: State, most: usize) -> Heard {
         if state.epoch < self.epoch
             || state.epoch == self.epoch && state.version <= self.version && state.since > 0
         {
@@ -156,32 +173,61 @@
         if state.since > 0 && (state.epoch != self.epoch || state.since > self.version) {
             return Heard::Gap(if state.epoch == self.epoch { self.version } else { 0 });
         }
+        if self.facts.len() + state.facts.len() > most {
+            return Heard::TooMuch;
+        }
         self.heard = Some(now);
+        let mut new = Vec::new();
         if state.since == 0 {
-            // All there is: what is not in it is no more, but purges are not taken back.
-            let purge = |about: &About| matches!(about, About::Object(_) | About::Group(_));
-            self.facts.retain(|about, _| purge(about));
+            // All there is: what is not in it holds no more, but purges are not taken back.
+            let told: BTreeSet<&About> = state.facts.iter().map(|(about, _)| about).collect();
+            self.facts.retain(|about, (_, fact)| {
+                let stays = matches!(fact, Fact::Purged { .. }) || told.contains(about);
+                if !stays && *fact == (Fact::Cache { ready: false }) {
+                    new.push((about.clone(), Fact::Cache { ready: true }));
+                }
+                stays
+            });
         }
         (self.epoch, self.version) = (state.epoch, state.version);
-        let mut new = Vec::new();
         for (about, fact) in state.facts {
             // Of two purges the later one holds, whatever the order.
             let later = match (self.facts.get(&about), &fact) {
-                (Some(Fact::Purged { stamp: known }), Fact::Purged { stamp }) => stamp > known,
-                (Some(known), fact) => known != fact,
+                (Some((_, Fact::Purged { stamp: known })), Fact::Purged { stamp }) => stamp > known,
+                (Some((_, known)), fact) => known != fact,
                 (None, _) => true,
             };
             if later {
-                self.facts.insert(about.clone(), fact.clone());
+                self.facts.insert(about.clone(), (now, fact.clone()));
                 new.push((about, fact));
             }
         }
         Heard::New(new)
     }
 
+    /// Forgets what was heard before that and holds for good by now.
+    pub fn forget(&mut self, before: Ms) {
+        self.facts.retain(|_, (at, fact)| !fact.ends() || *at >= before);
+    }
+
+    /// Facts that are kept.
+    pub fn len(&self) -> usize {
+        self.facts.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    /// Whether it says of a cache that it takes no new work; that holds until it says otherwise.
+    pub fn bars(&self, cache: &str) -> bool {
+        let fact = self.facts.get(&About::Cache(cache.to_string()));
+        matches!(fact, Some((_, Fact::Cache { ready: false } | Fact::Left)))
+    }
+
     /// What is known of something, if it was heard within that bound.
     pub fn get(&self, now: Ms, bound: Ms, about: &About) -> Option<&Fact> {
         let fresh = self.heard.is_some_and(|heard| now - heard <= bound);
-        self.facts.get(about).filter(|_| fresh)
+        self.facts.get(about).filter(|_| fresh).map(|(_, fact)| fact)
     }
 }
--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -4,18 +4,21 @@
 //! must not stand still while a file is read. Must never pass on anything but a whole, checked result or one error.
 
 use std::io::{self, Read, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
+use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Rules;
 use nix::sys::resource::{setrlimit, Resource};
 use nix::unistd::alarm;
 use serde::{Deserialize, Serialize};
 
+use crate::knobs::gateway::GATEWAY;
 use crate::knobs::HIERARCHY;
-use crate::script::{HierarchyPart, Kind, Log};
-use crate::{changes, Bounds, Hierarchy, Operator, Wrong};
+use crate::script::{GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec};
+use crate::{changes, Bounds, Gateway, Hierarchy, Operator, Wrong};
 
 /// The first argument that makes the program do nothing but evaluate.
 pub const VERB: &str = "evaluate";
@@ -33,6 +36,17 @@
     control: Option<String>,
     log: Option<(bool, u32)>,
     hierarchy: Option<SentHierarchy>,
+    gateway: Option<SentGateway>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SentGateway {
+    site: String,
+    listen: Option<SocketAddr>,
+    /// In the order of the table.
+    knobs: Vec<f64>,
+    sites: Vec<SiteSpec>,
+    links: Vec<LinkSpec>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -57,7 +71,14 @@
             nodes,
         });
         let log = operator.log.map(|log| (log.json, log.lines_per_second));
-        Self { control: operator.control, log, hierarchy }
+        let gateway = operator.gateway.map(|Gateway { part, sites, links }| SentGateway {
+            site: part.site,
+            listen: part.listen,
+            knobs: GATEWAY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
+            sites,
+            links,
+        });
+        Self { control: operator.control, log, hierarchy, gateway }
     }
 }
 
@@ -72,7 +93,15 @@
             Hierarchy { part, nodes: sent.nodes }
         });
         let log = sent.log.map(|(json, lines_per_second)| Log { json, lines_per_second });
-        Self { control: sent.control, log, hierarchy }
+        let gateway = sent.gateway.map(|sent| {
+            let mut rules = GatewayRules::default();
+            for (knob, value) in GATEWAY.iter().zip(&sent.knobs) {
+                (knob.set)(&mut rules, *value);
+            }
+            let part = GatewayPart { site: sent.site, listen: sent.listen, rules };
+            Gateway { part, sites: sent.sites, links: sent.links }
+        });
+        Self { control: sent.control, log, hierarchy, gateway }
     }
 }
 
--- /dev/null
+++ b/crates/operator/src/knobs/gateway.rs
@@ -0,0 +1,61 @@
+//! Owns the table of `gateway(...)`.
+
+use linnethook_gateway::gateway::Rules;
+
+use super::{Knob, SECONDS};
+
+/// What `gateway(...)` sets beside its site and where it listens.
+pub const GATEWAY: &[Knob<Rules>] = &[
+    knob!(
+        "fresh",
+        "seconds",
+        (0.0, 10.0),
+        SECONDS,
+        peers.fresh,
+        "requests from another site are let in only while all that was known there so long ago is known here; 0 lets all in"
+    ),
+    knob!("bound", "seconds", (0.1, 60.0), SECONDS, peers.bound, "what a site said longer ago counts for nothing"),
+    knob!("purges", "seconds", (10.0, 86_400.0), SECONDS, peers.purges, "how long purges are told to a site that comes back"),
+    knob!(whole "facts", "", (64.0, 8_192.0), usize, peers.facts, "drains and purges that are kept of each site"),
+    knob!(whole "gateways", "", (1.0, 1_024.0), usize, peers.gateways, "gateways of other sites that are known at a time"),
+    knob!(whole "accepted", "", (1.0, 1_024.0), usize, peers.accepted, "connections that are taken in"),
+    knob!("ping", "seconds", (0.01, 5.0), SECONDS, session.pulse.every, "how often the other side is pinged"),
+    knob!("phi", "", (1.0, 16.0), 1.0, session.pulse.phi, "suspicion at which a link is silent: one in ten to that is the chance that it is not"),
+    knob!("silent_least", "seconds", (0.05, 60.0), SECONDS, session.pulse.least, "no link is called silent sooner"),
+    knob!("silent_most", "seconds", (0.1, 120.0), SECONDS, session.pulse.most, "every link is called silent by then, and half-open where nothing that is sent is answered"),
+    knob!("slow", "", (1.5, 100.0), 1.0, session.pulse.slow, "answers to pings that take so many times the best one: the link is slow"),
+    knob!("retry", "seconds", (0.01, 60.0), SECONDS, retry.first, "pause before a link is tried again, doubled each time"),
+    knob!("retry_most", "seconds", (0.05, 600.0), SECONDS, retry.longest, "the longest such pause"),
+    knob!(whole "streams", "", (1.0, 65_536.0), usize, session.streams.streams, "requests at a time on one connection, in each direction"),
+    knob!(whole "stream_window", "bytes", (16_384.0, 16_777_216.0), u64, session.streams.stream_window, "bytes that may be under way on a stream"),
+    knob!(whole "link_window", "bytes", (65_536.0, 268_435_456.0), u64, session.streams.link_window, "bytes that may be under way on a connection"),
+    knob!("window", "", (1.0, 4_096.0), 1.0, window.first, "requests that may be under way to a site at first, and after a cut"),
+    knob!("window_most", "", (1.0, 65_536.0), 1.0, window.most, "and at the most"),
+    knob!("window_bytes", "bytes", (65_536.0, 1e9), 1.0, window.bytes, "bytes of answers expected at a time"),
+    knob!("late", "", (0.01, 1.0), 1.0, window.bear, "share of late answers above which less goes to a site"),
+    knob!("first", "", (0.0, 1.0), 1.0, routes.first, "the part of the objects that a new or returned site gets at first"),
+    knob!("rise", "seconds", (0.0, 600.0), SECONDS, routes.rise, "how long until it may get all"),
+    knob!("rise_writes", "seconds", (0.0, 600.0), SECONDS, routes.rise_writes, "the same for what runs at the origin"),
+    knob!("half", "seconds", (0.001, 600.0), SECONDS, routes.half, "while a site is out of reach its part is halved in that time"),
+    knob!("flapping", "", (0.0, 1.0), 1.0, routes.flapping, "the part that goes over a link that flaps"),
+    knob!("full", "", (0.05, 1.0), 1.0, routes.full, "load by its own word above which a site gets next to nothing"),
+    knob!("room", "", (0.01, 1.0), 1.0, routes.room, "and below which it gets its part again"),
+    knob!("bad", "", (0.01, 1.0), 1.0, routes.bad, "share of requests that ended badly there, likewise"),
+    knob!("good", "", (0.0, 1.0), 1.0, routes.good, "and the share below which it gets its part again"),
+    knob!("repeats", "", (0.0, 10.0), 1.0, routes.repeats, "further attempts across that each request brings"),
+    knob!("saved", "", (0.0, 10_000.0), 1.0, routes.saved, "how many may be saved up"),
+    knob!(whole "hops", "", (1.0, 16.0), usize, routes.hops, "sites that a request may pass, the first one included"),
+    knob!("unable", "", (0.05, 1.0), 1.0, home.bad, "share of requests that end badly at home above which it counts as unable"),
+    knob!("home_try", "seconds", (0.01, 60.0), SECONDS, home.every, "how often a home that is unable is tried"),
+    knob!(whole "home_good", "", (1.0, 100.0), u32, home.good, "good ones in a row after which it is able again"),
+    knob!("remember", "seconds", (5.0, 86_400.0), SECONDS, horizon.span, "how long the fate of an attempt is remembered; longer than any client waits"),
+    knob!(whole "tokens", "", (16.0, 10_000_000.0), usize, horizon.tokens, "attempts that are remembered of each gateway"),
+    knob!(whole "answers", "bytes", (0.0, 1e9), usize, horizon.bytes, "bytes of their answers"),
+    knob!(whole "attempts", "", (1.0, 1e6), usize, across.attempts, "attempts at harmful requests that may be open across"),
+    knob!(whole "guests", "", (1.0, 1e6), usize, across.guests, "requests from other sites at a time"),
+    knob!("wait", "seconds", (0.0, 60.0), SECONDS, across.wait, "how long a body that stopped may wait for its link"),
+    knob!(whole "waiting", "", (0.0, 1e6), usize, across.waiting, "how many may"),
+    knob!(whole "held", "bytes", (65_536.0, 1e10), usize, across.bytes, "bytes of bodies that may be held at a time"),
+    knob!(whole "tries", "", (0.0, 100.0), u32, across.tries, "further tries of one request"),
+    knob!("come_back", "seconds", (0.0, 60.0), SECONDS, across.come_back, "when a client that is turned away may come again"),
+];
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use script::{evaluate, At, HierarchyPart, Kind, Log};
+use script::{evaluate, At, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec};
 
 /// How far an evaluation may go.
 #[derive(Debug, Clone, Copy)]
@@ -64,6 +64,15 @@
     pub control: Option<String>,
     pub log: Option<Log>,
     pub hierarchy: Option<Hierarchy>,
+    pub gateway: Option<Gateway>,
+}
+
+/// The gateway as the file has it.
+#[derive(Debug, Clone)]
+pub struct Gateway {
+    pub part: GatewayPart,
+    pub sites: Vec<SiteSpec>,
+    pub links: Vec<LinkSpec>,
 }
 
 /// The hierarchy as the file has it.
@@ -104,10 +113,56 @@
             }
         };
         let control = parts.control.map(|(_, path)| path);
-        Ok(Self { control, log: parts.log.map(|(_, log)| log), hierarchy })
+        let gateway = gateway(parts.gateway, parts.sites, parts.links);
+        let gateway = gateway.map_err(|(at, what)| wrong(Some(at), what))?;
+        Ok(Self { control, log: parts.log.map(|(_, log)| log), hierarchy, gateway })
     }
 }
 
+/// A gateway with its sites and links, each checked against the others.
+fn gateway(
+    part: Option<(At, GatewayPart)>,
+    sites: Vec<(At, SiteSpec)>,
+    links: Vec<(At, LinkSpec)>,
+) -> Result<Option<Gateway>, (At, String)> {
+    let stray = sites.first().map(|(at, _)| (*at, "site()")).or(links.first().map(|(at, _)| (*at, "link()")));
+    let Some((at, part)) = part else {
+        return match stray {
+            Some((at, function)) => Err((at, format!("{function}: expected a gateway() beside it"))),
+            None => Ok(None),
+        };
+    };
+    if sites.is_empty() {
+        return Err((at, "gateway(): expected at least one other site()".to_string()));
+    }
+    let mut names = vec![part.site.as_str()];
+    let mut classes = Vec::new();
+    for (at, site) in &sites {
+        if names.contains(&site.name.as_str()) {
+            return Err((*at, format!("site(): {:?} is a site already", site.name)));
+        }
+        names.push(&site.name);
+        for class in &site.classes {
+            if classes.contains(&class) {
+                return Err((*at, format!("site(): classes: {class:?} is at home at another site already")));
+            }
+            classes.push(class);
+        }
+    }
+    if let Some((at, link)) = links.iter().find(|(_, l)| !sites.iter().any(|(_, site)| site.name == l.to)) {
+        return Err((*at, format!("link(): there is no site({:?})", link.to)));
+    }
+    if part.listen.is_none() && links.is_empty() {
+        return Err((at, "gateway(): expected listen, or at least one link()".to_string()));
+    }
+    if part.rules.session.pulse.least > part.rules.session.pulse.most {
+        return Err((at, "gateway(): expected silent_least up to silent_most".to_string()));
+    }
+    let strip = |(_, site): (At, SiteSpec)| site;
+    let links = links.into_iter().map(|(_, link)| link).collect();
+    Ok(Some(Gateway { part, sites: sites.into_iter().map(strip).collect(), links }))
+}
+
 /// Reads a file of changes, as `linnethook hierarchy plan` and `apply` take them.
 pub fn changes(file: &str, text: &str, bounds: &Bounds) -> Result<Vec<ChangeSpec>, Wrong> {
     let parts = evaluate(Kind::Changes, file, text, bounds)?;
@@ -119,14 +174,20 @@
     }
 }
 
-/// The reference of `hierarchy()`: each setting with its default, range and unit, one a line.
+/// The reference of the tables: each setting with its function, default, range and unit, one a line.
 pub fn reference() -> String {
-    let rules = linnethook_hierarchy::Rules::default();
-    let line = |knob: &knobs::Knob<linnethook_hierarchy::Rules>| {
+    lines("hierarchy", knobs::HIERARCHY) + &lines("gateway", knobs::gateway::GATEWAY)
+}
+
+fn lines<T: Default>(function: &str, table: &[knobs::Knob<T>]) -> String {
+    let rules = T::default();
+    let line = |knob: &knobs::Knob<T>| {
         let unit = if knob.unit.is_empty() { "" } else { " " };
-        let (least, most) = (knob.least, knob.most);
-        let default = knob.default(&rules);
-        format!("| `{}` | {default}{unit}{} | {least} to {most} | {} |\n", knob.name, knob.unit, knob.about)
+        let (least, most, default) = (knob.least, knob.most, knob.default(&rules));
+        format!(
+            "| {function} | `{}` | {default}{unit}{} | {least} to {most} | {} |\n",
+            knob.name, knob.unit, knob.about
+        )
     };
-    knobs::HIERARCHY.iter().map(line).collect()
+    table.iter().map(line).collect()
 }
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -3,10 +3,13 @@
 //! Must never read another file, run past its bounds, or let a value through that was not checked.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec, SourceSpec};
 use linnethook_hierarchy::{Role, Rules};
+use serde::{Deserialize, Serialize};
 use starlark::collections::SmallMap;
 use starlark::environment::{Globals, GlobalsBuilder, Module};
 use starlark::eval::Evaluator;
@@ -18,6 +21,7 @@
 use starlark::values::tuple::TupleRef;
 use starlark::values::{UnpackValue, Value};
 
+use crate::knobs::gateway::GATEWAY;
 use crate::knobs::{Knob, HIERARCHY};
 use crate::{Bounds, Wrong};
 
@@ -36,6 +40,9 @@
     pub log: Option<(At, Log)>,
     pub hierarchy: Option<(At, HierarchyPart)>,
     pub nodes: Vec<(At, NodeSpec)>,
+    pub gateway: Option<(At, GatewayPart)>,
+    pub sites: Vec<(At, SiteSpec)>,
+    pub links: Vec<(At, LinkSpec)>,
     pub changes: Vec<ChangeSpec>,
 }
 
@@ -53,6 +60,31 @@
     pub rules: Rules,
 }
 
+/// The gateway's own side.
+#[derive(Debug, Clone)]
+pub struct GatewayPart {
+    pub site: String,
+    /// Where other sites connect; none where this one only dials.
+    pub listen: Option<SocketAddr>,
+    pub rules: GatewayRules,
+}
+
+/// Another site.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteSpec {
+    pub name: String,
+    /// Classes of requests that are at home there.
+    pub classes: Vec<String>,
+}
+
+/// Connections that are kept up to a gateway of another site.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkSpec {
+    pub to: String,
+    pub connect: SocketAddr,
+    pub connections: u32,
+}
+
 /// Which functions a file may call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -112,6 +144,21 @@
         }
     }
 
+    fn address(&mut self, name: &'static str) -> anyhow::Result<Option<SocketAddr>> {
+        let Some(value) = self.take(name) else { return Ok(None) };
+        match value.unpack_str().and_then(|text| text.parse().ok()) {
+            Some(address) => Ok(Some(address)),
+            None => Err(self.wrong(name, "an address with its port, as in 10.0.0.4:9300", value)),
+        }
+    }
+
+    /// A list of names; none is an empty one.
+    fn names(&mut self, name: &'static str) -> anyhow::Result<Vec<String>> {
+        let Some(value) = self.take(name) else { return Ok(Vec::new()) };
+        let list = ListRef::from_value(value).ok_or_else(|| self.wrong(name, "a list of names", value))?;
+        list.iter().map(|item| self.name(name, item)).collect()
+    }
+
     fn flag(&mut self, name: &'static str, default: bool) -> anyhow::Result<bool> {
         match self.take(name) {
             None => Ok(default),
@@ -306,6 +353,61 @@
     }
 }
 
+#[starlark_module]
+fn gateways(builder: &mut GlobalsBuilder) {
+    /// Makes the router a gateway of that site.
+    fn gateway<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("gateway()", given);
+        let site = arguments.take("site").ok_or_else(|| anyhow::anyhow!("gateway(): site is missing"))?;
+        let site = arguments.name("site", site)?;
+        let listen = arguments.address("listen")?;
+        let mut rules = GatewayRules::default();
+        arguments.knobs(GATEWAY, &mut rules)?;
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| once(&mut parts.gateway, at, "gateway()", GatewayPart { site, listen, rules }))
+    }
+
+    /// Another site.
+    fn site<'v>(
+        name: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("site()", given);
+        let name = arguments.name("name", name)?;
+        let classes = arguments.names("classes")?;
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| {
+            parts.sites.push((at, SiteSpec { name, classes }));
+            Ok(())
+        })
+    }
+
+    /// Connections to a gateway of another site.
+    fn link<'v>(
+        to: Value<'v>,
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("link()", given);
+        let to = arguments.name("to", to)?;
+        let connect = arguments.address("connect")?;
+        let connect = connect.ok_or_else(|| anyhow::anyhow!("link(): connect is missing"))?;
+        let connections = arguments.number("connections", (1.0, 4.0), true)?.unwrap_or(1.0) as u32;
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| {
+            parts.links.push((at, LinkSpec { to, connect, connections }));
+            Ok(())
+        })
+    }
+}
+
 #[starlark_module]
 fn changes(builder: &mut GlobalsBuilder) {
     /// A node that was not there.
@@ -389,7 +491,7 @@
 fn globals(kind: Kind) -> Globals {
     let builder = GlobalsBuilder::standard();
     match kind {
-        Kind::Operator => builder.with(settings).build(),
+        Kind::Operator => builder.with(settings).with(gateways).build(),
         Kind::Changes => builder.with(changes).build(),
     }
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -13,6 +13,11 @@
 for hub in ["south", "centre"]:
     node("parent-" + hub, role = "parent", site = hub, capacity = 30, sources = ["origin"])
 [node("cache-%d" % n, site = "shop", capacity = 8, sources = ["parent-south", ("origin", 9)]) for n in range(3)]
+
+gateway(site = "north", listen = "10.0.0.4:9300", fresh = 0.15, hops = 3)
+site("south", classes = ["booking"])
+site("west")
+link("south", connect = "10.1.0.4:9300", connections = 2)
 "#;
 
 fn read(text: &str) -> Result<Operator, String> {
@@ -31,6 +36,11 @@
     assert_eq!(hierarchy.nodes.len(), 6);
     let ranks: Vec<u16> = hierarchy.nodes[5].sources.iter().map(|source| source.rank).collect();
     assert_eq!(ranks, [0, 9]);
+    let gateway = operator.gateway.expect("a gateway");
+    assert_eq!((gateway.part.site.as_str(), gateway.sites.len(), gateway.links[0].connections), ("north", 2, 2));
+    assert_eq!((gateway.part.rules.peers.fresh, gateway.part.rules.routes.hops), (150.0, 3));
+    assert_eq!(gateway.sites[0].classes, ["booking"]);
+    assert!(read("").expect("an empty file").gateway.is_none());
     assert!(read("").expect("an empty file").hierarchy.is_none());
     assert!(read("hierarchy()").expect("no nodes").hierarchy.is_some_and(|h| h.nodes.is_empty()));
 }
@@ -65,6 +75,21 @@
         (&format!("hierarchy()\n{node}\nnode(\"a\")"), "operator.star:3:1: \"a\" has no way to the origin"),
         ("hierarchy()\nnode(\"a\")", "operator.star:1:1: there is no origin"),
         ("hierarchy(nodes = 1)\nnode(\"a\")\nnode(\"b\")", "2 nodes, expected 1 at the most"),
+        ("site(\"b\")", "operator.star:1:1: site(): expected a gateway() beside it"),
+        ("gateway(listen = \"10.0.0.4:9300\")", "gateway(): site is missing"),
+        ("gateway(site = \"a\", listen = \"here\")", "listen: expected an address with its port"),
+        ("gateway(site = \"a\", listen = \"10.0.0.4:1\")", "gateway(): expected at least one other site()"),
+        ("gateway(site = \"a\")\nsite(\"a\")", "operator.star:2:1: site(): \"a\" is a site already"),
+        ("gateway(site = \"a\")\nsite(\"b\")", "operator.star:1:1: gateway(): expected listen, or at least one link()"),
+        ("gateway(site = \"a\", phi = 0)\nsite(\"b\")", "gateway(): phi: expected a number from 1 to 16, got 0"),
+        (
+            "gateway(site = \"a\")\nsite(\"b\")\nlink(\"c\", connect = \"10.0.0.4:1\")",
+            "operator.star:3:1: link(): there is no site(\"c\")",
+        ),
+        (
+            "gateway(site = \"a\")\nsite(\"b\", classes = [\"x\"])\nsite(\"c\", classes = [\"x\"])",
+            "operator.star:3:1: site(): classes: \"x\" is at home at another site already",
+        ),
         ("hierarchy(", "operator.star:1:"),
         ("load(\"other.star\", \"x\")", "operator.star:1:1:"),
         ("def f(): f()\nf()", "operator.star:"),
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -132,7 +132,7 @@
             Ok(format!("{}: good (control socket: {control}; hierarchy: {hierarchy})\n", file.display()))
         }
         Command::Settings => Ok(format!(
-            "| setting | default | range | what it is |\n| --- | --- | --- | --- |\n{}",
+            "| function | setting | default | range | what it is |\n| --- | --- | --- | --- | --- |\n{}",
             reference()
         )),
         Command::Completions { shell } => {
