Make the router a gateway: links on sockets, two sites with a link that fails between

Need: the gateway core was wired in nowhere; bookings at a site without its store had nowhere to go.

Change: links/ in the router (sockets; requests, drains and purges in both terms; what the gateway wants done), gateway status, routes, drain and undrain over the control socket, the gateway's package under node. A request that was refused at an unable home goes across, since it never ran. Stand-ins: a link in the middle that holds, delays, throttles and cuts, and reads along for the checker; two sites around it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -703,6 +703,26 @@
 
     // ---- For people.
 
+    /// Where reads and writes go now.
+    pub fn shown_routes(&self, now: Ms) -> Vec<RouteLine> {
+        let line = |need: Need| {
+            let write = need == Need::Write;
+            let able = |view: &View| if write { view.origin } else { view.caches };
+            let usable = |site: Site| {
+                self.routes.known(site).filter(|(v, ..)| v.reachable && !v.drained && able(v)).is_some()
+            };
+            let sites = (1..self.names.len() as u16).map(Site).filter(|site| usable(*site));
+            RouteLine {
+                what: if write { "writes" } else { "reads" }.to_string(),
+                home: !self.home.is_drained() && able(&self.home.view()),
+                across: sites
+                    .map(|site| (self.site_name(site).to_string(), self.routes.part(now, site, write)))
+                    .collect(),
+            }
+        };
+        vec![line(Need::Read), line(Need::Write)]
+    }
+
     /// How it stands with each other site.
     pub fn status(&self, now: Ms) -> Status {
         let site = |n: usize| {
@@ -811,6 +831,14 @@
     pub gateways: Vec<GatewayLine>,
 }
 
+/// Where a kind of requests goes: at home while home can, and else to those sites, with the part that each may get.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RouteLine {
+    pub what: String,
+    pub home: bool,
+    pub across: Vec<(String, f64)>,
+}
+
 /// A gateway as it is shown.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -37,7 +37,10 @@
     let ranks: Vec<u16> = hierarchy.nodes[5].sources.iter().map(|source| source.rank).collect();
     assert_eq!(ranks, [0, 9]);
     let gateway = operator.gateway.expect("a gateway");
-    assert_eq!((gateway.part.site.as_str(), gateway.sites.len(), gateway.links[0].connections), ("north", 2, 2));
+    assert_eq!(
+        (gateway.part.site.as_str(), gateway.sites.len(), gateway.links[0].connections),
+        ("north", 2, 2)
+    );
     assert_eq!((gateway.part.rules.peers.fresh, gateway.part.rules.routes.hops), (150.0, 3));
     assert_eq!(gateway.sites[0].classes, ["booking"]);
     assert!(read("").expect("an empty file").gateway.is_none());
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -61,10 +61,19 @@
     pub round: Option<(String, String, u64)>,
 }
 
+/// By what a copy is told from another one of the same object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Made {
+    pub tag: String,
+    /// When the origin gave it out.
+    pub dated: Ms,
+}
+
 #[derive(Debug)]
 pub enum Brought {
     Nothing,
-    Body(Chain),
+    /// Which copy it is, where that is asked for and told.
+    Body(Chain, Option<Made>),
     /// The client's own copy is the one.
     Unchanged,
 }
@@ -166,6 +175,8 @@
     probes_due: BTreeSet<(u64, ConnectionId, String)>,
     ended: VecDeque<Ended>,
     probed: VecDeque<Probed>,
+    /// Whether it is told which copy an answer brought.
+    pub tells_copies: bool,
     pub connects: u64,
 }
 
@@ -195,6 +206,7 @@
             probes_due: BTreeSet::new(),
             ended: VecDeque::new(),
             probed: VecDeque::new(),
+            tells_copies: false,
             connects: 0,
         }
     }
@@ -510,7 +522,10 @@
         let Some(out) = self.out.remove(&attempt) else { return };
         self.due.remove(&(out.due, attempt));
         let (end, brought) = match reply.word {
-            Word::Data => (End::Answered, Brought::Body(reply.body)),
+            Word::Data => {
+                let made = if self.tells_copies { made(&reply.fields) } else { None };
+                (End::Answered, Brought::Body(reply.body, made))
+            }
             // Good only for the copy that this client holds.
             Word::Unchanged if same(&out.known, reply.fields.get("digest")) => {
                 (End::Answered, Brought::Unchanged)
@@ -711,6 +726,11 @@
     known.as_deref().is_some_and(|known| digest.is_none_or(|digest| digest == known))
 }
 
+fn made(fields: &Pairs) -> Option<Made> {
+    let dated = fields.get("dated")?.parse().ok()?;
+    Some(Made { tag: fields.get("digest")?.to_string(), dated })
+}
+
 /// How an answer came about, by the word for it.
 fn how(word: &str) -> Option<How> {
     Some(match word {
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use linnethook_gateway::gateway::{RouteLine, Status};
 use linnethook_hierarchy::named::{BatchSpec, NodeSpec, PlanSpec, SourceSpec};
 use linnethook_operator::script::Kind;
 use linnethook_operator::{apart, reference};
@@ -48,6 +49,13 @@
         #[command(flatten)]
         at: At,
     },
+    /// Show how a running gateway stands with other sites, or leave a site alone
+    Gateway {
+        #[command(subcommand)]
+        verb: GatewayVerb,
+        #[command(flatten)]
+        at: At,
+    },
     /// Print the settings of the operator file with their defaults and ranges
     Settings,
     /// Print completions for a shell
@@ -89,6 +97,18 @@
     Rollback { author: u16, number: u64 },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum GatewayVerb {
+    /// Show the links, what other sites say of themselves, and what is under way
+    Status,
+    /// Show where reads and writes go now
+    Routes,
+    /// Have a site left alone: the own one by all others, another one by this gateway
+    Drain { site: String },
+    /// Have it used again
+    Undrain { site: String },
+}
+
 /// Why a command did not end well.
 #[derive(Debug)]
 pub enum Failed {
@@ -129,7 +149,12 @@
             let nodes = operator.hierarchy.map(|hierarchy| hierarchy.nodes.len());
             let hierarchy = nodes.map_or("off".to_string(), |nodes| format!("{nodes} nodes"));
             let control = operator.control.unwrap_or("none".to_string());
-            Ok(format!("{}: good (control socket: {control}; hierarchy: {hierarchy})\n", file.display()))
+            let gateway = operator.gateway.map_or(String::new(), |gateway| {
+                let (sites, links) = (gateway.sites.len(), gateway.links.len());
+                format!("; gateway of {}: {sites} other sites, {links} links", gateway.part.site)
+            });
+            let file = file.display();
+            Ok(format!("{file}: good (control socket: {control}; hierarchy: {hierarchy}{gateway})\n"))
         }
         Command::Settings => Ok(format!(
             "| function | setting | default | range | what it is |\n| --- | --- | --- | --- | --- |\n{}",
@@ -152,6 +177,7 @@
             Ok(String::new())
         }
         Command::Hierarchy { verb, at } => hierarchy(verb, at),
+        Command::Gateway { verb, at } => gateway(verb, at),
     }
 }
 
@@ -191,10 +217,90 @@
             Ok(if json { as_json(&batch) } else { applied_text(&batch, 1 + others.len()) })
         }
         Answer::Done(what) => Ok(if json { as_json(&what) } else { format!("{what}\n") }),
-        no @ Answer::No(_) => Err(unexpected(first, no)),
+        other => Err(unexpected(first, other)),
+    }
+}
+
+fn gateway(verb: &GatewayVerb, at: &At) -> Result<String, Failed> {
+    let [socket] = &at.socket[..] else {
+        return Err(Failed::Input(
+            "one --socket (or LB_CONTROL) is needed: where is the router?".to_string(),
+        ));
+    };
+    let question = match verb {
+        GatewayVerb::Status => Question::Gateway,
+        GatewayVerb::Routes => Question::Routes,
+        GatewayVerb::Drain { site } => Question::Drain { site: site.clone(), drained: true },
+        GatewayVerb::Undrain { site } => Question::Drain { site: site.clone(), drained: false },
+    };
+    let json = at.format == Format::Json;
+    match ask(socket, &question)? {
+        Answer::Gateway(status) => Ok(if json { as_json(&status) } else { status_text(&status) }),
+        Answer::Routes(routes) => Ok(if json { as_json(&routes) } else { routes_text(&routes) }),
+        Answer::Done(what) => Ok(if json { as_json(&what) } else { format!("{what}\n") }),
+        other => Err(unexpected(socket, other)),
     }
 }
 
+fn yes(is: bool, what: &str, not: &str) -> String {
+    if is { what } else { not }.to_string()
+}
+
+fn status_text(status: &Status) -> String {
+    let mut out = format!(
+        "{}/{}: {} caches, {}, load {:.2}{}; {} requests across, {} of them uncertain, {} from other sites\n",
+        status.site,
+        status.node,
+        status.caches,
+        yes(status.origin, "origin reached", "ORIGIN NOT REACHED"),
+        status.used,
+        yes(status.drained, ", LEFT ALONE", ""),
+        status.out,
+        status.uncertain,
+        status.serving
+    );
+    for site in &status.sites {
+        out += &format!(
+            "{}: {}{}{}{}{}{}, load {:.2}; may get {:.0}% of the reads and {:.0}% of the writes, {} out of {:.0}; ended badly {:.2}\n",
+            site.name,
+            yes(site.reachable, "reached", "NOT REACHED"),
+            yes(site.caches, "", ", no caches"),
+            yes(site.origin, "", ", no way to the origin"),
+            yes(site.drained, ", LEFT ALONE", ""),
+            yes(site.flapping, ", FLAPPING", ""),
+            yes(site.shut, ", shut", ""),
+            site.used,
+            site.part * 100.0,
+            site.part_writes * 100.0,
+            site.out,
+            site.window,
+            site.bad
+        );
+        for gateway in &site.gateways {
+            out += &format!("  {}: {} tokens remembered\n", gateway.name, gateway.remembered);
+            for conn in &gateway.connections {
+                out += &format!(
+                    "    {}, answers in {:.1} ms, phi {:.1}; {} out, {} from there, {} bytes waiting\n",
+                    conn.feel, conn.trip, conn.phi, conn.out, conn.serving, conn.waiting
+                );
+            }
+        }
+    }
+    let counts = serde_json::to_value(status.counts).unwrap_or_default();
+    let counts = counts.as_object().into_iter().flatten().map(|(name, count)| format!("{name}={count}"));
+    out + &counts.collect::<Vec<_>>().join(" ") + "\n"
+}
+
+fn routes_text(routes: &[RouteLine]) -> String {
+    let line = |route: &RouteLine| {
+        let across = route.across.iter().map(|(site, part)| format!("{site} ({:.0}%)", part * 100.0));
+        let across: Vec<String> = across.collect();
+        let across = if across.is_empty() { "nowhere".to_string() } else { across.join(", ") };
+        format!("{}: {}, else {across}\n", route.what, yes(route.home, "home", "home CAN'T"))
+    };
+    routes.iter().map(line).collect()
+}
+
 fn unexpected(socket: &Path, answer: Answer) -> Failed {
     match answer {
         Answer::No(why) => Failed::Other(format!("{}: {why}", socket.display())),
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -527,7 +527,7 @@
 /// A request's fields; `None` where it lacks what it needs, or can't be what it says.
 ///
 /// Guards against requests that caches can't use: they answer an error, which would count against them.
-fn taken(asker: Asker, fields: &Fields, body: Chain, limits: &Limits) -> Option<Taken> {
+pub fn taken(asker: Asker, fields: &Fields, body: Chain, limits: &Limits) -> Option<Taken> {
     let class = fields.get("c")?;
     let id = fields.get("i").filter(|id| hex(id))?;
     let object = fields.get("o").filter(|object| hex(object))?;
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -128,6 +128,11 @@
     pub control_connections: usize,
     pub control_message: usize,
     pub control_time: f64,
+    /// Connections of links with other sites, the bytes read or written in one go on one, and those read before others
+    /// have their turn.
+    pub links: usize,
+    pub link_block: usize,
+    pub link_turn: usize,
 }
 
 /// Descriptors left over on either side for what is neither a client nor a cache.
@@ -183,6 +188,9 @@
             control_connections: 4,
             control_message: 16 * 1024 * 1024,
             control_time: 5_000.0,
+            links: (platform.sockets / 16).max(2),
+            link_block: 64 * 1024,
+            link_turn: 1024 * 1024,
         }
     }
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -12,6 +12,7 @@
 
 use calloop::generic::{Generic, NoIoDrop};
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use linnethook_gateway::gateway::{RouteLine, Status};
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, NodeSpec, PlanSpec};
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +31,9 @@
     Apply(Vec<ChangeSpec>),
     Hear(BatchSpec),
     RollBack { author: u16, number: u64 },
+    Gateway,
+    Routes,
+    Drain { site: String, drained: bool },
 }
 
 /// A going over to a new source, as it is shown.
@@ -74,6 +78,8 @@
     Nodes(Vec<NodeSpec>),
     Plan(Box<PlanSpec>),
     Applied(BatchSpec),
+    Gateway(Box<Status>),
+    Routes(Vec<RouteLine>),
     Done(String),
     /// It can't be done, and nothing was changed.
     No(String),
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethook::interface::{
-    Action, AttemptId, CacheId, Class, Event, Feed, Feeds, ListKind, Load, Member, Note, ObjectId, Outcome,
-    Phase, Request, RequestId, Status,
+    Action, AttemptId, CacheId, Class, Effect, Event, Feed, Feeds, ListKind, Load, Member, Note, ObjectId,
+    Outcome, Phase, Request, RequestId, Status,
 };
 use linnethook::Brain;
 use linnethook_settings::{load, LoadField, Names, Told as Settings};
@@ -257,6 +257,12 @@
         (class.aim + class.aim_stretch * sending, class.write)
     }
 
+    /// Whether a second run of a request would be harm.
+    pub fn does_harm(&self, wish: &Wish) -> bool {
+        let class = self.names.classes.iter().position(|name| *name == wish.class);
+        class.and_then(|n| self.classes.get(n)).is_none_or(|class| class.effect != Effect::Safe)
+    }
+
     /// The longest that a refused client may be told to stay away.
     pub fn longest_wait(&self) -> Ms {
         self.longest_wait
--- a/crates/router/src/frames.rs
+++ b/crates/router/src/frames.rs
@@ -37,7 +37,17 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Fields(Vec<(String, String)>);
 
+impl From<Vec<(String, String)>> for Fields {
+    fn from(fields: Vec<(String, String)>) -> Self {
+        Self(fields)
+    }
+}
+
 impl Fields {
+    pub fn put(&mut self, name: &str, value: &str) {
+        self.0.push((name.to_string(), value.to_string()));
+    }
+
     pub fn get(&self, name: &str) -> Option<&str> {
         self.0.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -11,6 +11,7 @@
 mod decider;
 mod frames;
 mod journal;
+mod links;
 mod log;
 mod pool;
 mod resp;
@@ -34,17 +35,19 @@
 
 use caches::{Brought, Caches, Ordered, Parcel};
 use cli::{Cli, Command};
-use clients::{Asker, ClientId, Clients, Said};
+use clients::{Asker, ClientId, Clients, Said, Taken};
 use config::{Config, Failure, Limits};
 use control::Control;
 use counters::Counters;
 use decider::{Decider, End, Final, Ms, News, Order, Ticket, Wish};
 use frames::Code;
 use journal::Journal;
+use links::beyond::{Beyond, Traveller};
+use links::is_foreign;
 use log::log_line;
 use pool::{Chain, Pool};
 use steer::Evaluation;
-use told::Entry;
+use told::{Entry, Hosts};
 use upstream::{Asked, Step, Upstream};
 use wakes::Wakes;
 
@@ -71,6 +74,8 @@
     asker: Asker,
     parcel: Parcel,
     asked: Asked,
+    /// What its gateway needs of it; nothing without one.
+    traveller: Option<Box<Traveller>>,
 }
 
 /// The requests that are open, and what each id among them is for.
@@ -133,6 +138,7 @@
     operator: Option<PathBuf>,
     upstream: Option<Upstream>,
     control: Option<Control<Self>>,
+    beyond: Option<Beyond<Self>>,
     /// The evaluation of the operator file that is under way.
     evaluation: Option<Evaluation>,
     handle: LoopHandle<'static, Self>,
@@ -164,6 +170,7 @@
             operator: None,
             upstream: None,
             control: None,
+            beyond: None,
             evaluation: None,
             handle: handle.clone(),
             wake: None,
@@ -171,7 +178,7 @@
             counters: Counters::default(),
         };
         if let Some((file, operator)) = operator {
-            router.switch_on(&config.file.name, &operator)?;
+            router.switch_on(&config.file.name, config.seed, &operator)?;
             router.operator = Some(file);
         }
         router.learn(known.entries);
@@ -192,15 +199,19 @@
                 }
                 self.tell_feeds();
             }
-            if let Some(hosts) = &entry.hosts {
-                self.caches.hosts(now, &hosts.targets, hosts.all);
-                self.list_upstream(hosts);
-                let orders = self.decider.report(now, hosts.news());
-                self.carry_out(orders, Brought::Nothing);
+            if let Some(mut hosts) = entry.hosts {
+                if let Some(beyond) = &mut self.beyond {
+                    let decider = &self.decider;
+                    beyond.hosts(now, &mut hosts, |target| decider.is_own(&target.host()));
+                }
+                self.take_hosts(&hosts);
             }
             if let Some(expire) = &entry.expire {
                 match expire.news() {
                     Some(news) => {
+                        if let Some(beyond) = &mut self.beyond {
+                            beyond.expired(now, expire);
+                        }
                         let orders = self.decider.report(now, news);
                         self.carry_out(orders, Brought::Nothing);
                     }
@@ -210,6 +221,15 @@
         }
     }
 
+    /// Takes in lines of the list of caches.
+    fn take_hosts(&mut self, hosts: &Hosts) {
+        let now = self.clock.now();
+        self.caches.hosts(now, &hosts.targets, hosts.all);
+        self.list_upstream(hosts);
+        let orders = self.decider.report(now, hosts.news());
+        self.carry_out(orders, Brought::Nothing);
+    }
+
     /// Does what was ordered. `brought` is what the attempt that was just reported has brought.
     fn carry_out(&mut self, orders: Vec<Order>, brought: Brought) {
         let now = self.clock.now();
@@ -248,13 +268,32 @@
         }
     }
 
+    /// The answer of this site's decisions to a request.
     fn answer(&mut self, ticket: Ticket, answer: Final, brought: Brought) {
+        if self.beyond.is_some() {
+            self.ended_here(ticket, answer);
+            if matches!(answer, Final::Refused { .. }) && self.goes_beyond(ticket) {
+                return self.carry_beyond();
+            }
+        }
+        self.finish(ticket, answer, brought);
+    }
+
+    /// The one final answer to whoever asked.
+    fn finish(&mut self, ticket: Ticket, answer: Final, brought: Brought) {
         let come_back = self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
+        if is_foreign(ticket) {
+            if self.requests.remove(ticket).is_some() {
+                self.answer_beyond(ticket, answer, brought);
+                self.carry_beyond();
+            }
+            return;
+        }
         let Some(held) = self.requests.remove(ticket) else { return };
         let nothing = Chain::new(&self.pool);
         let client = held.asker.client;
         match (answer, brought) {
-            (Final::Served, Brought::Body(body)) => {
+            (Final::Served, Brought::Body(body, _)) => {
                 self.counters.served += 1;
                 self.counters.served_bytes += body.len() as u64;
                 self.clients.answer(held.asker, Code::Served, &[], body);
@@ -301,21 +340,36 @@
                         continue;
                     }
                     let crowded = self.requests.len() >= self.limits.open;
-                    let (aim, write) = self.decider.wanted(&taken.wish);
-                    let Wish { object, part, size_kb, .. } = taken.wish;
+                    let Taken { wish, parcel, .. } = *taken;
+                    if self.beyond.is_some() {
+                        let held = self.held(now, asker, wish, parcel, Vec::new());
+                        self.requests.insert(ticket, held);
+                        if crowded {
+                            self.finish(ticket, Final::Refused { wait: 0.0 }, Brought::Nothing);
+                        } else {
+                            self.ask_gateway(ticket);
+                        }
+                        continue;
+                    }
+                    let (aim, write) = self.decider.wanted(&wish);
+                    let Wish { object, part, size_kb, .. } = wish;
                     let asked = Asked { object, part, write, bytes: size_kb * 1000.0, aim, since: now };
-                    self.requests.insert(ticket, Held { asker, parcel: taken.parcel, asked });
+                    self.requests.insert(ticket, Held { asker, parcel, asked, traveller: None });
                     if crowded {
                         self.answer(ticket, Final::Refused { wait: 0.0 }, Brought::Nothing);
                         continue;
                     }
-                    let orders = self.decider.pick(now, ticket, &taken.wish);
+                    let orders = self.decider.pick(now, ticket, &wish);
                     self.carry_out(orders, Brought::Nothing);
                 }
                 Said::GivenUp(ticket) => {
                     self.counters.given_up += 1;
                     self.requests.remove(ticket);
                     self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
+                    if let Some(beyond) = &mut self.beyond {
+                        beyond.gateway.gone(now, ticket);
+                        self.carry_beyond();
+                    }
                     let orders = self.decider.report(now, News::Left(ticket));
                     self.carry_out(orders, Brought::Nothing);
                 }
@@ -394,6 +448,10 @@
         if let Some(control) = &mut self.control {
             control.tick(now);
         }
+        if self.beyond.is_some() {
+            self.tick_beyond();
+            self.settle();
+        }
         self.journal.tick(now);
         let mut said = Vec::new();
         self.clients.tick(now, &mut said);
@@ -404,7 +462,7 @@
 
     /// How long nothing is due.
     fn rest(&self) -> Duration {
-        if self.clients.waits() {
+        if self.clients.waits() || self.beyond.as_ref().is_some_and(|beyond| beyond.links.waits()) {
             return Duration::ZERO;
         }
         let now = self.clock.now();
@@ -418,7 +476,11 @@
         let upstream = self.upstream.as_ref().map(Upstream::next);
         let control = self.control.as_ref().and_then(Control::next);
         let (journal, clients) = (Some(self.journal.next()), Some(self.clients.next()));
-        let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control];
+        let beyond = self.beyond.as_ref().map(|beyond| {
+            let connects = beyond.links.next().unwrap_or(f64::INFINITY);
+            beyond.gateway.next(now).min(connects)
+        });
+        let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control, beyond];
         let next = next.into_iter().flatten().reduce(Ms::min).unwrap_or(now + 1000.0);
         Duration::from_secs_f64((next - now).clamp(0.0, 1000.0) / 1000.0)
     }
@@ -434,6 +496,10 @@
             self.run = Run::Stopping(self.clock.now());
             let mut said = Vec::new();
             self.clients.stop(self.clock.now(), &mut said);
+            if let Some(beyond) = &mut self.beyond {
+                beyond.gateway.stop();
+                self.carry_beyond();
+            }
             self.hear(said);
             self.settle();
         }
@@ -460,7 +526,10 @@
         let open: Vec<Ticket> = self.requests.held.keys().copied().collect();
         for ticket in open {
             let now = self.clock.now();
-            self.answer(ticket, Final::Failed, Brought::Nothing);
+            self.finish(ticket, Final::Failed, Brought::Nothing);
+            if let Some(beyond) = &mut self.beyond {
+                beyond.gateway.gone(now, ticket);
+            }
             let orders = self.decider.report(now, News::Left(ticket));
             self.carry_out(orders, Brought::Nothing);
         }
@@ -479,15 +548,18 @@
         };
         let (open, out, buffers) = (self.decider.owed(), self.caches.out(), self.pool.in_use());
         let (clients, (peers, connections)) = (self.clients.len(), self.caches.kept());
+        let links = self.beyond.as_ref().map_or(String::new(), |beyond| {
+            format!(" links={} links_accepted={}", beyond.links.len(), beyond.links.accepted)
+        });
         log_line!(always "{counters} held_clients={clients} held_caches={peers} held_connections={connections} \
-            open={open} out={out} buffers={buffers}");
+            open={open} out={out} buffers={buffers}{links}");
     }
 
     /// Whether all that was taken is answered, and nothing more is expected.
     fn done(&self) -> bool {
         let Run::Stopping(since) = self.run else { return false };
         let passed = self.clock.now() - since;
-        let answered = self.decider.owed() == 0 && self.clients.written();
+        let answered = self.decider.owed() == 0 && self.requests.len() == 0 && self.clients.written();
         passed >= self.limits.stop_most || (passed >= self.limits.stop_least && answered)
     }
 }
@@ -536,6 +608,19 @@
         }
     }
 
+    fn link_waits(&mut self, listener: &TcpListener) {
+        let now = self.clock.now();
+        if let Some(beyond) = &mut self.beyond {
+            beyond.links.accept(now, listener, &mut beyond.gateway);
+        }
+        self.carry_beyond();
+    }
+
+    fn link_ready(&mut self, id: u64, readiness: Readiness) {
+        self.link_is_ready(id, readiness);
+        self.settle();
+    }
+
     fn control_ready(&mut self, id: u64) {
         let question = self.control.as_mut().and_then(|control| {
             control.flush(id);
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -19,6 +19,7 @@
 use crate::config::Failure;
 use crate::control::{Answer, BudgetLine, Control, MoveLine, Question, Shown};
 use crate::decider::{Ms, News};
+use crate::links::beyond::Beyond;
 use crate::log::log_line;
 use crate::told::Hosts;
 use crate::upstream::{Applied, Step, Upstream};
@@ -32,11 +33,16 @@
 
 impl Router {
     /// Begins with what the operator file has.
-    pub fn switch_on(&mut self, name: &str, operator: &Operator) -> Result<(), Failure> {
+    pub fn switch_on(&mut self, name: &str, seed: u64, operator: &Operator) -> Result<(), Failure> {
         let now = self.clock.now();
         if let Some(hierarchy) = &operator.hierarchy {
             self.upstream = Some(Upstream::new(now, name, hierarchy)?);
         }
+        if let Some(gateway) = &operator.gateway {
+            let beyond = Beyond::new(now, name, seed, gateway, self.limits, self.handle.clone())?;
+            self.beyond = Some(beyond);
+            self.caches.tells_copies = true;
+        }
         if let Some(path) = &operator.control {
             let control = Control::listen(self.limits, &self.pool, self.handle.clone(), Path::new(path));
             self.control = Some(control.map_err(|wrong| format!("control socket {path}: {wrong}"))?);
@@ -145,6 +151,35 @@
     }
 
     pub fn reply(&mut self, question: Question) -> Answer {
+        match question {
+            Question::Gateway | Question::Routes | Question::Drain { .. } => self.reply_beyond(question),
+            question => self.reply_upstream(question),
+        }
+    }
+
+    fn reply_beyond(&mut self, question: Question) -> Answer {
+        let now = self.clock.now();
+        let Some(beyond) = &mut self.beyond else {
+            return Answer::No("the gateway is off: the operator file has no gateway()".to_string());
+        };
+        let gateway = &mut beyond.gateway;
+        match question {
+            Question::Gateway => Answer::Gateway(Box::new(gateway.status(now))),
+            Question::Routes => Answer::Routes(gateway.shown_routes(now)),
+            Question::Drain { site, drained } => {
+                if !gateway.drain(now, &site, drained) {
+                    return Answer::No(format!("there is no site {site:?}"));
+                }
+                let how = if drained { "left alone" } else { "used again" };
+                log_line!(always "gateway: {site} is {how}, by its operators");
+                self.carry_beyond();
+                Answer::Done(format!("{site} is {how}"))
+            }
+            _ => Answer::No("a question of another part".to_string()),
+        }
+    }
+
+    fn reply_upstream(&mut self, question: Question) -> Answer {
         let now = self.clock.now();
         let Some(upstream) = &mut self.upstream else {
             return Answer::No("the hierarchy is off: the operator file has no hierarchy()".to_string());
@@ -174,6 +209,7 @@
                 }
                 Err(why) => Answer::No(why),
             },
+            _ => Answer::No("a question of another part".to_string()),
         }
     }
 }
--- a/crates/router/src/told.rs
+++ b/crates/router/src/told.rs
@@ -74,10 +74,10 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Expire {
     #[serde(default)]
-    name: Option<String>,
+    pub name: Option<String>,
     #[serde(default)]
-    set: u32,
-    stamp: Ms,
+    pub set: u32,
+    pub stamp: Ms,
 }
 
 impl Hosts {
@@ -91,6 +91,11 @@
         self.state == State::Ready
     }
 
+    /// It takes no new work, whatever its line says.
+    pub fn bar(&mut self) {
+        self.state = State::Terminating;
+    }
+
     pub fn gone(&self) -> bool {
         self.state == State::Gone
     }
--- a/crates/router/src/wakes.rs
+++ b/crates/router/src/wakes.rs
@@ -17,4 +17,7 @@
     /// Commands wait at the control socket, and one of them has something to say.
     fn control_waits(&mut self, listener: &UnixListener);
     fn control_ready(&mut self, id: u64);
+    /// Gateways of other sites wait at their listener, and a link with one has something to say.
+    fn link_waits(&mut self, listener: &TcpListener);
+    fn link_ready(&mut self, id: u64, readiness: Readiness);
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -56,6 +56,8 @@
 struct Process {
     child: Child,
     address: SocketAddr,
+    /// Where gateways of other sites reach it.
+    links: Option<SocketAddr>,
     log: Receiver<String>,
 }
 
@@ -111,6 +113,34 @@
         Ok(fleet)
     }
 
+    /// A site of its own beside others: caches, a parent and an origin named after it, on the same record.
+    pub fn site(
+        program: impl Into<PathBuf>,
+        site: &str,
+        caches: usize,
+        beside: Option<&Self>,
+        makeup: impl Fn(Kind) -> Makeup,
+    ) -> io::Result<Self> {
+        let mut fleet = Self::new(program)?;
+        if let Some(other) = beside {
+            fleet.record = other.record.clone();
+            fleet.numbers = other.numbers.clone();
+            fleet.attempts = other.attempts.clone();
+        }
+        let origin = format!("{site}-origin");
+        let made = |kind| {
+            let makeup = makeup(kind);
+            let upstream = if kind == Kind::Origin { Vec::new() } else { vec![origin.clone()] };
+            Makeup { upstream, ..makeup }
+        };
+        fleet.add(&origin, "hub", 20.0, made(Kind::Origin))?;
+        fleet.add(&format!("{site}-parent"), "hub", 30.0, made(Kind::Parent))?;
+        for n in 0..caches {
+            fleet.add(&format!("{site}-cache-{n}"), "shop", 8.0, made(Kind::Cache))?;
+        }
+        Ok(fleet)
+    }
+
     pub fn add(&mut self, name: &str, zone: &str, capacity: f64, makeup: Makeup) -> io::Result<()> {
         let node = Node::start(name, makeup, &self.directory, &self.record, &self.attempts)?;
         self.nodes.insert(name.to_string(), Listed { node, zone: zone.to_string(), capacity, started: 0.0 });
@@ -129,7 +159,7 @@
     fn line(&self, router: &str, name: &str, phase: Phase) -> io::Result<Value> {
         let listed = &self.nodes[name];
         let kind = match (name, listed.zone.as_str()) {
-            ("origin", _) => "store",
+            (name, _) if name.ends_with("origin") => "store",
             (_, "hub") => "hub-box",
             _ => "box",
         };
@@ -194,14 +224,16 @@
                 }
             }
         });
-        let mut process = Process { child, address: ([127, 0, 0, 1], 0).into(), log };
-        let line = wait(&process.log, "listens on")?;
-        // As text it ends the line; in a JSON object more follows.
-        let rest = line.rsplit("listens on ").next().unwrap_or_default();
-        let end = rest.find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':')).unwrap_or(rest.len());
-        let address = rest[..end].parse().ok();
-        process.address = address.ok_or(io::ErrorKind::InvalidData)?;
-        let address = process.address;
+        let mut process = Process { child, address: ([127, 0, 0, 1], 0).into(), links: None, log };
+        let address = loop {
+            let line = wait(&process.log, "")?;
+            if let Some(links) = address_after(&line, "links come in at ") {
+                process.links = Some(links);
+            } else if let Some(address) = address_after(&line, " listens on ") {
+                break address;
+            }
+        };
+        process.address = address;
         router.process = Some(process);
         Ok(address)
     }
@@ -228,6 +260,11 @@
         self.routers.get(router)?.process.as_ref().map(|process| process.address)
     }
 
+    /// Where gateways of other sites reach a router.
+    pub fn links(&self, router: &str) -> Option<SocketAddr> {
+        self.routers.get(router)?.process.as_ref()?.links
+    }
+
     /// The next line of a router's log with that in it.
     pub fn logged(&self, router: &str, part: &str) -> io::Result<String> {
         let process = self.routers.get(router).and_then(|router| router.process.as_ref());
@@ -340,6 +377,13 @@
     }
 }
 
+/// The address behind some words of a line: as text it ends the line; in a JSON object more follows.
+fn address_after(line: &str, words: &str) -> Option<SocketAddr> {
+    let rest = line.split(words).nth(1)?;
+    let end = rest.find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':')).unwrap_or(rest.len());
+    rest[..end].parse().ok()
+}
+
 fn wait(log: &Receiver<String>, part: &str) -> io::Result<String> {
     loop {
         let line = log.recv_timeout(PATIENCE).map_err(|_| {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`server`], [`node`]: caches, parents and the origin on sockets: they keep, age, fill, join and fall over;
 //! - [`fleet`]: a whole small fleet with its journal services and routers as processes;
 //! - [`load`]: clients that ask in an open loop;
+//! - [`middle`]: a link between two gateways on sockets, with its weather, and both sites around it;
 //! - [`twosites`]: two gateways and the link between them, in virtual time.
 //!
 //! They stand on loopback, on ports that the system gives, and are no yardstick for speed.
@@ -14,6 +15,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod load;
+pub mod middle;
 pub mod node;
 pub mod record;
 pub mod server;
--- /dev/null
+++ b/crates/standins/src/middle.rs
@@ -0,0 +1,396 @@
+//! Owns a link in the middle of two gateways: it passes bytes, and holds, delays, throttles or cuts them by script.
+//!
+//! It reads along by the published frames, and notes what concerns the rules; it never changes a byte.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use linnethook_gateway::codec::{Decoder, Word};
+use linnethook_gateway::ledger::Fate;
+
+use crate::record::{Record, What};
+
+/// What befalls one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Weather {
+    /// Nothing passes, and nothing is said of it.
+    pub silent: bool,
+    pub delay: Duration,
+    /// Bytes a second; 0 is as many as come.
+    pub rate: f64,
+    /// After so many more bytes all connections are reset.
+    pub cut_after: Option<usize>,
+}
+
+/// What passed, in each direction: towards the server first.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Passed {
+    pub bytes: [u64; 2],
+    /// Bytes of bodies, and requests with and without a token.
+    pub bodies: [u64; 2],
+    pub opened: [u64; 2],
+    pub connections: u64,
+    /// Times at which requests passed, in Unix milliseconds.
+    pub at: Vec<f64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    weather: [Weather; 2],
+    /// Connections are reset, and new ones too.
+    cut: bool,
+    target: Option<SocketAddr>,
+    streams: BTreeMap<u64, [TcpStream; 2]>,
+    passed: Passed,
+}
+
+/// One link; dropped, it is gone.
+pub struct Middle {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    over: Arc<AtomicBool>,
+}
+
+/// Towards the one that is dialled, and towards the one that dials.
+pub const THERE: usize = 0;
+pub const BACK: usize = 1;
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Who is at the ends, for the record: the site that dials and the one that is dialled.
+#[derive(Debug, Clone)]
+pub struct Ends {
+    pub sites: [String; 2],
+    pub record: Record,
+}
+
+impl Middle {
+    pub fn start(ends: Ends) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let over = Arc::new(AtomicBool::new(false));
+        let (shared, done) = (state.clone(), over.clone());
+        thread::spawn(move || {
+            for (n, stream) in listener.incoming().enumerate() {
+                if done.load(Ordering::Acquire) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                let (state, ends, done) = (shared.clone(), ends.clone(), done.clone());
+                thread::spawn(move || _ = join(n as u64, stream, &state, &ends, &done));
+            }
+        });
+        Ok(Self { address, state, over })
+    }
+
+    /// Where those that connect are passed on to.
+    pub fn lead_to(&self, target: SocketAddr) {
+        lock(&self.state).target = Some(target);
+    }
+
+    pub fn weather(&self, direction: usize, weather: Weather) {
+        lock(&self.state).weather[direction] = weather;
+    }
+
+    /// Nothing passes in some directions any more.
+    pub fn silence(&self, directions: &[usize]) {
+        let mut state = lock(&self.state);
+        directions.iter().for_each(|n| state.weather[*n].silent = true);
+    }
+
+    /// All connections are reset, and so are new ones.
+    pub fn cut(&self) {
+        let mut state = lock(&self.state);
+        state.cut = true;
+        reset(&mut state);
+    }
+
+    /// All passes as it should.
+    pub fn mend(&self) {
+        let mut state = lock(&self.state);
+        (state.cut, state.weather) = (false, [Weather::default(); 2]);
+    }
+
+    pub fn passed(&self) -> Passed {
+        lock(&self.state).passed.clone()
+    }
+
+    /// Connections that are up.
+    pub fn connections(&self) -> usize {
+        lock(&self.state).streams.len()
+    }
+}
+
+impl Drop for Middle {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+        reset(&mut lock(&self.state));
+        drop(TcpStream::connect(self.address));
+    }
+}
+
+fn reset(state: &mut State) {
+    for streams in std::mem::take(&mut state.streams).into_values() {
+        streams.iter().for_each(|stream| _ = stream.shutdown(Shutdown::Both));
+    }
+}
+
+fn join(
+    n: u64,
+    dialler: TcpStream,
+    state: &Arc<Mutex<State>>,
+    ends: &Ends,
+    over: &Arc<AtomicBool>,
+) -> io::Result<()> {
+    // A silent link takes nobody on.
+    while lock(state).weather.iter().any(|weather| weather.silent) {
+        if over.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let target = lock(state).target.ok_or(ErrorKind::NotConnected)?;
+    if lock(state).cut {
+        return Ok(());
+    }
+    let dialled = TcpStream::connect(target)?;
+    for stream in [&dialler, &dialled] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_millis(2)))?;
+    }
+    {
+        let mut state = lock(state);
+        state.passed.connections += 1;
+        state.streams.insert(n, [dialler.try_clone()?, dialled.try_clone()?]);
+    }
+    let tokens = Arc::new(Mutex::new(BTreeMap::new()));
+    let both = [(dialler.try_clone()?, dialled.try_clone()?), (dialled, dialler)];
+    let threads = both.into_iter().enumerate().map(|(direction, (from, to))| {
+        let (state, over) = (state.clone(), over.clone());
+        let watch =
+            Watch { direction, ends: ends.clone(), decoder: Decoder::default(), tokens: tokens.clone() };
+        thread::spawn(move || pump(direction, &from, &to, &state, &over, watch))
+    });
+    let threads: Vec<_> = threads.collect();
+    threads.into_iter().for_each(|thread| _ = thread.join());
+    lock(state).streams.remove(&n);
+    Ok(())
+}
+
+/// Bytes that are held between the ends at the most.
+const HELD: usize = 512 << 10;
+
+fn pump(
+    direction: usize,
+    mut from: &TcpStream,
+    mut to: &TcpStream,
+    state: &Mutex<State>,
+    over: &AtomicBool,
+    mut watch: Watch,
+) {
+    let mut block = vec![0; 64 << 10];
+    let mut held = VecDeque::<(Instant, Vec<u8>)>::new();
+    let (mut bytes, mut ended) = (0, false);
+    let mut free = Instant::now();
+    while !over.load(Ordering::Acquire) {
+        let weather = lock(state).weather[direction];
+        if bytes < HELD && !ended && !weather.silent {
+            match from.read(&mut block) {
+                Ok(0) => ended = true,
+                Ok(n) => {
+                    bytes += n;
+                    held.push_back((Instant::now() + weather.delay, block[..n].to_vec()));
+                }
+                Err(wrong) if matches!(wrong.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => ended = true,
+            }
+        } else {
+            thread::sleep(Duration::from_millis(1));
+        }
+        let at = Instant::now();
+        while !weather.silent
+            && held.front().is_some_and(|(due, _)| *due <= at)
+            && (weather.rate <= 0.0 || free <= at)
+        {
+            let Some((_, mut chunk)) = held.pop_front() else { break };
+            bytes -= chunk.len();
+            let cut = {
+                let mut state = lock(state);
+                let left = state.weather[direction].cut_after;
+                if let Some(left) = left {
+                    let over = chunk.len() >= left;
+                    chunk.truncate(left);
+                    state.weather[direction].cut_after = if over { None } else { Some(left - chunk.len()) };
+                    over
+                } else {
+                    false
+                }
+            };
+            watch.saw(&chunk, state);
+            if weather.rate > 0.0 {
+                free = free.max(at) + Duration::from_secs_f64(chunk.len() as f64 / weather.rate);
+            }
+            if to.write_all(&chunk).is_err() {
+                ended = true;
+                held.clear();
+            }
+            if cut {
+                reset(&mut lock(state));
+                return;
+            }
+        }
+        // An end is passed on too, once all before it has been; over a silent link it is not.
+        if ended && held.is_empty() && !weather.silent {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
+
+/// By the side that opened it and its number: the token of a stream.
+type Tokens = Arc<Mutex<BTreeMap<(usize, u32), (u64, u64)>>>;
+
+/// Reads along in one direction.
+struct Watch {
+    direction: usize,
+    ends: Ends,
+    decoder: Decoder,
+    tokens: Tokens,
+}
+
+impl Watch {
+    fn saw(&mut self, bytes: &[u8], state: &Mutex<State>) {
+        let n = self.direction;
+        lock(state).passed.bytes[n] += bytes.len() as u64;
+        self.decoder.push(bytes);
+        while let Ok(Some(frame)) = self.decoder.next(4 << 20) {
+            let tokens = || self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
+            match frame.word {
+                Word::Open(open) => {
+                    let id = open.head.iter().find(|(name, _)| name == "i").map(|(_, id)| id.clone());
+                    let token = open.token.map(|token| (token.epoch, token.number));
+                    token.into_iter().for_each(|token| _ = tokens().insert((n, frame.stream), token));
+                    let (to, passed) = (self.ends.sites[1 - n].clone(), open.passed);
+                    let id = id.unwrap_or_default();
+                    let at = self.ends.record.note(What::Crossed { to, id, token, passed });
+                    let mut state = lock(state);
+                    state.passed.opened[n] += 1;
+                    state.passed.at.push(at);
+                }
+                Word::Never { .. } => {
+                    if let Some(token) = tokens().remove(&(1 - n, frame.stream)) {
+                        self.ends.record.note(What::Proven { token });
+                    }
+                }
+                Word::Told(token, Fate::Never) => {
+                    self.ends.record.note(What::Proven { token: (token.epoch, token.number) });
+                }
+                Word::Data(bytes) => lock(state).passed.bodies[n] += bytes.len() as u64,
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Two sites with a gateway each, `north` and `south`, and the link in their middle; the north dials.
+pub struct TwoSites {
+    pub north: crate::fleet::Fleet,
+    pub south: crate::fleet::Fleet,
+    pub middle: Middle,
+}
+
+/// The routers' names.
+pub const NORTH: &str = "n0";
+pub const SOUTH: &str = "s0";
+
+impl TwoSites {
+    /// Starts all; `settings` go into both gateways.
+    pub fn start(
+        program: &std::path::Path,
+        settings: &str,
+        makeup: impl Fn(crate::node::Kind) -> crate::node::Makeup,
+    ) -> io::Result<Self> {
+        use crate::fleet::Fleet;
+        let mut north = Fleet::site(program, "north", 2, None, &makeup)?;
+        let mut south = Fleet::site(program, "south", 2, Some(&north), &makeup)?;
+        let sites = ["north".to_string(), "south".to_string()];
+        let middle = Middle::start(Ends { sites, record: north.record.clone() })?;
+        let listens = format!("listen = \"127.0.0.1:0\"{settings}");
+        south.start_router(SOUTH, Some(&operator("south", "north", &listens, "")), |_| {})?;
+        middle.lead_to(south.links(SOUTH).ok_or(ErrorKind::NotFound)?);
+        let link = format!("link(\"south\", connect = \"{}\")", middle.address);
+        let settings = settings.trim_start_matches(", ");
+        north.start_router(NORTH, Some(&operator("north", "south", settings, &link)), |_| {})?;
+        Ok(Self { north, south, middle })
+    }
+
+    /// The gateway of the south is killed and started again.
+    pub fn restart_south(&mut self) -> io::Result<()> {
+        self.south.kill_router(SOUTH);
+        self.south.start_again(SOUTH)?;
+        self.middle.lead_to(self.south.links(SOUTH).ok_or(ErrorKind::NotFound)?);
+        Ok(())
+    }
+
+    /// A command to the gateway of a side.
+    pub fn gateway(&self, router: &str, words: &[&str]) -> io::Result<(bool, String)> {
+        let fleet = if router == NORTH { &self.north } else { &self.south };
+        let socket = fleet.socket(router).display().to_string();
+        let words = [&["gateway"], words, &["--socket", &socket]].concat();
+        let output = fleet.command(&words)?;
+        let text = if output.status.success() { output.stdout } else { output.stderr };
+        Ok((output.status.success(), String::from_utf8_lossy(&text).into_owned()))
+    }
+
+    /// How a gateway stands.
+    pub fn status(&self, router: &str) -> io::Result<serde_json::Value> {
+        let (_, text) = self.gateway(router, &["status", "--format", "json"])?;
+        serde_json::from_str(&text).map_err(|wrong| io::Error::other(format!("{wrong}: {text}")))
+    }
+
+    /// Waits until a gateway shows what is wanted; the time is only a bound.
+    pub fn until(
+        &self,
+        router: &str,
+        what: &str,
+        fits: impl Fn(&serde_json::Value) -> bool,
+    ) -> io::Result<serde_json::Value> {
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let status = self.status(router)?;
+            if fits(&status) {
+                return Ok(status);
+            }
+            if Instant::now() > end {
+                return Err(io::Error::new(ErrorKind::TimedOut, format!("{what}: {status}")));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until both sides use the link.
+    pub fn until_up(&self) -> io::Result<()> {
+        for router in [NORTH, SOUTH] {
+            self.until(router, "the link is up", |status| status["sites"][0]["reachable"] == true)?;
+        }
+        Ok(())
+    }
+}
+
+/// The operator file of a gateway.
+fn operator(site: &str, other: &str, settings: &str, link: &str) -> String {
+    let comma = if settings.is_empty() { "" } else { ", " };
+    format!(
+        "control(path = \"SOCKET\")\nlog(lines_per_second = 200)\n\
+         gateway(site = \"{site}\"{comma}{settings})\nsite(\"{other}\")\n{link}\n"
+    )
+}
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -541,7 +541,11 @@
             return Reaction::Answer(Answer::word("failed"));
         }
         ended(word, &res, ran);
-        let dated = copy.as_ref().map(|copy| format!(",dated={}", copy.dated)).unwrap_or_default();
+        let dated = copy.as_ref().map(|copy| {
+            let digest = xxhash_rust::xxh3::xxh3_64(&copy.body[..copy.body.len().min(80)]);
+            format!(",digest={digest:016x},dated={}", copy.dated)
+        });
+        let dated = dated.unwrap_or_default();
         let fields = format!("res={res},first=0{dated}{more}");
         let answer = Answer { word, fields, body: copy.map(|copy| copy.body).unwrap_or_default() };
         match fault {
