--- a/crates/gateway/src/across.rs
+++ b/crates/gateway/src/across.rs
@@ -118,6 +118,8 @@
     head: Fields,
     got: BytesMut,
     tried: Vec<Site>,
+    /// The site at which it was last.
+    last: Option<Site>,
     /// The time told by whoever turned it away.
     come_back: Ms,
 }
@@ -180,7 +182,7 @@
             return false;
         }
         let tried = vec![self.me];
-        match self.route(now, &wanted, &tried, true) {
+        match self.route(now, &wanted, &tried, true, None) {
             Route::Across(site) if self.has_room(site, wanted.priority) => {
                 self.send(now, ticket, site, Request::new(now, wanted, tried, self.rules.across));
                 true
@@ -189,7 +191,14 @@
         }
     }
 
-    fn route(&mut self, now: Ms, wanted: &Wanted, tried: &[Site], repeat: bool) -> Route {
+    fn route(
+        &mut self,
+        now: Ms,
+        wanted: &Wanted,
+        tried: &[Site],
+        repeat: bool,
+        admitted: Option<Site>,
+    ) -> Route {
         if wanted.home.is_none_or(|home| home == self.me)
             && !tried.contains(&self.me)
             && self.home.tries(now, wanted.need())
@@ -203,6 +212,7 @@
             passed: self.sites(&wanted.passed),
             tried: tried.to_vec(),
             repeat,
+            admitted,
         };
         self.routes.route(now, &wish)
     }
@@ -236,7 +246,7 @@
                 Route::Nowhere(Why::Full)
             }
         };
-        let route = match self.route(now, &wanted, &tried, repeat) {
+        let route = match self.route(now, &wanted, &tried, repeat, None) {
             Route::Across(site) if !self.has_room(site, wanted.priority) => full(self),
             route => route,
         };
@@ -297,6 +307,7 @@
             window.begin();
         }
         request.state = State::Out(conn, site);
+        request.last = Some(site);
         if request.token.is_none() {
             self.across.due.insert((micros(deadline), ticket));
         }
@@ -466,7 +477,7 @@
                 let Some(request) = self.across.remove(ticket) else { return };
                 self.counts.freed += 1;
                 self.ended_there(now, &request, None);
-                self.again(now, ticket, request, false);
+                self.again(now, ticket, request, true);
             }
             Verdict::Failed(ticket) => {
                 let Some(request) = self.across.remove(ticket) else { return };
@@ -539,8 +550,8 @@
             return self.give_up(ticket, request);
         }
         self.counts.again += 1;
-        let (wanted, tried) = (request.wanted.clone(), request.tried.clone());
-        match self.route(now, &wanted, &tried, true) {
+        let (wanted, tried, last) = (request.wanted.clone(), request.tried.clone(), request.last);
+        match self.route(now, &wanted, &tried, true, last) {
             Route::Home => {
                 self.counts.home += 1;
                 self.actions.push_back(Action::Home(ticket));
@@ -562,10 +573,9 @@
 
     fn may_wait(&self, request: &Request) -> bool {
         let rule = self.rules.across;
-        rule.resumes
+        rule.wait > 0.0
             && self.across.waiting.len() < rule.waiting
             && self.across.held + request.got.len() < rule.bytes
-            && !request.wanted.harmful
     }
 
     pub(crate) fn tick_across(&mut self, now: Ms) {
@@ -599,8 +609,8 @@
         let mut left = self.rules.across.resumed;
         for ticket in self.across.waiting.iter().copied().collect::<Vec<_>>() {
             let Some(request) = self.across.requests.get(&ticket).filter(|_| left > 0) else { continue };
-            let (wanted, tried) = (request.wanted.clone(), request.tried.clone());
-            match self.route(now, &wanted, &tried, true) {
+            let (wanted, tried, last) = (request.wanted.clone(), request.tried.clone(), request.last);
+            match self.route(now, &wanted, &tried, true, last) {
                 Route::Across(site) if self.has_room(site, wanted.priority) => {
                     left -= 1;
                     if let Some(request) = self.across.remove(ticket) {
@@ -631,6 +641,7 @@
             head: Vec::new(),
             got: BytesMut::new(),
             tried,
+            last: None,
             come_back: 0.0,
             wanted,
         }
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -94,8 +94,9 @@
         side.good = if bad { 0 } else { side.good + 1 };
         if side.unable && side.good >= rule.good {
             (side.unable, side.bad) = (false, Mean::default());
-        } else if side.bad.seen >= rule.seen && side.bad.value >= rule.bad {
-            side.unable = true;
+        } else if !side.unable && side.bad.seen >= rule.seen && side.bad.value >= rule.bad {
+            // It has just been tried.
+            (side.unable, side.tried) = (true, now);
         }
     }
 
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -92,6 +92,8 @@
     pub tried: Vec<Site>,
     /// A further attempt across.
     pub repeat: bool,
+    /// A site that it was let go to before: its part counts for new ones only.
+    pub admitted: Option<Site>,
 }
 
 /// Where a request goes.
@@ -258,8 +260,8 @@
                 continue;
             }
             why = Why::Full;
-            let within =
-                fraction(mix(wish.object, u64::from(site.0) ^ SALT)) < self.part(now, *site, wish.write);
+            let within = wish.admitted == Some(*site)
+                || fraction(mix(wish.object, u64::from(site.0) ^ SALT)) < self.part(now, *site, wish.write);
             if within {
                 // Its home before all others, and else one order at all gateways.
                 let order =
--- a/crates/gateway/tests/link.rs
+++ b/crates/gateway/tests/link.rs
@@ -199,6 +199,7 @@
         passed: Vec::new(),
         tried: Vec::new(),
         repeat: false,
+        admitted: None,
     };
     let (me, other) = (Site(1), Site(2));
     let mut routes = Routes::new(me, RouteRule::default());
--- /dev/null
+++ b/crates/standins/src/bin/link-speed.rs
@@ -0,0 +1,247 @@
+//! How much one link carries, beside a plain copy of the same bytes through the same stand-in on loopback; what its
+//! frames add, the time that a request takes of a processor, and the memory of an open stream.
+//!
+//! `link-speed [MEGABYTES]`; 400 take some seconds.
+
+use std::collections::VecDeque;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use linnethook_gateway::across::Wanted;
+use linnethook_gateway::gateway::{Action, Came, Gateway, Reply, Rules, Setup};
+use linnethook_gateway::streams::Priority;
+use linnethook_standins::middle::{Ends, Middle, BACK};
+use linnethook_standins::record::{now, Record};
+
+const PART: usize = 64 << 10;
+const OPEN: u64 = 32;
+
+fn gateway(site: &str, other: &str, dials: bool) -> Gateway {
+    let mut rules = Rules::default();
+    (rules.window.first, rules.window.bytes, rules.routes.first) = (256.0, 1e9, 1.0);
+    let setup = Setup {
+        site: site.to_string(),
+        others: vec![other.to_string()],
+        node: "g".to_string(),
+        epoch: 1,
+        seed: 1,
+        dials: if dials { vec![other.to_string()] } else { Vec::new() },
+        rules,
+    };
+    let mut gateway = Gateway::new(now(), setup);
+    gateway.own(now(), u32::from(!dials), 0.0);
+    gateway
+}
+
+/// One end of the link on a socket of its own; `act` does what the gateway wants and tells when all is done.
+fn drive(
+    stream: &TcpStream,
+    gateway: &mut Gateway,
+    mut act: impl FnMut(&mut Gateway, Action) -> io::Result<()>,
+    mut over: impl FnMut(&mut Gateway) -> bool,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_millis(1)))?;
+    gateway.opened(now(), 1, None);
+    let mut block = vec![0; 64 << 10];
+    let mut out = BytesMut::new();
+    let (mut input, mut output) = (stream, stream);
+    while !over(gateway) {
+        if gateway.next(now()) <= now() {
+            gateway.tick(now());
+        }
+        while let Some(action) = gateway.next_action() {
+            act(gateway, action)?;
+        }
+        loop {
+            out.clear();
+            gateway.pull(1, 64 << 10, &mut out);
+            if out.is_empty() {
+                break;
+            }
+            output.write_all(&out)?;
+            gateway.wrote(1, out.len());
+        }
+        match input.read(&mut block) {
+            Ok(0) => return Ok(()),
+            Ok(n) => gateway.came(now(), 1, &block[..n]),
+            Err(wrong) if matches!(wrong.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(wrong) => return Err(wrong),
+        }
+    }
+    Ok(())
+}
+
+fn middle() -> io::Result<(Middle, TcpListener)> {
+    let sites = ["north".to_string(), "south".to_string()];
+    let middle = Middle::start(Ends { sites, record: Record::default() })?;
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    middle.lead_to(listener.local_addr()?);
+    Ok((middle, listener))
+}
+
+/// Seconds and processor seconds of this process so far.
+fn spent() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<f64> =
+        text.rsplit(')').next().unwrap_or_default().split(' ').filter_map(|f| f.parse().ok()).collect();
+    // User and system time, in hundredths.
+    fields.get(10..12).map_or(0.0, |times| times.iter().sum::<f64>() / 100.0)
+}
+
+fn plain(bytes: usize) -> io::Result<f64> {
+    let (middle, listener) = middle()?;
+    let sender = thread::spawn(move || -> io::Result<()> {
+        let (mut stream, _) = listener.accept()?;
+        let block = vec![7; PART];
+        for _ in 0..bytes / PART {
+            stream.write_all(&block)?;
+        }
+        Ok(())
+    });
+    let mut stream = TcpStream::connect(middle.address)?;
+    let begun = Instant::now();
+    let mut block = vec![0; PART];
+    let mut got = 0;
+    while got < bytes / PART * PART {
+        got += stream.read(&mut block)?;
+    }
+    let took = begun.elapsed().as_secs_f64();
+    sender.join().map_err(|_| io::Error::other("the sender has failed"))??;
+    Ok(got as f64 / took)
+}
+
+fn link(bytes: usize) -> io::Result<(f64, f64)> {
+    let (middle, listener) = middle()?;
+    let server = thread::spawn(move || -> io::Result<()> {
+        let (stream, _) = listener.accept()?;
+        let mut gateway = gateway("south", "north", false);
+        let body = Bytes::from(vec![7; PART]);
+        let act = |gateway: &mut Gateway, action| {
+            if let Action::Serve(Came { ticket, .. }) = action {
+                gateway.reply(
+                    now(),
+                    ticket,
+                    Reply::Served { head: Vec::new(), body: body.clone(), copy: None },
+                );
+            }
+            Ok(())
+        };
+        let _ = drive(&stream, &mut gateway, act, |_| false);
+        Ok(())
+    });
+    let stream = TcpStream::connect(middle.address)?;
+    let mut gateway = gateway("north", "south", false);
+    gateway.own(now(), 0, 0.0);
+    let parts = (bytes / PART) as u64;
+    let (mut asked, mut done) = (0u64, 0u64);
+    let mut begun = None;
+    let mut answered = VecDeque::new();
+    let act = |_: &mut Gateway, action| {
+        match action {
+            Action::Answer(_, Reply::Served { body, .. }) => answered.push_back(body.len()),
+            Action::Answer(_, other) => return Err(io::Error::other(format!("{other:?}"))),
+            _ => {}
+        }
+        Ok(())
+    };
+    // Both closures count: the answers by their length, in a cell of their own.
+    let counted = std::cell::RefCell::new((act, 0u64));
+    let over = |gateway: &mut Gateway| {
+        let at = now();
+        if gateway.shown_routes(at)[0].across.is_empty() {
+            return false;
+        }
+        begun.get_or_insert_with(Instant::now);
+        done = counted.borrow().1;
+        while asked < parts && asked - done < OPEN {
+            asked += 1;
+            let wanted = Wanted {
+                object: asked,
+                write: false,
+                harmful: false,
+                home: None,
+                priority: Priority::Rest,
+                aim: 10_000.0,
+                deadline: at + 20_000.0,
+                passed: Vec::new(),
+                head: vec![("o".to_string(), asked.to_string())],
+                body: Bytes::new(),
+            };
+            gateway.ask(at, asked, wanted);
+        }
+        done >= parts
+    };
+    let act = |gateway: &mut Gateway, action: Action| {
+        let served = matches!(action, Action::Answer(..));
+        let mut counted = counted.borrow_mut();
+        (counted.0)(gateway, action)?;
+        counted.1 += u64::from(served);
+        Ok(())
+    };
+    drive(&stream, &mut gateway, act, over)?;
+    let took = begun.map_or(0.0, |begun| begun.elapsed().as_secs_f64());
+    let passed = middle.passed();
+    let overhead = passed.bytes[BACK] as f64 / (parts as f64 * PART as f64) - 1.0;
+    drop((stream, middle));
+    let _ = server.join();
+    Ok((parts as f64 * PART as f64 / took, overhead))
+}
+
+/// Bytes of memory that this process holds.
+fn held() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<f64>().ok()).unwrap_or(0.0) * 4096.0
+}
+
+/// Memory of an open stream that waits for its answer, at the asker.
+fn memory() -> f64 {
+    use linnethook_gateway::codec::Open;
+    use linnethook_gateway::session::{Session, SessionRule};
+    let mut sessions: Vec<Session> = (0..400).map(|_| Session::new(0.0, SessionRule::default())).collect();
+    let before = held();
+    let mut into = BytesMut::new();
+    for session in &mut sessions {
+        for ticket in 0..250 {
+            let head = vec![("o".to_string(), "7f3a9c21e0b4d655".to_string())];
+            let open = Open {
+                token: None,
+                left_ms: 1,
+                priority: 1,
+                passed: Vec::new(),
+                rest: None,
+                head,
+                body: Bytes::new(),
+            };
+            session.open(ticket, open);
+        }
+        into.clear();
+        session.pull(1 << 20, &mut into);
+    }
+    (held() - before) / (400.0 * 250.0)
+}
+
+fn main() -> io::Result<()> {
+    let megabytes: usize = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(400);
+    let bytes = megabytes << 20;
+    println!("an open stream takes {:.0} bytes at its asker", memory());
+    for round in 1..=3 {
+        let plain = plain(bytes)?;
+        let before = spent();
+        let (link, overhead) = link(bytes)?;
+        let cpu = (spent() - before) / (bytes / PART) as f64;
+        println!(
+            "round {round}: plain copy {:.0} MB/s, the link {:.0} MB/s: {:.2} of it; {:.3}% more bytes; {:.0} us of processor a part of \
+             64 KB, the stand-in in the middle and both ends included",
+            plain / 1e6,
+            link / 1e6,
+            link / plain,
+            overhead * 100.0,
+            cpu * 1e6
+        );
+    }
+    Ok(())
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -319,6 +319,16 @@
         Ok(())
     }
 
+    /// Tells a router of a node of another site, for whose router `bound` it is to hold from now on.
+    pub fn tell_foreign(&self, router: &str, node: &str, phase: Phase, bound: &str) {
+        let state = if phase == Phase::Ready { "Ready" } else { "Terminating" };
+        let target = json!({"uid": node, "endpoint": "127.0.0.1:1", "az": "elsewhere", "model": "box",
+            "pod_group": 0, "state": state, "capacity_hint": 8, "boot_ms": 0});
+        self.record.note(What::Listed { router: bound.to_string(), node: node.to_string(), phase });
+        let event = json!({"hosts": {"rev": 2, "all": false, "targets": [target]}});
+        self.routers[router].journal.tell(event);
+    }
+
     /// A node starts again, cold, and all routers are told.
     pub fn restart(&mut self, node: &str) -> io::Result<()> {
         let listed = self.nodes.get_mut(node).ok_or(io::ErrorKind::NotFound)?;
