--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 CONFIG ?= examples/config.json
 
-.PHONY: build test lint run toy ask hierarchy
+.PHONY: build test lint run toy ask hierarchy gateway
 
 build:
 	cargo build --release
@@ -27,3 +27,8 @@
 hierarchy:
 	cargo build --release --workspace
 	target/release/hub-move --short
+
+# Two sites with a gateway each; the link between them is cut and goes silent under load. Half a minute.
+gateway:
+	cargo build --release --workspace
+	target/release/two-sites
--- /dev/null
+++ b/crates/standins/src/bin/two-sites.rs
@@ -0,0 +1,100 @@
+//! Two sites on loopback, each with a gateway, caches, a parent and a store, and a link between them: the north loses
+//! its store and its caches, and the link is cut, goes silent and flaps under load; prints what a person sees of it.
+//!
+//! `two-sites [ROUTER_PROGRAM]`; without a program the one beside this is run. Half a minute.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use linnethook_standins::checker::{judge, Rules};
+use linnethook_standins::fleet::router_program;
+use linnethook_standins::load::{Ends, Load};
+use linnethook_standins::middle::{TwoSites, BACK, NORTH, SOUTH, THERE};
+use linnethook_standins::node::Makeup;
+use linnethook_standins::record::Phase;
+
+type Failure = Box<dyn std::error::Error>;
+
+fn line(second: usize, ends: &Ends, crossed: u64, status: &serde_json::Value, what: &str) -> String {
+    let at = |list: &[u32]| list.get(second).copied().unwrap_or(0);
+    let south = &status["sites"][0];
+    format!(
+        "{second:>3} {:>6} {:>7} {:>8} {:>7} {crossed:>8} {:>9} {:>8} {:>9}  {what}",
+        at(&ends.asked),
+        at(&ends.served),
+        at(&ends.refused),
+        at(&ends.failed),
+        if south["reachable"] == true { "yes" } else { "NO" },
+        format!("{:.0}%", south["part"].as_f64().unwrap_or(0.0) * 100.0),
+        status["uncertain"],
+    )
+}
+
+fn main() -> Result<(), Failure> {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let program = router_program(words.first().map(Path::new))?;
+    let mut sites = TwoSites::start(&program, "", Makeup::new)?;
+    sites.until_up()?;
+    let load = Load { rate: 150.0, bookings: 0.2, clients: 8, ..Load::default() };
+    let running = sites.north.load(NORTH, &load)?;
+    println!("second  asked  served  refused  failed  crossed  reached  may get  uncertain");
+    let mut before = 0;
+    for second in 0..32usize {
+        let what = match second {
+            3 => {
+                sites.north.node("north-origin").kill();
+                for cache in ["north-cache-0", "north-cache-1"] {
+                    sites.north.tell(cache, Phase::Gone)?;
+                }
+                "the north loses its store and its caches"
+            }
+            12 => {
+                sites.middle.cut();
+                "the link is cut"
+            }
+            14 => {
+                sites.middle.mend();
+                "the link is back"
+            }
+            18 => {
+                sites.middle.silence(&[THERE, BACK]);
+                "the link goes silent"
+            }
+            20 => {
+                sites.middle.mend();
+                "the link is back"
+            }
+            24 => {
+                sites.north.restart("north-origin")?;
+                for cache in ["north-cache-0", "north-cache-1"] {
+                    sites.north.tell(cache, Phase::Ready)?;
+                }
+                "the north has its store and its caches again"
+            }
+            _ => "",
+        };
+        thread::sleep(Duration::from_millis(1_000));
+        let crossed: u64 = sites.middle.passed().opened.iter().sum();
+        println!("{}", line(second, &running.ends(), crossed - before, &sites.status(NORTH)?, what));
+        before = crossed;
+    }
+    let ends = running.finish();
+    let breaches = judge(&sites.north.record.lines(), &Rules { slack: 150.0, ..Rules::default() });
+    breaches.iter().take(5).for_each(|breach| println!("{breach}"));
+    let sum = |list: &[u32]| list.iter().sum::<u32>();
+    println!(
+        "{} asked, {} served, {} refused, {} failed; {} breaches of any rule; bookings that ran twice: {}",
+        sum(&ends.asked),
+        sum(&ends.served),
+        sum(&ends.refused),
+        sum(&ends.failed),
+        breaches.len(),
+        sites.north.node("north-origin").ran_twice().len()
+            + sites.south.node("south-origin").ran_twice().len()
+    );
+    for router in [NORTH, SOUTH] {
+        println!("\n{}", sites.gateway(router, &["status"])?.1);
+    }
+    Ok(())
+}
