Begin the model of the fleet: the shipped decision module in virtual time

Need: designs are to be tried at sizes that sockets don't reach.

Change: crates/model with a radix heap for events, links shared by a counter in virtual time, copies in a slab with ranks, demand with drift and crowds, and a fleet around the shipped Brain: caches, parents, origin, clients that come again, servers that die, go silent, slow down and drain. From reading the gateway once more: caches missing from a whole list are told as gone, an older purge does not take the place of a newer one, and a router without a gateway ends as before.

--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -75,7 +75,11 @@
 
     /// A fact; nothing happens where it is known as it is.
     pub fn say(&mut self, now: Ms, about: About, fact: Fact) -> bool {
-        if self.facts.get(&about).is_some_and(|(_, _, known)| *known == fact) {
+        let old = |known: &Fact| match (known, &fact) {
+            (Fact::Purged { stamp: known }, Fact::Purged { stamp }) => stamp <= known,
+            (known, fact) => known == fact,
+        };
+        if self.facts.get(&about).is_some_and(|(_, _, known)| old(known)) {
             return false;
         }
         self.version += 1;
--- /dev/null
+++ b/crates/model/examples/day.rs
@@ -0,0 +1,51 @@
+//! Plays one day of a fleet and prints how it went and what it took.
+//!
+//! `day LOCATIONS ROUTERS CACHES RATE SECONDS [SEED]`: routers and caches of each location, requests a second in all.
+
+use std::time::Instant;
+
+use linnethook_model::world::{Plan, World};
+
+fn main() {
+    let words: Vec<f64> = std::env::args().skip(1).filter_map(|word| word.parse().ok()).collect();
+    let at = |n: usize, default: f64| words.get(n).copied().unwrap_or(default);
+    let plan = Plan {
+        locations: at(0, 2.0) as usize,
+        routers: at(1, 2.0) as usize,
+        caches: at(2, 4.0) as usize,
+        rate: at(3, 200.0),
+        seconds: at(4, 30.0),
+        seed: at(5, 1.0) as u64,
+        parents: (at(0, 2.0) / 2.0).ceil().max(2.0) as usize,
+        origin_link: 2e5 * at(3, 200.0),
+        origin_easy: (at(3, 200.0) / 3.0) as usize,
+        ..Plan::default()
+    };
+    let begun = Instant::now();
+    let world = match World::new(plan.clone()) {
+        Ok(world) => world,
+        Err(wrong) => return println!("{}", wrong.0),
+    };
+    let built = begun.elapsed().as_secs_f64();
+    let seen = world.run();
+    let took = begun.elapsed().as_secs_f64();
+    let asked: u32 = seen.asked.iter().sum();
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = text.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default().to_string();
+    println!(
+        "{} caches, {} routers, {:.0} requests a second for {:.0} s: {asked} asked, {:.4} in time, {:.1} fills a second from the origin",
+        plan.locations * plan.caches,
+        plan.locations * plan.routers,
+        plan.rate,
+        plan.seconds,
+        seen.share(),
+        seen.fills as f64 / plan.seconds,
+    );
+    println!(
+        "{took:.2} s ({built:.2} s to build), {} events: {:.0} events and {:.0} requests a second; {}",
+        seen.events,
+        seen.events as f64 / took,
+        f64::from(asked) / took,
+        peak.split_whitespace().collect::<Vec<_>>().join(" "),
+    );
+}
--- a/crates/router/src/links/beyond.rs
+++ b/crates/router/src/links/beyond.rs
@@ -132,7 +132,13 @@
     /// Lines of the own journal: what they say goes to other sites, and what those bar stays barred here.
     pub fn hosts(&mut self, now: Ms, hosts: &mut Hosts, own: impl Fn(&Target) -> bool) {
         if hosts.all {
-            self.targets.clear();
+            let listed: Vec<&str> = hosts.targets.iter().map(|target| target.uid.as_str()).collect();
+            let gone: Vec<String> =
+                self.targets.keys().filter(|name| !listed.contains(&name.as_str())).cloned().collect();
+            for name in gone {
+                self.targets.remove(&name);
+                self.gateway.say(now, About::Cache(name), Fact::Left);
+            }
         }
         for target in &mut hosts.targets {
             let name = target.uid.clone();
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -559,7 +559,9 @@
     fn done(&self) -> bool {
         let Run::Stopping(since) = self.run else { return false };
         let passed = self.clock.now() - since;
-        let answered = self.decider.owed() == 0 && self.requests.len() == 0 && self.clients.written();
+        // What is at another site is owed by the gateway and not by the decider.
+        let across = self.beyond.is_some() && self.requests.len() > 0;
+        let answered = self.decider.owed() == 0 && !across && self.clients.written();
         passed >= self.limits.stop_most || (passed >= self.limits.stop_least && answered)
     }
 }
