--- a/crates/model/examples/day.rs
+++ b/crates/model/examples/day.rs
@@ -1,12 +1,15 @@
 //! Plays one day of a fleet and prints how it went and what it took.
 //!
-//! `day LOCATIONS ROUTERS CACHES RATE SECONDS [SEED]`: routers and caches of each location, requests a second in all.
+//! `day LOCATIONS ROUTERS CACHES RATE SECONDS [SEED]`: routers and caches of each location, requests a second in all. With
+//! `compare` in front each way to decide plays it, and half of the caches start again at the middle.
 
 use std::time::Instant;
 
-use linnethook_model::world::{Plan, World};
+use linnethook_model::plain::Way;
+use linnethook_model::world::{Fault, Plan, World};
 
 fn main() {
+    let compare = std::env::args().nth(1).is_some_and(|word| word == "compare");
     let words: Vec<f64> = std::env::args().skip(1).filter_map(|word| word.parse().ok()).collect();
     let at = |n: usize, default: f64| words.get(n).copied().unwrap_or(default);
     let plan = Plan {
@@ -21,6 +24,9 @@
         origin_easy: (at(3, 200.0) / 3.0) as usize,
         ..Plan::default()
     };
+    if compare {
+        return each_way(&plan);
+    }
     let begun = Instant::now();
     let world = match World::new(plan.clone()) {
         Ok(world) => world,
@@ -49,3 +55,41 @@
         peak.split_whitespace().collect::<Vec<_>>().join(" "),
     );
 }
+
+/// The same day by each way to decide, with a restart of half of the caches at once in its middle.
+fn each_way(plan: &Plan) {
+    let caches = plan.locations * plan.caches;
+    let middle = plan.seconds / 2.0;
+    let restarts =
+        (0..caches).step_by(2).flat_map(|n| [(middle, Fault::Die(n)), (middle + 0.05, Fault::Start(n))]);
+    let able = plan.rate / caches as f64 * 2.0;
+    let parent_able = plan.rate / plan.parents as f64 * 2.0;
+    let plan = Plan { faults: restarts.collect(), cache_able: able, parent_able, ..plan.clone() };
+    println!(
+        "{:<16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>12} {:>6}",
+        "", "in time", "before", "after", "refused", "failed", "from origin", "fell"
+    );
+    for way in Way::ALL {
+        let Ok(world) = World::new(Plan { way, ..plan.clone() }) else { continue };
+        let seen = world.run();
+        let sum = |list: &[u32]| f64::from(list.iter().sum::<u32>());
+        let share = |from: f64, to: f64| {
+            let part = |list: &[u32]| -> f64 {
+                list.iter().skip(from as usize).take((to - from) as usize).map(|n| f64::from(*n)).sum()
+            };
+            part(&seen.in_time) / part(&seen.asked).max(1.0)
+        };
+        let asked = sum(&seen.asked).max(1.0);
+        println!(
+            "{:<16} {:>8.4} {:>8.4} {:>8.4} {:>8.4} {:>8.4} {:>12} {:>6}",
+            way.name(),
+            seen.share(),
+            share(5.0, middle),
+            share(middle, middle + 10.0),
+            sum(&seen.refused) / asked,
+            sum(&seen.failed) / asked,
+            seen.fills,
+            seen.fell
+        );
+    }
+}
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,5 +1,5 @@
-//! Owns a fleet in virtual time: routers that are the shipped decision module, and around them caches, parents, the
-//! origin, the links between them and the clients, all modelled.
+//! Owns a fleet in virtual time: routers that are the shipped decision module (or a plain one, to compare with), and
+//! around them caches, parents, the origin, the links between them and the clients, all modelled.
 //!
 //! One seed, one run: events of one time come in the order in which they were added, chance is one generator, and
 //! nothing depends on the order of a hash map. Must never decide anything that a router decides.
@@ -10,7 +10,6 @@
     Action, AttemptId, CacheId, Class, ColdStart, Effect, Event as Told, Fill, ListKind, Load, Member, Note,
     ObjectId, Outcome, Phase, Request, RequestId, Settings, Siblings, Status, Tells,
 };
-use linnethook::Brain;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +17,7 @@
 use crate::copies::Copies;
 use crate::demand::{Crowd, Demand, DemandRule, Unusable};
 use crate::fair::Fair;
+use crate::plain::{Decides, Way};
 use crate::queue::Queue;
 use crate::Micros;
 
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
     pub seed: u64,
+    /// How routers decide.
+    pub way: Way,
     pub locations: usize,
     /// Routers and caches of each location, and parents that all share.
     pub routers: usize,
@@ -58,12 +60,19 @@
     pub faults: Vec<(f64, Fault)>,
     /// How late routers hear of a change of the list, in milliseconds.
     pub list_late: f64,
+    /// Requests a second that a cache and a parent can do once they are warm; with a cold start they begin with a quarter
+    /// and a tenth of it, and fall over beyond three times what they can do then. 0 = they never do.
+    pub cache_able: f64,
+    pub parent_able: f64,
+    /// How long one that has fallen over is away, in seconds.
+    pub away: f64,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         Self {
             seed: 1,
+            way: Way::Shipped,
             locations: 2,
             routers: 2,
             caches: 4,
@@ -88,6 +97,9 @@
             crowds: Vec::new(),
             faults: Vec::new(),
             list_late: 300.0,
+            cache_able: 0.0,
+            parent_able: 0.0,
+            away: 5.0,
         }
     }
 }
@@ -119,6 +131,8 @@
     pub hits: u64,
     pub fills: u64,
     pub events: u64,
+    /// Servers that fell over.
+    pub fell: u64,
     /// Milliseconds that served requests took.
     pub took: Vec<f32>,
 }
@@ -155,6 +169,8 @@
     /// An outcome gets to its router.
     Tell(Number),
     Fault(usize),
+    /// One that fell over starts again.
+    Back(usize),
     List(usize),
 }
 
@@ -208,6 +224,8 @@
     in_hand: usize,
     /// The link to its clients; for parents and the origin the one to the locations.
     link: usize,
+    /// When requests came in lately, while it warms.
+    came: std::collections::VecDeque<Micros>,
     /// Fills under way by object, and who waits for them.
     filling: BTreeMap<u64, Vec<Number>>,
 }
@@ -223,7 +241,7 @@
     chance: Pcg64Mcg,
     demand: Demand,
     queue: Queue<Event>,
-    brains: Vec<Brain>,
+    brains: Vec<Decides>,
     servers: Vec<Server>,
     places: BTreeMap<CacheId, usize>,
     /// Requests that the origin has in hand.
@@ -236,6 +254,12 @@
     seen: Seen,
 }
 
+/// How caches and parents start.
+const COLD: [ColdStart; 2] = [
+    ColdStart { from: 0.25, warm_in: 15_000.0, fall_multiple: 3.0, window: 3_000.0 },
+    ColdStart { from: 0.1, warm_in: 20_000.0, fall_multiple: 2.0, window: 3_000.0 },
+];
+
 fn micros(ms: f64) -> Micros {
     (ms.max(0.0) * 1_000.0) as Micros
 }
@@ -295,6 +319,7 @@
                 slow: 1.0,
                 copies: Copies::new(room),
                 in_hand: 0,
+                came: Default::default(),
                 link,
                 filling: BTreeMap::new(),
             });
@@ -302,7 +327,7 @@
         let members: Vec<Member> = self.servers.iter().map(|server| server.member).collect();
         for n in 0..plan.locations * plan.routers {
             let settings = self.settings((n / plan.routers.max(1)) as u16);
-            let mut brain = Brain::new(settings, plan.seed ^ n as u64);
+            let mut brain = Decides::new(plan.way, settings, plan.seed ^ n as u64);
             let list = Told::List { kind: ListKind::Complete, members: members.clone() };
             let actions = brain.handle(0.0, &list);
             self.brains.push(brain);
@@ -316,12 +341,6 @@
 
     fn settings(&self, zone: u16) -> Settings {
         let plan = &self.plan;
-        let cold = |capacity: f64| ColdStart {
-            from: capacity,
-            warm_in: 15_000.0,
-            fall_multiple: 3.0,
-            window: 3_000.0,
-        };
         let class = Class {
             effect: Effect::Safe,
             aim: plan.aim,
@@ -342,8 +361,8 @@
             retry_after: true,
             max_retry_after: 1_000.0,
             drain_grace: 250.0,
-            cache_cold: cold(0.25),
-            parent_cold: cold(0.1),
+            cache_cold: COLD[0],
+            parent_cold: COLD[1],
             parent_kind: Some(1),
             origin_kind: Some(2),
             flow_kb_per_s: plan.flow / 1_000.0,
@@ -375,6 +394,7 @@
                 Event::Link(wire, version) => self.moved(now, wire, version),
                 Event::Tell(number) => self.outcome(now, number),
                 Event::Fault(n) => self.strike(now, self.plan.faults[n].1),
+                Event::Back(server) => self.strike(now, Fault::Start(server)),
                 Event::List(server) => self.list(now, server),
             }
         }
@@ -511,6 +531,26 @@
         self.queue.add(now + micros(timeout), Event::Expire(self.last));
     }
 
+    /// Counts one that comes in at a server that warms; false where it falls over by it.
+    fn bears(&mut self, now: Micros, n: usize) -> bool {
+        let (able, cold) = match self.servers[n].member.kind {
+            0 => (self.plan.cache_able, COLD[0]),
+            1 => (self.plan.parent_able, COLD[1]),
+            _ => return true,
+        };
+        let server = &mut self.servers[n];
+        let age = ms(now) - server.member.since;
+        if able <= 0.0 || server.member.since <= 0.0 || age >= cold.warm_in {
+            return true;
+        }
+        server.came.push_back(now);
+        while server.came.front().is_some_and(|at| ms(now - at) > cold.window) {
+            server.came.pop_front();
+        }
+        let part = cold.from + (1.0 - cold.from) * age / cold.warm_in;
+        server.came.len() as f64 <= able * part * cold.fall_multiple * cold.window / 1_000.0
+    }
+
     /// An attempt goes on.
     fn step(&mut self, now: Micros, number: Number) {
         let Some(attempt) = self.attempts.get(&number) else { return };
@@ -540,6 +580,13 @@
         if server.silent {
             return;
         }
+        if !self.bears(now, attempt.server) {
+            self.seen.fell += 1;
+            self.strike(now, Fault::Die(attempt.server));
+            self.queue.add(now + micros(self.plan.away * 1_000.0), Event::Back(attempt.server));
+            return self.end(now, number, Status::Reset);
+        }
+        let server = &mut self.servers[attempt.server];
         if server.in_hand >= slots {
             return self.end(now, number, Status::Full);
         }
@@ -794,6 +841,7 @@
             Fault::Start(n) => {
                 let Some(server) = self.servers.get_mut(n) else { return };
                 (server.up, server.silent, server.in_hand) = (true, false, 0);
+                server.came.clear();
                 (server.member.phase, server.member.since) = (Phase::Ready, ms(now));
                 self.queue.add(now + micros(self.plan.list_late), Event::List(n));
             }
