--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operator file: all that is set beside what the platform gives, in Starlark, typed and checked.
 //!
+//! - [`arguments`]: the checked arguments of a call, also for other files in the language;
 //! - [`knobs`]: the tables of settings, with defaults and ranges;
 //! - [`script`]: the functions of the file, and its evaluation within the language's bounds;
 //! - [`apart`]: the same in a process of its own, within the system's.
@@ -7,6 +8,7 @@
 //! [`Operator::read`] gives the whole file or one error with its place; nothing of a bad file is used.
 
 pub mod apart;
+pub mod arguments;
 pub mod knobs;
 pub mod script;
 
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -15,14 +15,14 @@
 use starlark::eval::Evaluator;
 use starlark::starlark_module;
 use starlark::syntax::{AstModule, Dialect};
-use starlark::values::float::UnpackFloat;
 use starlark::values::list::ListRef;
 use starlark::values::none::NoneType;
 use starlark::values::tuple::TupleRef;
-use starlark::values::{UnpackValue, Value};
+use starlark::values::Value;
 
+use crate::arguments::Arguments;
 use crate::knobs::gateway::GATEWAY;
-use crate::knobs::{Knob, HIERARCHY};
+use crate::knobs::HIERARCHY;
 use crate::{Bounds, Wrong};
 
 thread_local! {
@@ -94,119 +94,7 @@
     Changes,
 }
 
-type Given<'v> = SmallMap<String, Value<'v>>;
-
-/// The named arguments of one call; what is left over at the end is unknown.
-struct Arguments<'v> {
-    function: &'static str,
-    given: Given<'v>,
-    known: Vec<&'static str>,
-}
-
 impl<'v> Arguments<'v> {
-    fn new(function: &'static str, given: Given<'v>) -> Self {
-        Self { function, given, known: Vec::new() }
-    }
-
-    fn take(&mut self, name: &'static str) -> Option<Value<'v>> {
-        self.known.push(name);
-        self.given.shift_remove(name).filter(|value| !value.is_none())
-    }
-
-    fn wrong(&self, name: &str, expected: &str, value: Value<'v>) -> anyhow::Error {
-        let shown: String = value.to_repr().chars().take(60).collect();
-        anyhow::anyhow!("{}: {name}: expected {expected}, got {shown}", self.function)
-    }
-
-    fn text(&mut self, name: &'static str) -> anyhow::Result<Option<String>> {
-        let Some(value) = self.take(name) else { return Ok(None) };
-        Ok(Some(self.plain_text(name, value)?))
-    }
-
-    fn plain_text(&self, name: &str, value: Value<'v>) -> anyhow::Result<String> {
-        match value.unpack_str() {
-            Some(text) if !text.is_empty() && text.len() <= 200 => Ok(text.to_string()),
-            _ => Err(self.wrong(name, "a text of 1 to 200 bytes", value)),
-        }
-    }
-
-    /// A name that goes into fields which know no quotes.
-    fn name(&self, what: &str, value: Value<'v>) -> anyhow::Result<String> {
-        let plain = |text: &&str| {
-            (1..=64).contains(&text.len())
-                && text.bytes().all(|byte| byte.is_ascii_graphic() && !b",=+:>".contains(&byte))
-        };
-        match value.unpack_str().filter(plain) {
-            Some(text) => Ok(text.to_string()),
-            None => {
-                Err(self.wrong(what, "a name of 1 to 64 letters, digits or signs, without , = + : >", value))
-            }
-        }
-    }
-
-    fn address(&mut self, name: &'static str) -> anyhow::Result<Option<SocketAddr>> {
-        let Some(value) = self.take(name) else { return Ok(None) };
-        match value.unpack_str().and_then(|text| text.parse().ok()) {
-            Some(address) => Ok(Some(address)),
-            None => Err(self.wrong(name, "an address with its port, as in 10.0.0.4:9300", value)),
-        }
-    }
-
-    /// A list of names; none is an empty one.
-    fn names(&mut self, name: &'static str) -> anyhow::Result<Vec<String>> {
-        let Some(value) = self.take(name) else { return Ok(Vec::new()) };
-        let list = ListRef::from_value(value).ok_or_else(|| self.wrong(name, "a list of names", value))?;
-        list.iter().map(|item| self.name(name, item)).collect()
-    }
-
-    fn flag(&mut self, name: &'static str, default: bool) -> anyhow::Result<bool> {
-        match self.take(name) {
-            None => Ok(default),
-            Some(value) => value.unpack_bool().ok_or_else(|| self.wrong(name, "True or False", value)),
-        }
-    }
-
-    fn number(&mut self, name: &'static str, range: (f64, f64), whole: bool) -> anyhow::Result<Option<f64>> {
-        let Some(value) = self.take(name) else { return Ok(None) };
-        let kind = if whole { "a whole number" } else { "a number" };
-        self.in_range(name, value, range, whole, &format!("{kind} from {} to {}", range.0, range.1)).map(Some)
-    }
-
-    fn in_range(
-        &self,
-        name: &str,
-        value: Value<'v>,
-        (least, most): (f64, f64),
-        whole: bool,
-        expected: &str,
-    ) -> anyhow::Result<f64> {
-        // True and False count as numbers in the language, and are none here.
-        let number = UnpackFloat::unpack_value_opt(value).filter(|_| value.unpack_bool().is_none());
-        let fits = |number: &f64| (least..=most).contains(number) && (!whole || number.fract() == 0.0);
-        match number.map(|number| number.0).filter(fits) {
-            Some(number) => Ok(number),
-            None => Err(self.wrong(name, expected, value)),
-        }
-    }
-
-    fn knobs<T>(&mut self, knobs: &'static [Knob<T>], into: &mut T) -> anyhow::Result<()> {
-        for knob in knobs {
-            if let Some(value) = self.take(knob.name) {
-                let range = (knob.least, knob.most);
-                let number = self.in_range(knob.name, value, range, knob.whole, &knob.expected())?;
-                (knob.set)(into, number * knob.scale);
-            }
-        }
-        Ok(())
-    }
-
-    fn one_of<T: Copy>(&mut self, name: &'static str, choices: &[(&str, T)]) -> anyhow::Result<Option<T>> {
-        let Some(value) = self.take(name) else { return Ok(None) };
-        let found = choices.iter().find(|(word, _)| value.unpack_str() == Some(word));
-        let words: Vec<String> = choices.iter().map(|(word, _)| format!("{word:?}")).collect();
-        found.map(|(_, choice)| Some(*choice)).ok_or_else(|| self.wrong(name, &words.join(" or "), value))
-    }
-
     /// `["a", "b"]` for ranks 0 and 1, or `[("a", 0), ("b", 0)]`.
     fn sources(&mut self) -> anyhow::Result<Vec<SourceSpec>> {
         const EXPECTED: &str = "a list of names, or of (name, rank) with a rank from 0 to 65535";
@@ -230,16 +118,6 @@
         Ok(sources)
     }
 
-    fn end(self) -> anyhow::Result<()> {
-        let Some(unknown) = self.given.keys().next() else { return Ok(()) };
-        let Self { function, mut known, .. } = self;
-        known.sort_unstable();
-        Err(anyhow::anyhow!(
-            "{function}: there is no setting {unknown:?}; expected one of {}",
-            known.join(", ")
-        ))
-    }
-
     fn node(mut self, name: Value<'v>) -> anyhow::Result<NodeSpec> {
         let name = self.name("name", name)?;
         let roles = [("cache", Role::Cache), ("parent", Role::Parent), ("origin", Role::Origin)];
@@ -498,6 +376,14 @@
 
 /// Runs a file within its bounds.
 pub fn evaluate(kind: Kind, file: &str, text: &str, bounds: &Bounds) -> Result<Parts, Wrong> {
+    COLLECTED.set(Some(Parts::default()));
+    let outcome = run(&globals(kind), file, text, bounds);
+    let parts = COLLECTED.take().unwrap_or_default();
+    outcome.map(|()| parts)
+}
+
+/// Runs a file with these functions within its bounds.
+pub fn run(globals: &Globals, file: &str, text: &str, bounds: &Bounds) -> Result<(), Wrong> {
     let wrong = |at: At, what: String| Wrong { file: file.to_string(), at: Some(at), what };
     if text.len() > bounds.bytes {
         let what = format!("the file has {} bytes, expected {} at the most", text.len(), bounds.bytes);
@@ -517,18 +403,14 @@
         ..Dialect::Standard
     };
     let ast = AstModule::parse(file, text.to_string(), &dialect).map_err(told)?;
-    COLLECTED.set(Some(Parts::default()));
-    let globals = globals(kind);
     let until = Instant::now() + Duration::from_millis(bounds.millis);
-    let outcome = Module::with_temp_heap(|module| -> Result<(), Wrong> {
+    Module::with_temp_heap(|module| -> Result<(), Wrong> {
         let mut eval = Evaluator::new(&module);
         let bound = |outcome: anyhow::Result<()>| outcome.map_err(|error| wrong((1, 1), error.to_string()));
         bound(eval.set_max_tick_count(bounds.steps))?;
         bound(eval.set_max_heap_size(bounds.memory))?;
         bound(eval.set_max_callstack_size(bounds.depth))?;
         eval.set_check_cancelled(Box::new(move || Instant::now() > until));
-        eval.eval_module(ast, &globals).map(|_| ()).map_err(told)
-    });
-    let parts = COLLECTED.take().unwrap_or_default();
-    outcome.map(|()| parts)
+        eval.eval_module(ast, globals).map(|_| ()).map_err(told)
+    })
 }
--- a/crates/router/tests/gateway.rs
+++ b/crates/router/tests/gateway.rs
@@ -190,6 +190,7 @@
         let before = sites.middle.passed().bodies[BACK];
         let mut one = One::ask(&sites, NORTH, "video", 100 + n as u64, 3_000.0);
         until("half of the video", || sites.middle.passed().bodies[BACK] > before + 60_000);
+        let old = sites.middle.passed().by_connection.keys().max().copied();
         if how == "cut" {
             sites.middle.cut();
         } else {
@@ -202,12 +203,15 @@
         }
         sites.middle.mend();
         let (code, body, took) = answer.join().expect("an answer");
-        let crossed = sites.middle.passed().bodies[BACK] - before;
-        let case =
-            format!("{how} {directions:?} for {back} ms: {code} after {took:.0} ms, {crossed} bytes crossed");
+        // On the connections after that one; what it had under way may still have passed to nobody.
+        let passed = sites.middle.passed().by_connection;
+        let anew: u64 = passed.iter().filter(|(n, _)| Some(**n) > old).map(|(_, bytes)| bytes).sum();
+        let case = format!(
+            "{how} {directions:?} for {back} ms: {code} after {took:.0} ms, {anew} bytes on new connections"
+        );
         assert_eq!((code, body.len()), if whole { (1, SIZE) } else { (2, 0) }, "{case}");
-        // What was there already did not cross again, but for what was under way.
-        assert!(!whole || (crossed as usize) < SIZE * 3 / 2, "{case}");
+        // What was there already did not cross again.
+        assert!((anew as usize) <= SIZE - 60_000, "{case}");
         println!("{case}");
     }
     let (resumed, bytes_again) = {
--- a/crates/standins/src/middle.rs
+++ b/crates/standins/src/middle.rs
@@ -35,6 +35,8 @@
     pub bodies: [u64; 2],
     pub opened: [u64; 2],
     pub connections: u64,
+    /// Bytes of bodies by connection, both directions together.
+    pub by_connection: BTreeMap<u64, u64>,
     /// Times at which requests passed, in Unix milliseconds.
     pub at: Vec<f64>,
 }
@@ -176,6 +178,7 @@
     let threads = both.into_iter().enumerate().map(|(direction, (from, to))| {
         let (state, over) = (state.clone(), over.clone());
         let watch = Watch {
+            connection: n,
             direction,
             ends: ends.clone(),
             decoder: Decoder::default(),
@@ -268,6 +271,7 @@
 
 /// Reads along in one direction.
 struct Watch {
+    connection: u64,
     direction: usize,
     ends: Ends,
     decoder: Decoder,
@@ -314,7 +318,11 @@
                 Word::Told(token, Fate::Never) => {
                     self.ends.record.note(What::Proven { token: (token.epoch, token.number) });
                 }
-                Word::Data(bytes) => lock(state).passed.bodies[n] += bytes.len() as u64,
+                Word::Data(bytes) => {
+                    let mut state = lock(state);
+                    state.passed.bodies[n] += bytes.len() as u64;
+                    *state.passed.by_connection.entry(self.connection).or_default() += bytes.len() as u64;
+                }
                 _ => {}
             }
         }
