--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use linnethook_toy::cache::{array, encode, fields, Answer};
+use socket2::{Domain, Socket, Type};
 
 /// One request, as it came in.
 #[derive(Debug, Clone)]
@@ -43,6 +44,8 @@
     pub address: SocketAddr,
     connections: Connections,
     down: Arc<AtomicBool>,
+    /// Its address, once it was killed.
+    _kept: Arc<Mutex<Option<Socket>>>,
 }
 
 impl Server {
@@ -52,10 +55,14 @@
         let address = listener.local_addr()?;
         let (connections, down) = (Connections::default(), Arc::new(AtomicBool::new(false)));
         let (all, over) = (connections.clone(), down.clone());
+        let kept = Arc::new(Mutex::new(None));
+        let keeps = kept.clone();
         thread::spawn(move || {
             let count = AtomicU64::new(0);
             for stream in listener.incoming() {
                 if over.load(Ordering::Acquire) {
+                    drop(listener);
+                    *keeps.lock().unwrap_or_else(PoisonError::into_inner) = keep(address);
                     return;
                 }
                 let Ok(stream) = stream else { continue };
@@ -71,7 +78,7 @@
                 });
             }
         });
-        Ok(Self { address, connections, down })
+        Ok(Self { address, connections, down, _kept: kept })
     }
 
     /// Nobody listens any more, and all connections end.
@@ -94,6 +101,15 @@
     }
 }
 
+/// Holds the address of one that was killed without listening, so that the system gives it to nobody else: who still
+/// calls there is to meet a closed door, and not the server of another fleet.
+fn keep(address: SocketAddr) -> Option<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+    socket.set_reuse_address(true).ok()?;
+    socket.bind(&address.into()).ok()?;
+    Some(socket)
+}
+
 /// Binds; one that was killed at that address may need a moment to let go of it.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     for _ in 0..200 {
