--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,6 +1,8 @@
 //! A discrete-event model, in virtual time, of what the router balances. Its routers are the shipped decision module.
 //!
-//! - [`world`]: a fleet with its routers, caches, parents, origin, links, clients and faults;
+//! - [`plan`]: a fleet, its load, what befalls it, and bad days from a seed;
+//! - [`world`]: the day itself: routers, caches, parents, origin, links, clients;
+//! - [`seen`]: what came of it; [`notes`]: its record, for the judge that reads the stand-ins' records too;
 //! - [`plain`]: plain ways to decide, to compare with;
 //! - [`queue`]: the events that are to come, in their order;
 //! - [`fair`]: a link that its transfers share evenly;
@@ -13,8 +15,11 @@
 pub mod copies;
 pub mod demand;
 pub mod fair;
+pub mod notes;
 pub mod plain;
+pub mod plan;
 pub mod queue;
+pub mod seen;
 pub mod world;
 
 /// Virtual time, in whole microseconds: times compare alike on every machine.
--- /dev/null
+++ b/crates/model/src/notes.rs
@@ -0,0 +1,136 @@
+//! Owns the record of a day, in the words of the record that stand-ins on sockets write: one judge reads both.
+//!
+//! Must never note what a router says of itself, only what reached it, its servers and its clients.
+
+use linnethook::interface::{ColdStart, Fill, Member, Phase};
+use linnethook_standins::record::{Asked, Cold, Line, Phase as Told, What};
+
+use crate::plan::Plan;
+use crate::Micros;
+
+/// The lines so far; where none are wanted nothing is made.
+#[derive(Debug, Default)]
+pub struct Notes {
+    lines: Option<Vec<Line>>,
+}
+
+/// What is noted of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish {
+    pub request: u64,
+    pub object: u64,
+    pub router: usize,
+    pub deadline: f64,
+    pub harmful: bool,
+}
+
+/// The name of a server.
+pub fn name(plan: &Plan, server: usize) -> String {
+    let caches = plan.locations * plan.caches;
+    match server {
+        n if n < caches => format!("cache-{n}"),
+        n if n < caches + plan.parents => format!("parent-{}", n - caches),
+        _ => "origin".to_string(),
+    }
+}
+
+fn router(n: usize) -> String {
+    format!("router-{n}")
+}
+
+fn object_name(object: u64) -> String {
+    format!("{object:016x}")
+}
+
+impl Notes {
+    pub fn wanted() -> Self {
+        Self { lines: Some(Vec::new()) }
+    }
+
+    pub fn into_lines(self) -> Vec<Line> {
+        self.lines.unwrap_or_default()
+    }
+
+    fn put(&mut self, now: Micros, what: impl FnOnce() -> What) {
+        if let Some(lines) = &mut self.lines {
+            lines.push(Line { at: now as f64 / 1_000.0, what: what() });
+        }
+    }
+
+    pub fn requested(&mut self, now: Micros, wish: &Wish) {
+        self.put(now, || What::Requested {
+            request: wish.request,
+            id: wish.request.to_string(),
+            object: object_name(wish.object),
+            group: 0,
+            deadline: wish.deadline,
+            harmful: wish.harmful,
+            router: router(wish.router),
+        });
+    }
+
+    pub fn answered(&mut self, now: Micros, request: u64, code: u8, dated: Option<Micros>) {
+        let dated = dated.map(|at| at as f64 / 1_000.0);
+        self.put(now, || What::Final { request, code, dated });
+    }
+
+    /// A request reached a server: from a router by its attempt, or from a server with a fill.
+    pub fn asked(
+        &mut self,
+        now: Micros,
+        plan: &Plan,
+        at: usize,
+        attempt: u64,
+        wish: &Wish,
+        from: (bool, Option<(usize, Fill)>),
+    ) {
+        self.put(now, || {
+            let (by_router, fill) = from;
+            What::Asked {
+                attempt,
+                asked: Asked {
+                    at: name(plan, at),
+                    id: wish.request.to_string(),
+                    object: object_name(wish.object),
+                    source: fill.map(|(source, _)| name(plan, source)),
+                    only_held: fill.is_some_and(|(_, fill)| fill.only_held),
+                    router: by_router.then(|| router(wish.router)),
+                    ..Asked::default()
+                },
+            }
+        });
+    }
+
+    pub fn ended(&mut self, now: Micros, attempt: u64, ran: bool) {
+        self.put(now, || What::Ended { attempt, word: String::new(), res: String::new(), ran });
+    }
+
+    pub fn listed(&mut self, now: Micros, plan: &Plan, by: usize, server: usize, member: &Member) {
+        let phase = match member.phase {
+            Phase::Ready => Told::Ready,
+            Phase::Draining => Told::Draining,
+            Phase::Gone => Told::Gone,
+        };
+        self.put(now, || What::Listed { router: router(by), node: name(plan, server), phase });
+    }
+
+    pub fn purged(&mut self, now: Micros, by: usize, object: u64, stamp: Micros) {
+        let (object, stamp) = (Some(object_name(object)), stamp as f64 / 1_000.0);
+        self.put(now, || What::Purged { router: router(by), object, group: None, stamp });
+    }
+
+    pub fn started(&mut self, now: Micros, plan: &Plan, server: usize, able: f64, cold: ColdStart) {
+        let cold = Cold {
+            capacity: able,
+            from: cold.from,
+            warm_in: cold.warm_in,
+            fall_multiple: cold.fall_multiple,
+            window: cold.window,
+        };
+        self.put(now, || What::Started { node: name(plan, server), cold });
+    }
+
+    pub fn fell(&mut self, now: Micros, plan: &Plan, server: usize) {
+        self.put(now, || What::Fell { node: name(plan, server) });
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/clients.rs
@@ -0,0 +1,147 @@
+//! Owns the clients: they ask, wait, ask for the next part, come again when they are turned away, and leave.
+
+use linnethook::interface::{Event as Told, ObjectId, Request, RequestId};
+use rand::RngExt;
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+
+use super::{micros, ms, Client, Event, Number, Seen, World};
+use crate::notes::Wish;
+use crate::Micros;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum End {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// The codes of final answers, as they are on sockets.
+const SERVED: u8 = 1;
+const REFUSED: u8 = 2;
+const FAILED: u8 = 3;
+
+/// Repeats that clients may have saved up, of those that they may ask for by first request.
+const SAVED: f64 = 100.0;
+
+impl World {
+    pub(super) fn arrive(&mut self, now: Micros) {
+        if now >= micros(self.plan.seconds * 1_000.0) {
+            return;
+        }
+        if let Ok(gap) = Exp::new((self.plan.rate * self.busy).max(1e-9) / 1e6) {
+            let gap = gap.sample(&mut self.chance).max(1.0);
+            self.queue.add(now + gap as Micros, Event::Arrive);
+        }
+        let router = self.chance.random_range(0..self.brains.len());
+        let object = self.demand.object(now, &mut self.chance);
+        let size = self.demand.size::<Pcg64Mcg>(object);
+        let books = self.plan.bookings > 0.0 && self.chance.random::<f64>() < self.plan.bookings;
+        self.repeats = (self.repeats + self.plan.repeats).min(SAVED);
+        self.begin_asking(
+            now,
+            Client { router, object, part: 0, books, size, first: now, since: now, tries: 0, attempts: 0 },
+        );
+    }
+
+    fn begin_asking(&mut self, now: Micros, client: Client) {
+        self.last += 1;
+        self.clients.insert(self.last, client);
+        Seen::count(&mut self.seen.asked, (now / 1_000_000) as usize);
+        self.ask(now, self.last);
+    }
+
+    pub(super) fn ask(&mut self, now: Micros, number: Number) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        client.since = now;
+        let request = Request {
+            id: RequestId(number),
+            object: ObjectId(linnethook::ring::mix(client.object, 1)),
+            part: client.part,
+            group: 0,
+            class: u16::from(client.books),
+            size_kb: client.size / 1_000.0,
+            repeat: client.tries > 0,
+            write: client.books,
+            budget: self.plan.wait,
+        };
+        let router = client.router;
+        let wish = self.wish(number);
+        if let Some(wish) = wish {
+            self.notes.requested(now, &wish);
+        }
+        self.tell(now, router, &Told::Request(request));
+    }
+
+    /// What is noted of a request.
+    pub(super) fn wish(&self, number: Number) -> Option<Wish> {
+        let client = self.clients.get(&number)?;
+        let deadline = ms(client.since) + self.plan.wait;
+        let (object, router, harmful) = (client.object, client.router, client.books);
+        Some(Wish { request: number, object, router, deadline, harmful })
+    }
+
+    pub(super) fn refused(&mut self, now: Micros, number: Number, wait: f64) {
+        self.notes.answered(now, number, REFUSED, None);
+        if !self.comes_again(now, number, wait) {
+            self.finish(now, number, End::Refused);
+        }
+    }
+
+    pub(super) fn failed(&mut self, now: Micros, number: Number) {
+        self.notes.answered(now, number, FAILED, None);
+        let may = self.plan.again_failed && self.clients.get(&number).is_some_and(|client| !client.books);
+        if !(may && self.comes_again(now, number, 0.0)) {
+            self.finish(now, number, End::Failed);
+        }
+    }
+
+    pub(super) fn served(&mut self, now: Micros, number: Number, dated: Option<Micros>) {
+        self.notes.answered(now, number, SERVED, dated);
+        let next = self.clients.get(&number).filter(|c| !c.books && c.part + 1 < self.plan.parts).cloned();
+        self.finish(now, number, End::Served);
+        if let Some(before) = next {
+            let (part, tries, attempts) = (before.part + 1, 0, 0);
+            self.begin_asking(now, Client { part, tries, attempts, first: now, since: now, ..before });
+        }
+    }
+
+    /// It comes again under a new name, as clients do.
+    fn comes_again(&mut self, now: Micros, number: Number, wait: f64) -> bool {
+        let (again, budget) = (self.plan.again, self.plan.repeats > 0.0);
+        let Some(client) = self.clients.get(&number) else { return false };
+        if client.tries >= again || budget && self.repeats < 1.0 {
+            return false;
+        }
+        self.repeats -= 1.0;
+        let mut client = client.clone();
+        self.clients.remove(&number);
+        let pause = self.plan.pause * self.plan.backoff.powi(client.tries as i32);
+        let pause = if self.plan.heed { pause.max(wait) } else { pause };
+        (client.tries, client.attempts) = (client.tries + 1, 0);
+        self.last += 1;
+        self.clients.insert(self.last, client);
+        let pause = pause * self.chance.random_range(1.0..1.5);
+        Seen::count(&mut self.seen.repeats, ((now + micros(pause)) / 1_000_000) as usize);
+        self.queue.add(now + micros(pause), Event::Ask(self.last));
+        true
+    }
+
+    fn finish(&mut self, now: Micros, number: Number, end: End) {
+        let Some(client) = self.clients.remove(&number) else { return };
+        let second = (client.first / 1_000_000) as usize;
+        let took = ms(now - client.first);
+        let sending = client.size / self.plan.flow * 1_000.0;
+        let list = match end {
+            End::Served if took <= self.plan.aim + sending => &mut self.seen.in_time,
+            End::Served => &mut self.seen.late,
+            End::Refused => &mut self.seen.refused,
+            End::Failed => &mut self.seen.failed,
+        };
+        Seen::count(list, second);
+        if end == End::Served {
+            self.seen.took.push(took as f32);
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/origin.rs
@@ -0,0 +1,125 @@
+//! Owns the origin: it takes longer the more it has in hand, goes on with what nobody waits for any more, and falls over
+//! when it is pushed too far.
+
+use linnethook::interface::{Note, Status};
+use rand::RngExt;
+
+use super::{micros, Event, Fault, Number, Seen, Stage, Work, World};
+use crate::Micros;
+
+impl World {
+    /// An attempt asks the origin, by itself, by its cache, or through a parent that may have asked already.
+    pub(super) fn ask_origin(&mut self, now: Micros, number: Number, parent: Option<usize>) {
+        let Some(attempt) = self.attempts.get(&number) else { return };
+        let (key, write) = (attempt.key, attempt.write);
+        let joins = parent.filter(|_| !write);
+        if let Some(work) = joins.and_then(|n| self.servers[n].fetching.get(&key)).copied() {
+            return self.waits_for(number, work);
+        }
+        let origin = self.plan.origin();
+        let health = self.servers[origin].health;
+        if !health.up || health.fails {
+            return self.origin_failed(now, number);
+        }
+        Seen::count(&mut self.seen.origin, (now / 1_000_000) as usize);
+        self.seen.fills += 1;
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.stage = Stage::AtOrigin;
+        }
+        if health.silent || health.stalled {
+            return;
+        }
+        let bears = self.plan.origin_bears;
+        if bears > 0 && self.works.len() >= bears {
+            self.seen.fell += 1;
+            self.strike(now, Fault::Die(origin));
+            self.queue.add(now + micros(self.plan.origin_away * 1_000.0), Event::Back(origin));
+            return self.origin_failed(now, number);
+        }
+        if write {
+            if let Some(attempt) = self.attempts.get_mut(&number) {
+                attempt.ran = true;
+            }
+        }
+        self.last += 1;
+        let work = self.last;
+        self.works.insert(work, Work { parent, key, waiting: Vec::new() });
+        self.waits_for(number, work);
+        if let Some(parent) = joins {
+            self.servers[parent].fetching.insert(key, work);
+        }
+        let crowded = (self.works.len() as f64 / self.plan.origin_easy.max(1) as f64).max(1.0);
+        let takes = self.plan.origin_takes * health.slow * crowded * self.chance.random_range(0.7..1.3);
+        self.queue.add(now + micros(takes), Event::Worked(work));
+    }
+
+    fn waits_for(&mut self, number: Number, work: Number) {
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            (attempt.stage, attempt.work) = (Stage::AtOrigin, Some(work));
+        }
+        if let Some(work) = self.works.get_mut(&work) {
+            work.waiting.push(number);
+        }
+    }
+
+    fn origin_failed(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        let direct = attempt.server == self.plan.origin();
+        attempt.note = (!direct).then_some(Note::OriginFailed);
+        let up = self.servers[self.plan.origin()].health.up;
+        let status = if direct && !up { Status::ConnectFailed } else { Status::Error };
+        self.end(now, number, status);
+    }
+
+    /// The origin is done with something: whoever waits for it has it.
+    pub(super) fn worked(&mut self, now: Micros, number: Number) {
+        let Some(work) = self.works.remove(&number) else { return };
+        if let Some(parent) = work.parent {
+            if self.servers[parent].fetching.get(&work.key) == Some(&number) {
+                self.servers[parent].fetching.remove(&work.key);
+                self.servers[parent].copies.keep(work.key, 1, now);
+            }
+        }
+        if work.waiting.is_empty() {
+            self.seen.in_vain += 1;
+        }
+        for (n, attempt) in work.waiting.into_iter().enumerate() {
+            if let Some(attempt) = self.attempts.get_mut(&attempt) {
+                attempt.dated = Some(now);
+            }
+            self.fill_moves(now, attempt, if n == 0 { Note::FilledByOrigin } else { Note::Filled });
+        }
+    }
+
+    /// Nobody of an attempt waits any more; what the origin has begun it ends.
+    pub(super) fn leaves_origin(&mut self, number: Number, work: Option<Number>) {
+        if let Some(work) = work.and_then(|work| self.works.get_mut(&work)) {
+            work.waiting.retain(|other| *other != number);
+        }
+    }
+
+    /// What the origin had in hand is lost with it.
+    pub(super) fn origin_lost(&mut self, now: Micros) {
+        for (_, work) in std::mem::take(&mut self.works) {
+            if let Some(parent) = work.parent {
+                self.servers[parent].fetching.remove(&work.key);
+            }
+            for number in work.waiting {
+                self.origin_failed(now, number);
+            }
+        }
+    }
+
+    /// A parent is lost, with what it waited for; the origin goes on with that.
+    pub(super) fn parent_lost(&mut self, now: Micros, parent: usize) {
+        self.servers[parent].fetching.clear();
+        let of_it = self.works.values_mut().filter(|work| work.parent == Some(parent));
+        let waiting: Vec<Number> = of_it.flat_map(|work| std::mem::take(&mut work.waiting)).collect();
+        for number in waiting {
+            if let Some(attempt) = self.attempts.get_mut(&number) {
+                attempt.note = Some(Note::SourceUnreached);
+            }
+            self.end(now, number, Status::Error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/serving.rs
@@ -0,0 +1,359 @@
+//! Owns attempts on their way: to a cache, to the source of a fill, over the links and back to their router.
+
+use linnethook::interface::{AttemptId, CacheId, Event as Told, Fill, Note, Outcome, RequestId, Status};
+
+use super::{micros, ms, Attempt, Event, Number, Server, Stage, World, COLD, ORIGIN, PARENT};
+use crate::Micros;
+
+/// Numbers of requests from server to server in the record, beside those of attempts.
+const BETWEEN: u64 = 1 << 50;
+
+impl World {
+    pub(super) fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        cache: CacheId,
+        timeout: f64,
+        fill: Option<Fill>,
+    ) {
+        let Some(server) = self.server(cache) else { return };
+        let Some(client) = self.clients.get_mut(&request.0) else { return };
+        let number = client.attempts;
+        client.attempts += 1;
+        let left = self.plan.wait - ms(now - client.since);
+        let timeout = if timeout > 0.0 { timeout.min(left) } else { left };
+        self.last += 1;
+        let attempt = Attempt {
+            router: client.router,
+            request: request.0,
+            number,
+            server,
+            fill,
+            stage: Stage::ToCache,
+            key: client.key(),
+            write: client.books,
+            sent: now,
+            waited: 0,
+            note: None,
+            status: Status::Moot,
+            work: None,
+            ran: false,
+            dated: None,
+        };
+        self.attempts.insert(self.last, attempt);
+        self.by_id.insert((request.0, number), self.last);
+        let way = if self.servers[server].member.kind == 0 { self.plan.near } else { self.plan.far };
+        self.queue.add(now + micros(way), Event::Step(self.last));
+        self.queue.add(now + micros(timeout), Event::Expire(self.last));
+    }
+
+    /// Counts one that comes in at a server that warms; false where it falls over by it.
+    fn bears(&mut self, now: Micros, n: usize) -> bool {
+        let (able, cold) = match self.servers[n].member.kind {
+            0 => (self.plan.cache_able, COLD[0]),
+            PARENT => (self.plan.parent_able, COLD[1]),
+            _ => return true,
+        };
+        let server = &mut self.servers[n];
+        let age = ms(now) - server.member.since;
+        if able <= 0.0 || server.member.since <= 0.0 || age >= cold.warm_in {
+            return true;
+        }
+        server.came.push_back(now);
+        while server.came.front().is_some_and(|at| ms(now - at) > cold.window) {
+            server.came.pop_front();
+        }
+        let part = cold.from + (1.0 - cold.from) * age / cold.warm_in;
+        server.came.len() as f64 <= able * part * cold.fall_multiple * cold.window / 1_000.0
+    }
+
+    /// An attempt goes on.
+    pub(super) fn step(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get(&number) else { return };
+        match attempt.stage {
+            Stage::ToCache => self.at_cache(now, number),
+            Stage::ToSource => self.at_source(now, number),
+            Stage::AtOrigin | Stage::Filling | Stage::Answering | Stage::Joined | Stage::Over => {}
+        }
+    }
+
+    /// Whether a server is there to answer; one that isn't ends the attempt, or leaves it waiting.
+    fn answers(&mut self, now: Micros, number: Number, n: usize) -> bool {
+        let health = self.servers[n].health;
+        if !health.up {
+            self.end(now, number, Status::ConnectFailed);
+        } else if health.fails && !health.silent {
+            self.end(now, number, Status::Error);
+        }
+        health.up && !health.fails && !health.silent
+    }
+
+    /// The copy that a server has of what is wanted, where it is not too old.
+    fn held(&mut self, now: Micros, n: usize, key: u64, max_age: f64) -> Option<Micros> {
+        let made = self.servers[n].copies.get(key)?;
+        (max_age <= 0.0 || ms(now - made.min(now)) <= max_age).then_some(made)
+    }
+
+    fn at_cache(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get(&number).cloned() else { return };
+        let at = attempt.server;
+        if !self.servers[at].health.up || self.servers[at].health.silent {
+            _ = self.answers(now, number, at);
+            return;
+        }
+        let source = attempt.fill.filter(|fill| fill.source != self.servers[at].member.id);
+        let named = source.and_then(|fill| Some((self.server(fill.source)?, fill)));
+        if let Some(wish) = self.wish(attempt.request) {
+            self.notes.asked(now, &self.plan, at, number, &wish, (true, named));
+        }
+        if !self.answers(now, number, at) {
+            return;
+        }
+        if !self.bears(now, at) {
+            self.falls(now, at);
+            return self.end(now, number, Status::Reset);
+        }
+        let slots = self.plan.slots;
+        let server = &mut self.servers[at];
+        if server.in_hand >= slots && server.member.kind != ORIGIN {
+            return self.end(now, number, Status::Full);
+        }
+        server.asked += 1;
+        server.in_hand += 1;
+        self.set_stage(number, Stage::ToSource);
+        if self.servers[at].health.stalled {
+            return;
+        }
+        if self.servers[at].member.kind == ORIGIN {
+            return self.ask_origin(now, number, None);
+        }
+        let max_age = attempt.fill.map_or(0.0, |fill| fill.max_age);
+        if !attempt.write {
+            if let Some(made) = self.held(now, at, attempt.key, max_age) {
+                self.seen.hits += 1;
+                self.servers[at].hits += 1;
+                return self.answer(now, number, Note::Hit, Some(made));
+            }
+        }
+        let Some((source, fill)) = named else {
+            // A parent that is asked by itself asks the origin for what it lacks.
+            if self.servers[at].member.kind == PARENT && attempt.fill.is_some() {
+                return self.ask_origin(now, number, Some(at));
+            }
+            return self.end(now, number, Status::Miss);
+        };
+        if fill.join && !attempt.write {
+            if let Some(waiting) = self.servers[at].filling.get_mut(&attempt.key) {
+                waiting.push(number);
+                return self.set_stage(number, Stage::Joined);
+            }
+        }
+        if !attempt.write {
+            self.servers[at].filling.entry(attempt.key).or_default();
+        }
+        self.queue.add(now + micros(self.way(at, source)), Event::Step(number));
+    }
+
+    fn at_source(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get(&number).cloned() else { return };
+        let Some(fill) = attempt.fill else { return };
+        let Some(source) = self.server(fill.source) else { return };
+        let health = self.servers[source].health;
+        if health.silent || !self.reaches(attempt.server, source) {
+            return;
+        }
+        if health.up {
+            if let Some(wish) = self.wish(attempt.request) {
+                self.notes.asked(now, &self.plan, source, BETWEEN + number, &wish, (false, None));
+            }
+        }
+        let falls = health.up && !self.bears(now, source);
+        if falls {
+            self.falls(now, source);
+        }
+        let kind = self.servers[source].member.kind;
+        let missing = |world: &mut Self, note: Note, status: Status| {
+            if let Some(attempt) = world.attempts.get_mut(&number) {
+                attempt.note = Some(note);
+            }
+            world.end(now, number, status);
+        };
+        if !health.up || falls {
+            return missing(self, Note::SourceUnreached, Status::Error);
+        }
+        if kind == ORIGIN {
+            return self.ask_origin(now, number, None);
+        }
+        if health.fails {
+            return missing(self, Note::SourceRefused, Status::Error);
+        }
+        if health.stalled {
+            return;
+        }
+        self.servers[source].asked += 1;
+        if !attempt.write {
+            if let Some(made) = self.held(now, source, attempt.key, fill.max_age) {
+                self.servers[source].hits += 1;
+                if let Some(attempt) = self.attempts.get_mut(&number) {
+                    attempt.dated = Some(made);
+                }
+                return self.fill_moves(now, number, Note::Filled);
+            }
+        }
+        if fill.only_held || kind == 0 {
+            return missing(self, Note::SourceLacks, Status::Full);
+        }
+        self.ask_origin(now, number, Some(source));
+    }
+
+    pub(super) fn set_stage(&mut self, number: Number, stage: Stage) {
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.stage = stage;
+        }
+    }
+
+    /// The fill moves to its cache, over its location's link.
+    pub(super) fn fill_moves(&mut self, now: Micros, number: Number, note: Note) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        attempt.note = Some(note);
+        attempt.waited = now - attempt.sent;
+        let (server, dated) = (attempt.server, attempt.dated);
+        let size = self.clients.get(&attempt.request).map_or(1.0, |client| client.size);
+        let kind = self.servers[server].member.kind;
+        let lost = kind == 0 && self.cut[usize::from(self.servers[server].member.zone)];
+        if kind != 0 || attempt.write {
+            // Asked for by the client's router itself, or an answer of a few bytes.
+            return self.answer(now, number, note, dated);
+        }
+        attempt.stage = Stage::Filling;
+        if !lost {
+            let wire = usize::from(self.servers[server].member.zone).min(self.plan.locations);
+            self.begin(now, wire, number, size);
+        }
+    }
+
+    fn answer(&mut self, now: Micros, number: Number, note: Note, dated: Option<Micros>) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        (attempt.note, attempt.stage, attempt.dated) = (Some(note), Stage::Answering, dated);
+        let server = &self.servers[attempt.server];
+        let size = self.clients.get(&attempt.request).map_or(1.0, |client| client.size);
+        let size = if attempt.write { 1.0 } else { size * server.health.slow };
+        let link = server.link;
+        self.begin(now, link, number, size);
+    }
+
+    // ---- Links.
+
+    fn begin(&mut self, now: Micros, wire: usize, number: Number, bytes: f64) {
+        self.wires[wire].fair.begin(now, number, bytes);
+        self.plan_link(wire);
+    }
+
+    fn plan_link(&mut self, wire: usize) {
+        let w = &mut self.wires[wire];
+        w.version += 1;
+        if let Some((at, _)) = w.fair.next() {
+            self.queue.add(at, Event::Link(wire, w.version));
+        }
+    }
+
+    /// The next transfer of a link has ended.
+    pub(super) fn moved(&mut self, now: Micros, wire: usize, version: u64) {
+        if self.wires[wire].version != version {
+            return;
+        }
+        let Some((_, number)) = self.wires[wire].fair.next().filter(|(at, _)| *at <= now) else {
+            return self.plan_link(wire);
+        };
+        self.wires[wire].fair.end(now, number);
+        self.plan_link(wire);
+        let Some(attempt) = self.attempts.get(&number).cloned() else { return };
+        match attempt.stage {
+            Stage::Filling => self.filled(now, number, &attempt),
+            Stage::Answering => self.end(now, number, Status::Ok),
+            _ => {}
+        }
+    }
+
+    fn filled(&mut self, now: Micros, number: Number, attempt: &Attempt) {
+        let Server { copies, filling, .. } = &mut self.servers[attempt.server];
+        let made = attempt.dated.unwrap_or(now);
+        let rank = attempt.fill.map_or(0, |fill| fill.rank);
+        if rank > 0 {
+            copies.keep(attempt.key, rank, made);
+        }
+        let waiting = filling.remove(&attempt.key).unwrap_or_default();
+        self.answer(now, number, attempt.note.unwrap_or(Note::Filled), Some(made));
+        for other in waiting {
+            self.answer(now, other, Note::Joined, Some(made));
+        }
+    }
+
+    // ---- Ends.
+
+    /// An attempt is over where it is; its router hears of it after the way back.
+    pub(super) fn end(&mut self, now: Micros, number: Number, status: Status) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        if attempt.stage == Stage::Over {
+            return;
+        }
+        let stage = std::mem::replace(&mut attempt.stage, Stage::Over);
+        attempt.status = status;
+        let attempt = attempt.clone();
+        self.notes.ended(now, number, attempt.ran);
+        if stage == Stage::AtOrigin {
+            self.leaves_origin(number, attempt.work);
+        }
+        let at = &mut self.servers[attempt.server];
+        if stage != Stage::ToCache {
+            at.in_hand = at.in_hand.saturating_sub(1);
+        }
+        let (link, zone) = (at.link, usize::from(at.member.zone).min(self.plan.locations));
+        // A fill that ends without its copy ends those that wait for it.
+        let filled = matches!(stage, Stage::ToSource | Stage::AtOrigin | Stage::Filling) && !attempt.write;
+        let waiting = if filled { at.filling.remove(&attempt.key).unwrap_or_default() } else { Vec::new() };
+        let wire = match stage {
+            Stage::Filling => Some(zone),
+            Stage::Answering => Some(link),
+            _ => None,
+        };
+        if let Some(wire) = wire.filter(|_| status != Status::Ok) {
+            self.wires[wire].fair.end(now, number);
+            self.plan_link(wire);
+        }
+        for other in waiting {
+            if let Some(other) = self.attempts.get_mut(&other) {
+                other.note = Some(Note::NoPlace);
+            }
+            self.end(now, other, Status::Full);
+        }
+        // What the router ends itself it knows at once.
+        let way = match status {
+            Status::Timeout | Status::Cancelled => 0.0,
+            _ if self.servers[attempt.server].member.kind == 0 => self.plan.near,
+            _ => self.plan.far,
+        };
+        self.queue.add(now + micros(way), Event::Tell(number));
+    }
+
+    pub(super) fn outcome(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.remove(&number) else { return };
+        self.by_id.remove(&(attempt.request, attempt.number));
+        if attempt.status == Status::Ok && self.clients.contains_key(&attempt.request) {
+            self.served(now, attempt.request, attempt.dated.filter(|_| !attempt.write));
+        }
+        let server = &self.servers[attempt.server];
+        let outcome = Outcome {
+            attempt: AttemptId { request: RequestId(attempt.request), number: attempt.number },
+            cache: server.member.id,
+            status: attempt.status,
+            settled: !self.clients.contains_key(&attempt.request),
+            took: ms(now - attempt.sent),
+            waited: ms(attempt.waited),
+            note: attempt.note,
+            load: server.reported,
+        };
+        self.tell(now, attempt.router, &Told::Outcome(outcome));
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/troubles.rs
@@ -0,0 +1,162 @@
+//! Owns what befalls the fleet, and what routers are told of it: the list of caches with its delay, purges, load.
+
+use linnethook::interface::{Event as Told, ListKind, Load, ObjectId, Phase, Status};
+use rand::RngExt;
+
+use super::{micros, ms, Event, Fault, Health, Number, Stage, World, COLD, ORIGIN, PARENT, PURGE_DONE, WELL};
+use crate::copies::Copies;
+use crate::Micros;
+
+impl World {
+    pub(super) fn strike(&mut self, now: Micros, fault: Fault) {
+        let n = fault.server().unwrap_or(0);
+        if n >= self.servers.len() {
+            return;
+        }
+        let health = &mut self.servers[n].health;
+        match fault {
+            Fault::Die(_) => self.dies(now, n),
+            Fault::Start(_) => self.starts(now, n),
+            Fault::Silent(_, silent) => health.silent = silent,
+            Fault::Stall(_, stalled) => health.stalled = stalled,
+            Fault::FailFast(_, fails) => health.fails = fails,
+            Fault::Slow(_, times) => health.slow = times.max(0.01),
+            Fault::Drain(_) => {
+                // The origin is never taken out of service by the list.
+                if self.servers[n].member.phase == Phase::Ready && n != self.plan.origin() {
+                    self.servers[n].member.phase = Phase::Draining;
+                    self.tell_late(now, n);
+                }
+            }
+            Fault::Cut(location, cut) => {
+                if let Some(known) = self.cut.get_mut(location) {
+                    *known = cut;
+                }
+            }
+            Fault::ListLate(late) => self.list_late = late,
+            Fault::Rate(times) => self.busy = times.max(1e-6),
+            Fault::Purge(count) => self.purge(now, count),
+        }
+    }
+
+    fn tell_late(&mut self, now: Micros, n: usize) {
+        self.queue.add(now + micros(self.list_late), Event::List(n));
+    }
+
+    /// Pushed over.
+    pub(super) fn falls(&mut self, now: Micros, n: usize) {
+        self.seen.fell += 1;
+        self.notes.fell(now, &self.plan, n);
+        self.strike(now, Fault::Die(n));
+        self.queue.add(now + micros(self.plan.away * 1_000.0), Event::Back(n));
+    }
+
+    fn dies(&mut self, now: Micros, n: usize) {
+        let server = &mut self.servers[n];
+        if !server.health.up {
+            return;
+        }
+        server.health.up = false;
+        let kind = server.member.kind;
+        server.copies = Copies::new(match kind {
+            0 => self.plan.cache_copies,
+            _ => self.plan.parent_copies,
+        });
+        let there = self.attempts.iter().filter(|(_, a)| a.server == n && a.stage != Stage::ToCache);
+        let there: Vec<Number> = there.map(|(number, _)| *number).collect();
+        there.into_iter().for_each(|number| self.end(now, number, Status::Reset));
+        match kind {
+            PARENT => self.parent_lost(now, n),
+            ORIGIN => return self.origin_lost(now),
+            _ => {}
+        }
+        self.servers[n].member.phase = Phase::Gone;
+        self.tell_late(now, n);
+    }
+
+    fn starts(&mut self, now: Micros, n: usize) {
+        let server = &mut self.servers[n];
+        let drained = server.health.up;
+        server.member.phase = Phase::Ready;
+        if !drained {
+            server.health = WELL;
+            (server.in_hand, server.asked, server.hits) = (0, 0, 0);
+            server.came.clear();
+            server.filling.clear();
+            let (able, cold) = match server.member.kind {
+                0 => (self.plan.cache_able, COLD[0]),
+                PARENT => (self.plan.parent_able, COLD[1]),
+                _ => return,
+            };
+            server.member.since = ms(now);
+            if able > 0.0 {
+                self.notes.started(now, &self.plan, n, able, cold);
+            }
+        }
+        self.tell_late(now, n);
+    }
+
+    /// Routers hear how a server stands now.
+    pub(super) fn list(&mut self, now: Micros, n: usize) {
+        let Some(member) = self.servers.get(n).map(|server| server.member) else { return };
+        for router in 0..self.brains.len() {
+            self.notes.listed(now, &self.plan, router, n, &member);
+            self.tell(now, router, &Told::List { kind: ListKind::Changes, members: vec![member] });
+        }
+    }
+
+    /// Objects that are asked for a lot have changed: routers hear of it, and servers drop what is older by and by.
+    fn purge(&mut self, now: Micros, count: u32) {
+        for _ in 0..count {
+            let object = self.demand.object(now, &mut self.chance);
+            for router in 0..self.brains.len() {
+                self.notes.purged(now, router, object, now);
+                let id = ObjectId(linnethook::ring::mix(object, 1));
+                self.tell(now, router, &Told::Purged { object: Some(id), group: 0, ago: 0.0 });
+            }
+            let late = self.chance.random_range(0.0..PURGE_DONE * 0.9);
+            self.queue.add(now + micros(late), Event::Drop(object, now));
+        }
+    }
+
+    /// All parts of an object from before a purge go.
+    pub(super) fn drop_copies(&mut self, object: u64, stamp: Micros) {
+        for part in 0..self.plan.parts.max(1) {
+            let key = if part == 0 { object } else { linnethook::ring::mix(object, u64::from(part)) };
+            for server in &mut self.servers {
+                if server.copies.get(key).is_some_and(|made| made < stamp) {
+                    server.copies.drop_copy(key);
+                }
+            }
+        }
+    }
+
+    /// Servers take stock of their load, which their answers then tell.
+    pub(super) fn stock(&mut self, now: Micros) {
+        let Self { servers, wires, plan, .. } = self;
+        for server in servers {
+            let Health { up, .. } = server.health;
+            if !up {
+                continue;
+            }
+            let zone = usize::from(server.member.zone).min(plan.locations);
+            let link = &wires[if server.member.kind == 0 { zone } else { server.link }].fair;
+            let busy = server.in_hand as f64 / plan.slots.max(1) as f64;
+            let hit_share = (server.asked > 0).then(|| f64::from(server.hits) / f64::from(server.asked));
+            let carries = [plan.location_link, plan.origin_link][usize::from(server.member.kind != 0)];
+            let used = link.pace() * link.len() as f64 * 1e6 / carries;
+            server.reported = Load {
+                in_flight: Some(server.in_hand as f64),
+                busy: Some(busy),
+                hit_share,
+                link: Some(if server.member.kind == 0 {
+                    used.min(1.0)
+                } else {
+                    server.fetching.len() as f64
+                }),
+            };
+            (server.asked, server.hits) = (0, 0);
+        }
+        self.queue.add(now + micros(plan.report_every), Event::Stock);
+    }
+}
--- a/crates/model/tests/day.rs
+++ b/crates/model/tests/day.rs
@@ -2,6 +2,7 @@
 
 use linnethook_model::plain::Way;
 use linnethook_model::world::{Fault, Plan, Seen, World};
+use linnethook_standins::checker::Rule;
 
 fn play(plan: &Plan) -> Seen {
     World::new(plan.clone()).expect("a plan").run()
@@ -64,3 +65,90 @@
     let best = shares[1..].iter().map(|(share, _)| *share).fold(0.0, f64::max);
     assert!(shares[0].0 > best + 0.2 && shares[0].1 == 0, "{shares:?}");
 }
+
+/// A day on which much goes wrong, with bookings, sessions of two parts, cold starts and an origin that falls over.
+fn bad_day(seed: u64, way: Way) -> Plan {
+    let plan = Plan {
+        seed,
+        way,
+        bookings: 0.05,
+        parts: 2,
+        report_every: 250.0,
+        cache_able: 120.0,
+        parent_able: 400.0,
+        origin_bears: 400,
+        seconds: 16.0,
+        rate: 120.0,
+        ..Plan::default()
+    };
+    let faults = plan.bad_day(seed, 6, 3.0..12.0);
+    Plan { faults, ..plan }
+}
+
+/// The judge of the sockets reads the model's record: the shipped module keeps the rules on bad days, a plain way does not,
+/// and one seed gives one record, also beside others.
+#[test]
+fn bad_days_are_judged_and_one_seed_is_one_record() {
+    let days = std::thread::scope(|scope| {
+        let play = |seed| scope.spawn(move || World::judged(bad_day(seed, Way::Shipped)).expect("a plan"));
+        let days: Vec<_> = (1..=12).map(play).collect();
+        days.into_iter().map(|day| day.join().expect("played")).collect::<Vec<_>>()
+    });
+    for (seed, (seen, breaches)) in (1..).zip(&days) {
+        println!("{seed}: {:.3} in time, {} fell", seen.share(), seen.fell);
+        assert!(breaches.is_empty(), "{seed}: {:?}", &breaches[..breaches.len().min(3)]);
+    }
+    let (seen, lines) = World::noted(bad_day(3, Way::Shipped)).expect("a plan");
+    assert!(seen == days[2].0 && lines == World::noted(bad_day(3, Way::Shipped)).expect("a plan").1);
+    // Noting changes nothing.
+    assert_eq!(seen, play(&bad_day(3, Way::Shipped)));
+}
+
+/// What breaks each rule where a plain way decides; the shipped module keeps them on the same days.
+#[test]
+fn the_judge_tells_plain_ways_from_the_module() {
+    let origin = Plan::default().origin();
+    let restarts = (0..8).step_by(2).flat_map(|n| [(5.0, Fault::Die(n)), (5.05, Fault::Start(n))]).collect();
+    let days: [(Rule, Vec<(f64, Fault)>); 3] = [
+        (Rule::NoSecondEffect, vec![(3.0, Fault::Slow(origin, 150.0)), (8.0, Fault::Slow(origin, 1.0))]),
+        (Rule::NoPush, restarts),
+        (Rule::Purges, vec![(4.0, Fault::Purge(40))]),
+    ];
+    for (rule, faults) in days {
+        for way in [Way::Shipped, Way::Hash] {
+            let plan = Plan { faults: faults.clone(), cache_able: 30.0, ..bad_day(1, way) };
+            let (_, breaches) = World::judged(plan).expect("a plan");
+            let broken = breaches.iter().any(|breach| breach.rule == rule);
+            assert_eq!(broken, way == Way::Hash, "{rule:?} {way:?}: {:?}", breaches.first());
+        }
+    }
+}
+
+/// The origin goes on with what nobody waits for any more, so that clients who ask again keep it busy with nothing; a fleet
+/// that doubles takes its part.
+#[test]
+fn an_origin_over_its_edge_works_in_vain_and_spare_caches_come_in() {
+    let crowd = vec![(4.0, Fault::Slow(10, 30.0)), (7.0, Fault::Slow(10, 1.0))];
+    let jam = Plan {
+        way: Way::Random,
+        faults: crowd,
+        cache_copies: 10,
+        parent_copies: 10,
+        origin_easy: 4,
+        again: 10,
+        again_failed: true,
+        heed: false,
+        wait: 800.0,
+        seconds: 16.0,
+        ..Plan::default()
+    };
+    let seen = play(&jam);
+    let repeats: u32 = seen.repeats.iter().sum();
+    println!("{:.3} in time, {repeats} repeats, {} in vain", seen.share(), seen.in_vain);
+    assert!(seen.in_vain > 100 && repeats > 100);
+    let plan = Plan { spare: 2, cache_copies: 60, seconds: 20.0, ..Plan::default() };
+    let faults = [2, 3, 6, 7].map(|n| (5.0, Fault::Start(n))).to_vec();
+    let (alone, helped) = (play(&plan), play(&Plan { faults, ..plan.clone() }));
+    println!("{} hits with two caches a location, {} with two more", alone.hits, helped.hits);
+    assert!(helped.hits > alone.hits && helped.share() > 0.9, "{}", helped.share());
+}
