--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -1,16 +1,17 @@
 //! Owns the comparison of variants: differences by seed, with intervals by bootstrap.
 //!
-//! Must never compare rows of different seeds: a day is hard or easy for all variants alike.
+//! Must never compare rows of different seeds or points: a day is hard or easy for all variants alike.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use statrs::statistics::Statistics;
 
-use crate::play::Row;
+use crate::faults::rounded;
+use crate::rows::Row;
 
-/// A difference to the first variant, with the interval that holds its mean nineteen times in twenty.
+/// A mean with the interval that holds it nineteen times in twenty.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Difference {
+pub struct Estimate {
     pub mean: f64,
     pub low: f64,
     pub high: f64,
@@ -19,76 +20,119 @@
 /// Draws of the bootstrap.
 const DRAWS: usize = 4_000;
 
-/// The mean difference of pairs.
-pub fn difference(pairs: &[(f64, f64)], seed: u64) -> Option<Difference> {
-    if pairs.is_empty() {
+/// The mean of some values, and its interval; nothing of nothing.
+pub fn estimate(all: &[f64], seed: u64) -> Option<Estimate> {
+    if all.is_empty() {
         return None;
     }
-    let all: Vec<f64> = pairs.iter().map(|(one, other)| one - other).collect();
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let mut draw =
         || (0..all.len()).map(|_| all[chance.random_range(0..all.len())]).sum::<f64>() / all.len() as f64;
     let mut means: Vec<f64> = (0..DRAWS).map(|_| draw()).collect();
     means.sort_by(f64::total_cmp);
-    Some(Difference { mean: all.iter().mean(), low: means[DRAWS / 40], high: means[DRAWS - 1 - DRAWS / 40] })
+    Some(Estimate { mean: all.iter().mean(), low: means[DRAWS / 40], high: means[DRAWS - 1 - DRAWS / 40] })
 }
 
-/// The mean of a figure over a variant's rows.
-pub fn mean(rows: &[Row], variant: &str, figure: impl Fn(&Row) -> f64) -> f64 {
-    let all: Vec<f64> = rows.iter().filter(|row| row.variant == variant).map(figure).collect();
-    all.iter().mean()
+/// The mean difference of pairs.
+pub fn difference(pairs: &[(f64, f64)], seed: u64) -> Option<Estimate> {
+    estimate(&pairs.iter().map(|(one, other)| one - other).collect::<Vec<_>>(), seed)
+}
+
+/// The rows of one variant at one point.
+pub fn of<'a>(rows: &'a [Row], variant: &'a str, point: Option<f64>) -> impl Iterator<Item = &'a Row> {
+    rows.iter().filter(move |row| row.variant == variant && row.point == point)
+}
+
+/// A figure's mean over seeds, with its interval.
+pub fn figure(
+    rows: &[Row],
+    variant: &str,
+    point: Option<f64>,
+    figure: impl Fn(&Row) -> f64,
+) -> Option<Estimate> {
+    estimate(&of(rows, variant, point).map(figure).collect::<Vec<_>>(), 1)
 }
 
 /// A variant's figure against the first one's, by seed.
-pub fn against(rows: &[Row], variant: &str, first: &str, figure: impl Fn(&Row) -> f64) -> Option<Difference> {
-    let of = |variant: &str, seed: u64| rows.iter().find(|row| row.variant == variant && row.seed == seed);
-    let pairs = rows.iter().filter(|row| row.variant == variant);
-    let pairs: Vec<(f64, f64)> =
-        pairs.filter_map(|row| Some((figure(row), figure(of(first, row.seed)?)))).collect();
-    difference(&pairs, 1)
+pub fn against(
+    rows: &[Row],
+    (variant, first): (&str, &str),
+    point: Option<f64>,
+    figure: impl Fn(&Row) -> f64,
+) -> Option<Estimate> {
+    let pair = |row: &Row| {
+        let other = of(rows, first, point).find(|other| other.seed == row.seed)?;
+        Some((figure(row), figure(other)))
+    };
+    difference(&of(rows, variant, point).filter_map(pair).collect::<Vec<_>>(), 1)
+}
+
+fn distinct<T: PartialEq>(all: impl Iterator<Item = T>) -> Vec<T> {
+    let mut out = Vec::new();
+    all.for_each(|one| {
+        if !out.contains(&one) {
+            out.push(one);
+        }
+    });
+    out
 }
 
 /// The variants in the order in which they come.
 pub fn variants(rows: &[Row]) -> Vec<&str> {
-    let mut names: Vec<&str> = Vec::new();
-    for row in rows {
-        if !names.contains(&row.variant.as_str()) {
-            names.push(&row.variant);
-        }
-    }
-    names
+    distinct(rows.iter().map(|row| row.variant.as_str()))
+}
+
+/// The values of the setting that is swept.
+pub fn points(rows: &[Row]) -> Vec<Option<f64>> {
+    distinct(rows.iter().map(|row| row.point))
 }
 
+/// A figure of the table: its head, its digits, and how it is had.
+type Column = (&'static str, usize, fn(&Row) -> f64);
+
+pub const COLUMNS: &[Column] = &[
+    ("in time", 4, |row| row.in_time),
+    ("late", 4, |row| row.late),
+    ("refused", 4, |row| row.refused),
+    ("failed", 4, |row| row.failed),
+    ("p50 ms", 1, |row| row.took_at(0.5)),
+    ("p99 ms", 1, |row| row.took_at(0.99)),
+    ("origin/s", 1, |row| row.origin),
+    ("most", 1, |row| f64::from(row.origin_most)),
+    ("repeats", 2, |row| row.repeats),
+    ("fell", 1, |row| row.fell as f64),
+];
+
 /// A table for people.
-pub fn table(rows: &[Row]) -> String {
+pub fn table(rows: &[Row], setting: Option<&str>) -> String {
     let names = variants(rows);
     let Some(first) = names.first().copied() else { return "no rows\n".to_string() };
-    let mut out = format!(
-        "{:<18} {:>8} {:>24} {:>8} {:>8} {:>9} {:>9} {:>9} {:>6}\n",
-        "variant",
-        "in time",
-        "against the first",
-        "refused",
-        "failed",
-        "p50 ms",
-        "p99 ms",
-        "origin/s",
-        "fell"
-    );
-    for name in names {
-        let against = against(rows, name, first, |row| row.in_time).filter(|_| name != first);
-        let against =
-            against.map_or("-".to_string(), |d| format!("{:+.4} ({:+.4} {:+.4})", d.mean, d.low, d.high));
-        out += &format!(
-            "{name:<18} {:>8.4} {against:>24} {:>8.4} {:>8.4} {:>9.1} {:>9.1} {:>9.1} {:>6.1}\n",
-            mean(rows, name, |row| row.in_time),
-            mean(rows, name, |row| row.refused),
-            mean(rows, name, |row| row.failed),
-            mean(rows, name, |row| row.took_50),
-            mean(rows, name, |row| row.took_99),
-            mean(rows, name, |row| row.origin),
-            mean(rows, name, |row| row.fell as f64),
-        );
+    let judged = rows.iter().any(|row| row.breaches.is_some());
+    let mut out = format!("{:<18} {:>25}", "variant", "against the first");
+    COLUMNS.iter().for_each(|(head, ..)| out += &format!(" {head:>9}"));
+    out += if judged { "  breaches\n" } else { "\n" };
+    for point in points(rows) {
+        if let Some(value) = point {
+            out += &format!("{} = {}\n", setting.unwrap_or("at"), rounded(value));
+        }
+        for name in &names {
+            if of(rows, name, point).next().is_none() {
+                continue;
+            }
+            let against = against(rows, (name, first), point, |row| row.in_time).filter(|_| *name != first);
+            let against =
+                against.map_or("-".to_string(), |d| format!("{:+.4} ({:+.4} {:+.4})", d.mean, d.low, d.high));
+            out += &format!("{name:<18} {against:>25}");
+            for (_, digits, get) in COLUMNS {
+                let mean = of(rows, name, point).map(get).collect::<Vec<_>>().iter().mean();
+                out += &format!(" {mean:>9.digits$}");
+            }
+            if judged {
+                let all: u64 = of(rows, name, point).filter_map(|row| row.breaches).sum();
+                out += &format!(" {all:>9}");
+            }
+            out += "\n";
+        }
     }
     out
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,105 +1,116 @@
-//! Owns the file of an experiment, in Starlark: a fleet, a load, faults, the variants that are compared, the seeds.
+//! Owns the file of an experiment, in Starlark: a fleet, a load, faults, the variants that are compared, a sweep, seeds.
 //!
 //! Must never run anything: it gives a whole, checked experiment or one error with its place.
 
 use std::cell::RefCell;
 
 use linnethook_model::plain::Way;
-use linnethook_model::world::{Fault, Plan};
+use linnethook_model::plan::{Fault, Plan};
 use linnethook_operator::arguments::Arguments;
-use linnethook_operator::knobs::Knob;
 use linnethook_operator::script::run;
 use linnethook_operator::{Bounds, Wrong};
 use starlark::collections::SmallMap;
 use starlark::environment::GlobalsBuilder;
 use starlark::starlark_module;
+use starlark::values::list::ListRef;
 use starlark::values::none::NoneType;
 use starlark::values::Value;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::faults::{Needs, KINDS};
+use crate::settings::{find, FLEET, LOAD};
+
+/// A plan under a name.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Variant {
+    pub name: String,
+    pub plan: Plan,
+}
+
+/// One setting at several values.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sweep {
+    pub setting: String,
+    pub values: Vec<f64>,
+}
+
+/// Troubles drawn from each run's seed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BadDays {
+    pub troubles: usize,
+    pub from: f64,
+    pub to: f64,
+}
 
 /// What is played.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Experiment {
+    pub title: String,
     pub plan: Plan,
     /// The first is what the others are compared with.
-    pub variants: Vec<(String, Way)>,
+    pub variants: Vec<Variant>,
+    pub sweep: Option<Sweep>,
+    pub bad_days: Option<BadDays>,
+    /// Whether the record of each run is judged.
+    pub judged: bool,
+    /// The first seed, and how many.
+    pub first: u64,
     pub seeds: u64,
 }
 
-thread_local! {
-    static COLLECTED: RefCell<Option<Experiment>> = const { RefCell::new(None) };
+/// One run of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Case {
+    pub variant: String,
+    /// The value of the setting that is swept.
+    pub point: Option<f64>,
+    pub plan: Plan,
 }
 
-macro_rules! knob {
-    ($name:literal, $unit:literal, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: $unit,
-            least: $least,
-            most: $most,
-            whole: false,
-            scale: 1.0,
-            get: |plan: &Plan| plan.$($place).+,
-            set: |plan: &mut Plan, value| plan.$($place).+ = value,
-        }
-    };
-    (whole $name:literal, $kind:ty, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: "",
-            least: $least,
-            most: $most,
-            whole: true,
-            scale: 1.0,
-            get: |plan: &Plan| plan.$($place).+ as f64,
-            set: |plan: &mut Plan, value| plan.$($place).+ = value as $kind,
+impl Experiment {
+    /// All runs: by point, within one by variant, within that by seed.
+    pub fn cases(&self) -> Vec<Case> {
+        let points: Vec<Option<f64>> = match &self.sweep {
+            Some(sweep) => sweep.values.iter().copied().map(Some).collect(),
+            None => vec![None],
+        };
+        let knob = self.sweep.as_ref().and_then(|sweep| find(&sweep.setting));
+        let mut cases = Vec::new();
+        for point in points {
+            for variant in &self.variants {
+                for seed in self.first..self.first + self.seeds {
+                    let mut plan = Plan { seed, ..variant.plan.clone() };
+                    if let (Some(knob), Some(value)) = (knob, point) {
+                        (knob.set)(&mut plan, value);
+                    }
+                    if let Some(days) = self.bad_days {
+                        plan.faults.extend(plan.bad_day(seed, days.troubles, days.from..days.to));
+                    }
+                    cases.push(Case { variant: variant.name.clone(), point, plan });
+                }
+            }
         }
-    };
+        cases
+    }
+
+    /// What tells this experiment from another: all its plans.
+    pub fn mark(&self) -> String {
+        let of = (&self.variants, &self.sweep, &self.bad_days, self.judged);
+        format!("{:016x}", xxh3_64(format!("{of:?}").as_bytes()))
+    }
 }
 
-/// What `fleet(...)` sets.
-const FLEET: &[Knob<Plan>] = &[
-    knob!(whole "locations", usize, 1.0, 1_000.0, locations, "locations"),
-    knob!(whole "routers", usize, 1.0, 1_000.0, routers, "routers of each"),
-    knob!(whole "caches", usize, 1.0, 1_000.0, caches, "caches of each"),
-    knob!(whole "parents", usize, 0.0, 1_000.0, parents, "parents that all share"),
-    knob!(whole "cache_copies", usize, 0.0, 1e8, cache_copies, "copies that a cache keeps"),
-    knob!(whole "parent_copies", usize, 0.0, 1e8, parent_copies, "copies that a parent keeps"),
-    knob!(whole "slots", usize, 1.0, 1e6, slots, "requests that a server takes at a time"),
-    knob!("flow", "bytes a second", 1e3, 1e12, flow, "what one transfer may have"),
-    knob!("cache_link", "bytes a second", 1e3, 1e12, cache_link, "a cache's link to its clients"),
-    knob!("location_link", "bytes a second", 1e3, 1e12, location_link, "a location's link for fills"),
-    knob!("origin_link", "bytes a second", 1e3, 1e12, origin_link, "the link of parents and the origin"),
-    knob!("near", "milliseconds", 0.0, 1e4, near, "one way within a location"),
-    knob!("far", "milliseconds", 0.0, 1e4, far, "one way to the hub"),
-    knob!("origin_takes", "milliseconds", 0.0, 1e5, origin_takes, "how long the origin takes for one"),
-    knob!(whole "origin_easy", usize, 1.0, 1e6, origin_easy, "how many it has in hand before that grows"),
-    knob!("list_late", "milliseconds", 0.0, 1e6, list_late, "how late routers hear of a change"),
-    knob!(
-        "cache_able",
-        "requests a second",
-        0.0,
-        1e7,
-        cache_able,
-        "what a warm cache can do; 0 = a cold one never falls"
-    ),
-    knob!("parent_able", "requests a second", 0.0, 1e7, parent_able, "the same of a parent"),
-    knob!("away", "seconds", 0.0, 1e4, away, "how long one that fell over is away"),
+pub const WAYS: &[(&str, Way)] = &[
+    ("shipped", Way::Shipped),
+    ("random", Way::Random),
+    ("least in flight", Way::LeastInFlight),
+    ("hash", Way::Hash),
+    ("bounded hash", Way::BoundedHash(1.25)),
 ];
 
-/// What `demand(...)` sets.
-const LOAD: &[Knob<Plan>] = &[
-    knob!("rate", "requests a second", 0.001, 1e7, rate, "in all"),
-    knob!("seconds", "seconds", 1.0, 1e5, seconds, "for how long"),
-    knob!("wait", "milliseconds", 1.0, 1e6, wait, "how long clients wait"),
-    knob!("aim", "milliseconds", 1.0, 1e6, aim, "within what they want their answer"),
-    knob!(whole "again", u32, 0.0, 100.0, again, "how often they come again when refused"),
-    knob!(whole "objects", u64, 1.0, 1e12, demand.objects, "objects"),
-    knob!("skew", "", 0.0, 10.0, demand.skew, "Zipf's exponent"),
-    knob!("size", "bytes", 1.0, 1e9, demand.size, "of an object's part at the median"),
-    knob!("spread", "", 0.0, 4.0, demand.spread, "of the logarithm of the sizes"),
-];
+thread_local! {
+    static COLLECTED: RefCell<Option<Experiment>> = const { RefCell::new(None) };
+}
 
 fn collect(put: impl FnOnce(&mut Experiment) -> anyhow::Result<()>) -> anyhow::Result<NoneType> {
     COLLECTED.with_borrow_mut(|experiment| match experiment {
@@ -108,76 +119,185 @@
     })
 }
 
+type Given<'v> = SmallMap<String, Value<'v>>;
+
+/// What all variants have in common is said before the first of them.
+fn common(function: &'static str, experiment: &Experiment) -> anyhow::Result<()> {
+    match experiment.variants.is_empty() {
+        true => Ok(()),
+        false => Err(anyhow::anyhow!("{function}: expected before the first variant()")),
+    }
+}
+
+fn missing(function: &str, what: &str) -> anyhow::Error {
+    anyhow::anyhow!("{function}: {what} is missing")
+}
+
 #[starlark_module]
 fn functions(builder: &mut GlobalsBuilder) {
+    /// What the experiment is called.
+    fn title(text: &str) -> anyhow::Result<NoneType> {
+        let text: String = text.chars().take(200).collect();
+        collect(|experiment| {
+            experiment.title = text;
+            Ok(())
+        })
+    }
+
     /// The fleet.
-    fn fleet<'v>(#[starlark(kwargs)] given: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+    fn fleet<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
         let mut arguments = Arguments::new("fleet()", given);
-        collect(|experiment| arguments.knobs(FLEET, &mut experiment.plan).and_then(|()| arguments.end()))
+        collect(|experiment| {
+            common("fleet()", experiment)?;
+            arguments.knobs(FLEET, &mut experiment.plan).and_then(|()| arguments.end())
+        })
     }
 
     /// What is asked for.
-    fn demand<'v>(#[starlark(kwargs)] given: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+    fn demand<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
         let mut arguments = Arguments::new("demand()", given);
-        collect(|experiment| arguments.knobs(LOAD, &mut experiment.plan).and_then(|()| arguments.end()))
+        collect(|experiment| {
+            common("demand()", experiment)?;
+            arguments.knobs(LOAD, &mut experiment.plan).and_then(|()| arguments.end())
+        })
     }
 
-    /// What befalls a server at a time: `at` in seconds, `server` counted from the caches on, `times` for slow.
-    fn fault<'v>(#[starlark(kwargs)] given: SmallMap<String, Value<'v>>) -> anyhow::Result<NoneType> {
+    /// From one second to another so large a part of all asks for one object.
+    fn crowd<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("crowd()", given);
+        let mut number = |name: &'static str, range, whole| {
+            arguments.number(name, range, whole)?.ok_or_else(|| missing("crowd()", name))
+        };
+        let (from, to) = (number("from_second", (0.0, 1e5), false)?, number("to_second", (0.0, 1e5), false)?);
+        let (object, part) =
+            (number("object", (0.0, 1e12), true)? as u64, number("part", (0.0, 1.0), false)?);
+        arguments.end()?;
+        let (from, to) = ((from * 1e6) as u64, (to * 1e6) as u64);
+        collect(|experiment| {
+            common("crowd()", experiment)?;
+            experiment.plan.crowds.push(linnethook_model::demand::Crowd { from, to, object, part });
+            Ok(())
+        })
+    }
+
+    /// What befalls the fleet at a second.
+    fn fault<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
         let mut arguments = Arguments::new("fault()", given);
-        let missing = |what: &str| anyhow::anyhow!("fault(): {what} is missing");
+        let missing = |what: &str| missing("fault()", what);
         let at = arguments.number("at", (0.0, 1e5), false)?.ok_or_else(|| missing("at"))?;
-        let server = arguments.number("server", (0.0, 1e6), true)?.ok_or_else(|| missing("server"))? as usize;
-        let times = arguments.number("times", (0.01, 1e4), false)?.unwrap_or(10.0);
-        let kinds = [
-            ("die", Fault::Die(server)),
-            ("start", Fault::Start(server)),
-            ("silent", Fault::Silent(server, true)),
-            ("heard", Fault::Silent(server, false)),
-            ("slow", Fault::Slow(server, times)),
-            ("drain", Fault::Drain(server)),
-        ];
+        let kinds: Vec<(&str, _)> = KINDS.iter().map(|kind| (kind.word, *kind)).collect();
         let kind = arguments.one_of("kind", &kinds)?.ok_or_else(|| missing("kind"))?;
+        let mut place = |name: &'static str| {
+            let place = arguments.number(name, (0.0, 1e6), true)?.ok_or_else(|| missing(name))?;
+            anyhow::Ok(place as usize)
+        };
+        let place = match kind.needs {
+            Needs::Server | Needs::ServerAnd(..) => place("server")?,
+            Needs::Location => place("location")?,
+            Needs::Number(..) => 0,
+        };
+        let number = match kind.needs {
+            Needs::Number(name, least, most) | Needs::ServerAnd(name, least, most) => {
+                let range = (f64::from(least), f64::from(most));
+                arguments.number(name, range, false)?.ok_or_else(|| missing(name))?
+            }
+            _ => 0.0,
+        };
         arguments.end()?;
         collect(|experiment| {
-            experiment.plan.faults.push((at, kind));
+            common("fault()", experiment)?;
+            experiment.plan.faults.push((at, (kind.make)(place, number)));
             Ok(())
         })
     }
 
-    /// A way to decide under a name.
-    fn variant<'v>(
-        name: &str,
-        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
-    ) -> anyhow::Result<NoneType> {
-        let mut arguments = Arguments::new("variant()", given);
-        let bound = arguments.number("bound", (1.0, 100.0), false)?.unwrap_or(1.25);
-        let ways = [
-            ("shipped", Way::Shipped),
-            ("random", Way::Random),
-            ("least in flight", Way::LeastInFlight),
-            ("hash", Way::Hash),
-            ("bounded hash", Way::BoundedHash(bound)),
-        ];
-        let way = arguments.one_of("way", &ways)?.unwrap_or(Way::Shipped);
+    /// Troubles drawn from each run's seed.
+    fn bad_day<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("bad_day()", given);
+        let troubles = arguments.number("troubles", (1.0, 1_000.0), true)?.unwrap_or(6.0) as usize;
+        let from = arguments.number("from_second", (0.0, 1e5), false)?.unwrap_or(5.0);
+        let to = arguments.number("to_second", (0.0, 1e5), false)?.unwrap_or(20.0);
         arguments.end()?;
+        if to <= from {
+            return Err(anyhow::anyhow!("bad_day(): to_second: expected more than from_second, got {to}"));
+        }
+        collect(|experiment| {
+            experiment.bad_days = Some(BadDays { troubles, from, to });
+            Ok(())
+        })
+    }
+
+    /// A way to decide, and what else differs, under a name.
+    fn variant<'v>(name: &str, #[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("variant()", given);
+        let bound = arguments.number("bound", (1.0, 100.0), false)?;
+        let way = arguments.one_of("way", WAYS)?.unwrap_or(Way::Shipped);
+        let way = match (way, bound) {
+            (Way::BoundedHash(_), Some(bound)) => Way::BoundedHash(bound),
+            (_, Some(_)) => return Err(anyhow::anyhow!("variant(): bound is for \"bounded hash\" alone")),
+            (way, None) => way,
+        };
         let name = name.to_string();
         collect(|experiment| {
-            if experiment.variants.iter().any(|(known, _)| *known == name) {
+            if experiment.variants.iter().any(|known| known.name == name) {
                 return Err(anyhow::anyhow!("variant(): {name:?} is a variant already"));
             }
-            experiment.variants.push((name, way));
+            let mut plan = Plan { way, ..experiment.plan.clone() };
+            arguments.knobs(FLEET, &mut plan)?;
+            arguments.knobs(LOAD, &mut plan)?;
+            arguments.end()?;
+            experiment.variants.push(Variant { name, plan });
+            Ok(())
+        })
+    }
+
+    /// One setting at several values: each variant is played with each.
+    fn sweep<'v>(setting: &str, values: Value<'v>) -> anyhow::Result<NoneType> {
+        let arguments = Arguments::new("sweep()", SmallMap::new());
+        let knob = find(setting).ok_or_else(|| {
+            let mut all: Vec<&str> = FLEET.iter().chain(LOAD).map(|knob| knob.name).collect();
+            all.sort_unstable();
+            anyhow::anyhow!("sweep(): there is no setting {setting:?}; expected one of {}", all.join(", "))
+        })?;
+        let list = ListRef::from_value(values).filter(|list| (1..=100).contains(&list.len()));
+        let list = list.ok_or_else(|| arguments.wrong(knob.name, "a list of 1 to 100 numbers", values))?;
+        let range = (knob.least, knob.most);
+        let number = |value| arguments.in_range(knob.name, value, range, knob.whole, &knob.expected());
+        let values: anyhow::Result<Vec<f64>> = list.iter().map(number).collect();
+        let (setting, values) = (setting.to_string(), values?);
+        collect(|experiment| {
+            if experiment.sweep.is_some() {
+                return Err(anyhow::anyhow!("sweep(): there is one already"));
+            }
+            experiment.sweep = Some(Sweep { setting, values });
             Ok(())
         })
     }
 
-    /// How many seeds each variant is played with.
+    /// How many seeds each variant is played with, from 1 on.
     fn seeds(count: i32) -> anyhow::Result<NoneType> {
         if !(1..=100_000).contains(&count) {
             return Err(anyhow::anyhow!("seeds(): expected a whole number from 1 to 100000, got {count}"));
         }
         collect(|experiment| {
-            experiment.seeds = count as u64;
+            (experiment.first, experiment.seeds) = (1, count as u64);
+            Ok(())
+        })
+    }
+
+    /// One seed and no other.
+    fn seed(number: i32) -> anyhow::Result<NoneType> {
+        let number = u64::try_from(number).map_err(|_| anyhow::anyhow!("seed(): expected 0 or more"))?;
+        collect(|experiment| {
+            (experiment.first, experiment.seeds) = (number, 1);
+            Ok(())
+        })
+    }
+
+    /// The record of each run is judged by the rules.
+    fn judge() -> anyhow::Result<NoneType> {
+        collect(|experiment| {
+            experiment.judged = true;
             Ok(())
         })
     }
@@ -186,22 +306,47 @@
 /// Reads a file's text.
 pub fn read(file: &str, text: &str) -> Result<Experiment, Wrong> {
     let globals = GlobalsBuilder::standard().with(functions).build();
-    COLLECTED.set(Some(Experiment { plan: Plan::default(), variants: Vec::new(), seeds: 5 }));
+    let title = file.rsplit('/').next().unwrap_or(file).trim_end_matches(".star").to_string();
+    COLLECTED.set(Some(Experiment {
+        title,
+        plan: Plan::default(),
+        variants: Vec::new(),
+        sweep: None,
+        bad_days: None,
+        judged: false,
+        first: 1,
+        seeds: 5,
+    }));
     let outcome = run(&globals, file, text, &Bounds::default());
     let experiment = COLLECTED.take();
     outcome?;
     let wrong = |what: &str| Wrong { file: file.to_string(), at: None, what: what.to_string() };
     let mut experiment = experiment.ok_or_else(|| wrong("nothing was collected"))?;
     if experiment.variants.is_empty() {
-        experiment.variants = Way::ALL.into_iter().map(|way| (way.name().to_string(), way)).collect();
-    }
-    let servers = experiment.plan.locations * experiment.plan.caches + experiment.plan.parents + 1;
-    let server = |fault: &Fault| match fault {
-        Fault::Die(n) | Fault::Start(n) | Fault::Silent(n, _) | Fault::Slow(n, _) | Fault::Drain(n) => *n,
-    };
-    if let Some((_, fault)) = experiment.plan.faults.iter().find(|(_, fault)| server(fault) >= servers) {
-        let what = format!("fault(): server: expected 0 to {}, got {}", servers - 1, server(fault));
-        return Err(wrong(&what));
+        let all = Way::ALL.into_iter();
+        let variant = |way: Way| Variant {
+            name: way.name().to_string(),
+            plan: Plan { way, ..experiment.plan.clone() },
+        };
+        experiment.variants = all.map(variant).collect();
+    }
+    for Case { plan, .. } in experiment.cases() {
+        let servers = plan.servers();
+        let server = |(_, fault): &(f64, Fault)| fault.server().filter(|n| *n >= servers);
+        if let Some(n) = plan.faults.iter().find_map(server) {
+            return Err(wrong(&format!("fault(): server: expected 0 to {}, got {n}", servers - 1)));
+        }
+        let location = |(_, fault): &(f64, Fault)| match fault {
+            Fault::Cut(n, _) if *n >= plan.locations => Some(*n),
+            _ => None,
+        };
+        if let Some(n) = plan.faults.iter().find_map(location) {
+            let what = format!("fault(): location: expected 0 to {}, got {n}", plan.locations - 1);
+            return Err(wrong(&what));
+        }
+        if plan.spare >= plan.caches {
+            return Err(wrong(&format!("fleet(): spare: expected less than caches, {}", plan.caches)));
+        }
     }
     Ok(experiment)
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,11 +1,17 @@
 //! Experiments on the model of the fleet.
 //!
-//! - [`experiment`]: the file, in Starlark, checked;
-//! - [`play`]: every variant with every seed, on several threads;
+//! - [`experiment`]: the file, in Starlark, checked; [`settings`] and [`faults`]: its words;
+//! - [`play`]: every variant with every seed, on several threads; [`rows`]: the file that they go to;
 //! - [`compare`]: differences by seed with intervals;
-//! - [`plot`]: pictures as SVG.
+//! - [`hunt`]: the worst day, or one that breaks a rule, shrunk to a short script;
+//! - [`plot`], [`report`]: pictures as SVG, and a page that holds them.
 
 pub mod compare;
 pub mod experiment;
+pub mod faults;
+pub mod hunt;
 pub mod play;
 pub mod plot;
+pub mod report;
+pub mod rows;
+pub mod settings;
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -1,57 +1,273 @@
-//! Owns the pictures: the part served in time, second by second, for each variant, with the faults marked.
+//! Owns the pictures: lines with their intervals as SVG, faults marked, the legend beside them.
+//!
+//! Must never compute a figure: it draws what it is given.
 
+use plotters::coord::ranged1d::{AsRangedCoord, Ranged, ValueFormatter};
 use plotters::prelude::{
-    ChartBuilder, Color, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99, PathElement, SVGBackend,
-    BLACK, WHITE,
+    ChartBuilder, Circle, Color, DrawingBackend, IntoDrawingArea, IntoFont, IntoLogRange, LineSeries,
+    Palette, Palette99, PathElement, RGBAColor, Rectangle, SVGBackend, Text, BLACK, WHITE,
 };
 
-use crate::experiment::Experiment;
-use crate::play::Played;
+use crate::compare::{against, figure, of, points, variants, Estimate};
+use crate::faults::rounded;
+use crate::rows::{Header, Row, QUANTILES};
 
-/// The mean over seeds, by second.
-fn by_second(played: &[Played], variant: &str) -> Vec<f64> {
-    let all: Vec<&Vec<f64>> =
-        played.iter().filter(|one| one.row.variant == variant).map(|one| &one.by_second).collect();
-    let longest = all.iter().map(|list| list.len()).max().unwrap_or(0);
-    let at = |n: usize| {
-        let values: Vec<f64> = all.iter().filter_map(|list| list.get(n).copied()).collect();
-        values.iter().sum::<f64>() / values.len().max(1) as f64
-    };
-    (0..longest).map(at).collect()
+type Failed = Box<dyn std::error::Error>;
+
+/// A line under a name: x, y, and where the interval of y is known that.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Series {
+    pub name: String,
+    pub points: Vec<(f64, f64, Option<(f64, f64)>)>,
 }
 
-/// An SVG of it.
-pub fn service(experiment: &Experiment, played: &[Played]) -> Result<String, Box<dyn std::error::Error>> {
-    let mut text = String::new();
+/// A picture.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Picture {
+    pub title: String,
+    pub x: String,
+    pub y: String,
+    pub series: Vec<Series>,
+    /// Something that happened at an x.
+    pub marks: Vec<(f64, String)>,
+    /// Whether x and y are drawn by their logarithm.
+    pub log: (bool, bool),
+}
+
+const SIZE: (u32, u32) = (940, 400);
+const LEGEND: u32 = 190;
+
+impl Picture {
+    /// As SVG.
+    pub fn svg(&self) -> Result<String, Failed> {
+        let mut text = String::new();
+        {
+            let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+            area.fill(&WHITE)?;
+            let (left, right) = area.split_horizontally(SIZE.0 - LEGEND);
+            let (x, y) = (self.range(|p| p.0, self.log.0), self.range(|p| p.1, self.log.1));
+            let top = |(low, high): (f64, f64)| (low, high + (high - low) * 0.05);
+            let base = |(low, high): (f64, f64)| (low.min(0.0), high);
+            match self.log {
+                (false, false) => {
+                    let y = top(base(y));
+                    self.draw(&left, x.0..x.1, y.0..y.1)?;
+                }
+                (true, false) => {
+                    let y = top(base(y));
+                    self.draw(&left, (x.0..x.1).log_scale(), y.0..y.1)?;
+                }
+                (false, true) => self.draw(&left, x.0..x.1, (y.0..y.1 * 1.2).log_scale())?,
+                (true, true) => self.draw(&left, (x.0..x.1).log_scale(), (y.0..y.1 * 1.2).log_scale())?,
+            }
+            for (n, series) in self.series.iter().enumerate() {
+                let at = 40 + 20 * n as i32;
+                right.draw(&Rectangle::new([(2, at), (20, at + 3)], colour(n).filled()))?;
+                let name: String = series.name.chars().take(26).collect();
+                right.draw(&Text::new(name, (26, at - 5), ("sans-serif", 13).into_font()))?;
+            }
+            if !self.marks.is_empty() {
+                let at = 50 + 20 * self.series.len() as i32;
+                right.draw(&Rectangle::new([(2, at), (20, at + 2)], BLACK.mix(0.35).filled()))?;
+                let text = match self.marks.as_slice() {
+                    [(_, one)] => one.clone(),
+                    many => format!("{} faults", many.len()),
+                };
+                right.draw(&Text::new(text, (26, at - 5), ("sans-serif", 13).into_font()))?;
+            }
+            area.present()?;
+        }
+        Ok(text)
+    }
+
+    /// From the least to the most, never empty; for a logarithm above zero.
+    fn range(&self, of: impl Fn(&(f64, f64, Option<(f64, f64)>)) -> f64, log: bool) -> (f64, f64) {
+        let all = self.series.iter().flat_map(|series| &series.points).map(of);
+        let all: Vec<f64> = all.filter(|value| value.is_finite() && (!log || *value > 0.0)).collect();
+        let low = all.iter().copied().fold(f64::INFINITY, f64::min);
+        let high = all.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        match (low <= high, low < high) {
+            (false, _) => (if log { 0.1 } else { 0.0 }, 1.0),
+            (true, false) => {
+                (if log { low / 2.0 } else { low - 0.5 }, if log { low * 2.0 } else { low + 0.5 })
+            }
+            (true, true) => (low, high),
+        }
+    }
+
+    fn draw<'a, X, Y>(
+        &self,
+        area: &plotters::drawing::DrawingArea<SVGBackend<'a>, plotters::coord::Shift>,
+        x: X,
+        y: Y,
+    ) -> Result<(), Failed>
+    where
+        X: AsRangedCoord<Value = f64>,
+        Y: AsRangedCoord<Value = f64>,
+        X::CoordDescType: Ranged<ValueType = f64> + ValueFormatter<f64>,
+        Y::CoordDescType: Ranged<ValueType = f64> + ValueFormatter<f64>,
+        <SVGBackend<'a> as DrawingBackend>::ErrorType: 'static,
     {
-        let area = SVGBackend::with_string(&mut text, (900, 420)).into_drawing_area();
-        area.fill(&WHITE)?;
-        let seconds = experiment.plan.seconds;
-        let mut chart = ChartBuilder::on(&area)
-            .caption("served in time, by the second in which it was asked", ("sans-serif", 18).into_font())
+        let mut chart = ChartBuilder::on(area)
+            .caption(&self.title, ("sans-serif", 17).into_font())
             .margin(12)
             .x_label_area_size(40)
-            .y_label_area_size(50)
-            .build_cartesian_2d(0.0..seconds, 0.0..1.05)?;
-        chart.configure_mesh().x_desc("second").y_desc("part").light_line_style(WHITE).draw()?;
-        for (at, _) in &experiment.plan.faults {
-            let line = LineSeries::new([(*at, 0.0), (*at, 1.05)], BLACK.mix(0.15));
-            chart.draw_series(line)?;
-        }
-        for (n, (name, _)) in experiment.variants.iter().enumerate() {
-            let colour = Palette99::pick(n).to_rgba();
-            let points = by_second(played, name).into_iter().enumerate().map(|(n, part)| (n as f64, part));
-            chart
-                .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
-                .label(name.clone())
-                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
-        }
+            .y_label_area_size(62)
+            .build_cartesian_2d(x, y)?;
+        let short = |value: &f64| rounded(*value);
         chart
-            .configure_series_labels()
-            .border_style(BLACK.mix(0.3))
-            .background_style(WHITE.mix(0.85))
+            .configure_mesh()
+            .x_desc(&self.x)
+            .y_desc(&self.y)
+            .x_label_formatter(&short)
+            .y_label_formatter(&short)
+            .light_line_style(WHITE)
             .draw()?;
-        area.present()?;
+        let (bottom, height) = self.range(|p| p.1, self.log.1);
+        let bottom = if self.log.1 { bottom } else { bottom.min(0.0) };
+        for (at, _) in &self.marks {
+            chart.draw_series(LineSeries::new([(*at, bottom), (*at, height)], BLACK.mix(0.25)))?;
+        }
+        for (n, series) in self.series.iter().enumerate() {
+            let colour = colour(n);
+            let fits = |value: f64| !self.log.1 || value > 0.0;
+            let points: Vec<(f64, f64)> =
+                series.points.iter().map(|(x, y, _)| (*x, *y)).filter(|(_, y)| fits(*y)).collect();
+            if points.len() <= 30 {
+                chart.draw_series(points.iter().map(|p| Circle::new(*p, 3, colour.filled())))?;
+            }
+            chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+            let bars = series.points.iter().filter_map(|(x, _, bar)| bar.map(|(low, high)| (*x, low, high)));
+            let bars = bars.filter(|(_, low, _)| fits(*low));
+            chart.draw_series(bars.map(|(x, low, high)| {
+                PathElement::new(vec![(x, low), (x, high)], colour.mix(0.6).stroke_width(2))
+            }))?;
+        }
+        Ok(())
+    }
+}
+
+fn colour(n: usize) -> RGBAColor {
+    Palette99::pick(n).to_rgba()
+}
+
+/// The mean over seeds of what a row has by second.
+fn by_second(
+    rows: &[Row],
+    variant: &str,
+    point: Option<f64>,
+    get: impl Fn(&Row) -> Vec<f64>,
+    most: usize,
+) -> Vec<(f64, f64, Option<(f64, f64)>)> {
+    let all: Vec<Vec<f64>> = of(rows, variant, point).map(get).collect();
+    let longest = all.iter().map(Vec::len).max().unwrap_or(0).min(most);
+    let at = |n: usize| {
+        let values: Vec<f64> = all.iter().filter_map(|list| list.get(n).copied()).collect();
+        (n as f64, values.iter().sum::<f64>() / values.len().max(1) as f64, None)
+    };
+    (0..longest).map(at).collect()
+}
+
+fn named(title: &str, setting: Option<&str>, point: Option<f64>) -> String {
+    match (setting, point) {
+        (Some(setting), Some(point)) => format!("{title}, {setting} = {}", rounded(point)),
+        _ => title.to_string(),
+    }
+}
+
+/// What there is to see in a file of rows: pictures for each point of a sweep, and figures over the sweep.
+pub fn pictures(header: &Header, rows: &[Row]) -> Vec<Picture> {
+    let names = variants(rows);
+    let setting = header.setting.as_deref();
+    let mut out = Vec::new();
+    let seconds = header.seconds.ceil() as usize;
+    if points(rows).len() > 1 {
+        out.extend(over_sweep(header, rows));
+    }
+    for point in points(rows) {
+        let each = |get: &dyn Fn(&str) -> Vec<(f64, f64, Option<(f64, f64)>)>| -> Vec<Series> {
+            names.iter().map(|name| Series { name: name.to_string(), points: get(name) }).collect()
+        };
+        let part = |row: &Row| row.by_second.iter().map(|part| f64::from(*part)).collect();
+        out.push(Picture {
+            title: named("served in time, by the second in which it was asked", setting, point),
+            x: "second".to_string(),
+            y: "part".to_string(),
+            series: each(&|name| by_second(rows, name, point, part, seconds)),
+            marks: header.faults.clone(),
+            log: (false, false),
+        });
+        let origin = |row: &Row| row.origin_by_second.iter().map(|n| f64::from(*n)).collect();
+        out.push(Picture {
+            title: named("requests that reached the origin", setting, point),
+            x: "second".to_string(),
+            y: "a second".to_string(),
+            series: each(&|name| by_second(rows, name, point, origin, seconds)),
+            marks: header.faults.clone(),
+            log: (false, false),
+        });
+        // The nines of the quantile: 0.9 is one, 0.99 two; the most stands for four.
+        let nines = |q: f64| if q >= 1.0 { 4.0 } else { -(1.0 - q).log10() };
+        let latency = |name: &str| {
+            let all: Vec<&Row> = of(rows, name, point).filter(|row| !row.took.is_empty()).collect();
+            let mean = |n: usize| all.iter().map(|row| row.took[n]).sum::<f64>() / all.len().max(1) as f64;
+            let kept = QUANTILES.iter().enumerate().filter(|_| !all.is_empty());
+            kept.map(|(n, q)| (nines(*q), mean(n), None)).collect()
+        };
+        out.push(Picture {
+            title: named("how long served requests took", setting, point),
+            x: "nines of the quantile (1 = 0.9, 2 = 0.99, 4 = the most)".to_string(),
+            y: "milliseconds".to_string(),
+            series: each(&latency),
+            marks: Vec::new(),
+            log: (false, true),
+        });
+    }
+    out
+}
+
+/// Figures over the values of the setting that is swept.
+fn over_sweep(header: &Header, rows: &[Row]) -> Vec<Picture> {
+    let names = variants(rows);
+    let setting = header.setting.clone().unwrap_or_default();
+    let all = points(rows);
+    let spread = |points: &[Option<f64>]| {
+        let values: Vec<f64> = points.iter().flatten().copied().collect();
+        let low = values.iter().copied().fold(f64::INFINITY, f64::min);
+        low > 0.0 && values.iter().copied().fold(0.0, f64::max) / low > 15.0
+    };
+    let log = spread(&all);
+    let line = |name: &str, get: &dyn Fn(&str, Option<f64>) -> Option<Estimate>| Series {
+        name: name.to_string(),
+        points: all
+            .iter()
+            .filter_map(|point| {
+                let found = get(name, *point)?;
+                Some(((*point)?, found.mean, Some((found.low, found.high))))
+            })
+            .collect(),
+    };
+    let picture = |title: &str, y: &str, series: Vec<Series>| Picture {
+        title: title.to_string(),
+        x: setting.clone(),
+        y: y.to_string(),
+        series,
+        marks: Vec::new(),
+        log: (log, false),
+    };
+    let over = |title: &str, y: &str, get: fn(&Row) -> f64| {
+        let lines = names.iter().map(|name| line(name, &|name, point| figure(rows, name, point, get)));
+        picture(title, y, lines.collect())
+    };
+    let mut out = vec![
+        over("served in time", "part", |row| row.in_time),
+        over("the origin's worst second", "requests a second", |row| f64::from(row.origin_most)),
+        over("99 in 100 took at most", "milliseconds", |row| row.took_at(0.99)),
+    ];
+    if let Some((first, others)) = names.split_first().filter(|(_, others)| !others.is_empty()) {
+        let against = |name: &str, point| against(rows, (name, first), point, |row| row.in_time);
+        let lines = others.iter().map(|name| line(name, &against)).collect();
+        out.push(picture(&format!("served in time, against {first}, by seed"), "difference", lines));
     }
-    Ok(text)
+    out
 }
--- /dev/null
+++ b/crates/lab/src/settings.rs
@@ -0,0 +1,151 @@
+//! Owns the tables of what a file may set of a fleet and its load, and the writing of a plan as a file.
+//!
+//! Must never hold a default: those are the model's.
+
+use linnethook_model::plan::Plan;
+use linnethook_operator::knobs::Knob;
+
+use crate::experiment::WAYS;
+use crate::faults;
+
+macro_rules! knob {
+    ($name:literal, $unit:literal, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
+        Knob {
+            name: $name,
+            about: $about,
+            unit: $unit,
+            least: $least,
+            most: $most,
+            whole: false,
+            scale: 1.0,
+            get: |plan: &Plan| plan.$($place).+,
+            set: |plan: &mut Plan, value| plan.$($place).+ = value,
+        }
+    };
+    (whole $name:literal, $kind:ty, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
+        Knob {
+            name: $name,
+            about: $about,
+            unit: "",
+            least: $least,
+            most: $most,
+            whole: true,
+            scale: 1.0,
+            get: |plan: &Plan| plan.$($place).+ as f64,
+            set: |plan: &mut Plan, value| plan.$($place).+ = value as $kind,
+        }
+    };
+    (flag $name:literal, $place:ident, $about:literal) => {
+        Knob {
+            name: $name,
+            about: $about,
+            unit: "",
+            least: 0.0,
+            most: 1.0,
+            whole: true,
+            scale: 1.0,
+            get: |plan: &Plan| f64::from(u8::from(plan.$place)),
+            set: |plan: &mut Plan, value| plan.$place = value > 0.5,
+        }
+    };
+}
+
+/// What `fleet(...)` sets.
+pub const FLEET: &[Knob<Plan>] = &[
+    knob!(whole "locations", usize, 1.0, 1_000.0, locations, "locations"),
+    knob!(whole "routers", usize, 1.0, 1_000.0, routers, "routers of each"),
+    knob!(whole "caches", usize, 1.0, 1_000.0, caches, "caches of each"),
+    knob!(whole "parents", usize, 0.0, 1_000.0, parents, "parents that all share"),
+    knob!(whole "spare", usize, 0.0, 1_000.0, spare, "caches of each that only a fault starts"),
+    knob!(whole "cache_copies", usize, 0.0, 1e8, cache_copies, "copies that a cache keeps"),
+    knob!(whole "parent_copies", usize, 0.0, 1e8, parent_copies, "copies that a parent keeps"),
+    knob!(whole "slots", usize, 1.0, 1e6, slots, "requests that a server takes at a time"),
+    knob!("flow", "bytes a second", 1e3, 1e12, flow, "what one transfer may have"),
+    knob!("cache_link", "bytes a second", 1e3, 1e12, cache_link, "a cache's link to its clients"),
+    knob!("location_link", "bytes a second", 1e3, 1e12, location_link, "a location's link for fills"),
+    knob!("origin_link", "bytes a second", 1e3, 1e12, origin_link, "the link of parents and the origin"),
+    knob!("near", "milliseconds", 0.0, 1e4, near, "one way within a location"),
+    knob!("far", "milliseconds", 0.0, 1e4, far, "one way to the hub"),
+    knob!("origin_takes", "milliseconds", 0.0, 1e5, origin_takes, "how long the origin takes for one"),
+    knob!(whole "origin_easy", usize, 1.0, 1e6, origin_easy, "how many it has in hand before that grows"),
+    knob!(whole "origin_bears", usize, 0.0, 1e6, origin_bears, "with more in hand it falls over; 0 = never"),
+    knob!("origin_away", "seconds", 0.0, 1e4, origin_away, "for how long then"),
+    knob!("list_late", "milliseconds", 0.0, 1e6, list_late, "how late routers hear of a change"),
+    knob!(
+        "report_every",
+        "milliseconds",
+        0.0,
+        1e6,
+        report_every,
+        "how often servers take stock of their load; 0 = never"
+    ),
+    knob!(
+        "cache_able",
+        "requests a second",
+        0.0,
+        1e7,
+        cache_able,
+        "what a warm cache can do; 0 = a cold one never falls"
+    ),
+    knob!("parent_able", "requests a second", 0.0, 1e7, parent_able, "the same of a parent"),
+    knob!("away", "seconds", 0.0, 1e4, away, "how long one that fell over is away"),
+];
+
+/// What `demand(...)` sets.
+pub const LOAD: &[Knob<Plan>] = &[
+    knob!("rate", "requests a second", 0.001, 1e7, rate, "clients' first ones, in all"),
+    knob!("seconds", "seconds", 1.0, 1e5, seconds, "for how long"),
+    knob!(whole "parts", u32, 1.0, 10_000.0, parts, "parts that a client asks for, one after the other"),
+    knob!("bookings", "", 0.0, 1.0, bookings, "the part of clients that book instead"),
+    knob!("wait", "milliseconds", 1.0, 1e6, wait, "how long clients wait"),
+    knob!("aim", "milliseconds", 1.0, 1e6, aim, "within what they want their answer"),
+    knob!(whole "again", u32, 0.0, 1_000.0, again, "how often they come again when refused"),
+    knob!(flag "again_failed", again_failed, "whether they do after a failure too, 0 or 1"),
+    knob!("pause", "milliseconds", 1.0, 1e6, pause, "how long they pause at the least"),
+    knob!("backoff", "", 1.0, 10.0, backoff, "so many times as long each time"),
+    knob!(flag "heed", heed, "whether they wait for as long as they are told, 0 or 1"),
+    knob!(
+        "repeats",
+        "",
+        0.0,
+        100.0,
+        repeats,
+        "repeats that clients may ask for by first request; 0 = any number"
+    ),
+    knob!(whole "objects", u64, 1.0, 1e12, demand.objects, "objects"),
+    knob!("skew", "", 0.0, 10.0, demand.skew, "Zipf's exponent"),
+    knob!(whole "drift", u64, 0.0, 1e13, demand.drift, "microseconds in which the order of popularity goes round; 0 = never"),
+    knob!("size", "bytes", 1.0, 1e9, demand.size, "of an object's part at the median"),
+    knob!("spread", "", 0.0, 4.0, demand.spread, "of the logarithm of the sizes"),
+];
+
+/// A setting by its name, of either table.
+pub fn find(name: &str) -> Option<&'static Knob<Plan>> {
+    FLEET.iter().chain(LOAD).find(|knob| knob.name == name)
+}
+
+/// A plan as a file: what differs from the defaults, and the faults.
+pub fn written(plan: &Plan, about: &str) -> String {
+    let plain = Plan::default();
+    let mut text: String = about.lines().map(|line| format!("# {line}\n")).collect();
+    for (function, knobs) in [("fleet", FLEET), ("demand", LOAD)] {
+        let differs = |knob: &&Knob<Plan>| (knob.get)(plan) != (knob.get)(&plain);
+        let given: Vec<String> = knobs
+            .iter()
+            .filter(differs)
+            .map(|knob| format!("{} = {}", knob.name, faults::rounded((knob.get)(plan))))
+            .collect();
+        if !given.is_empty() {
+            text += &format!("{function}({})\n", given.join(", "));
+        }
+    }
+    for (at, fault) in &plan.faults {
+        let (word, place, number) = faults::parts(fault);
+        let place = place.map_or(String::new(), |(name, n)| format!(", {name} = {n}"));
+        let number = number.map_or(String::new(), |(name, v)| format!(", {name} = {}", faults::rounded(v)));
+        text += &format!("fault(at = {}, kind = {word:?}{place}{number})\n", faults::rounded(*at));
+    }
+    let way = WAYS.iter().find(|(_, way)| *way == plan.way).map_or(plan.way.name(), |(word, _)| word);
+    text += &format!("variant({way:?}, way = {way:?})\nseed({})\njudge()\n", plan.seed);
+    text
+}
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -1,30 +1,97 @@
-//! Experiments: what is read, what is wrong is said with its place, and the rows do not depend on the threads.
+//! Experiments: what is read, what is wrong is said with its place, rows do not depend on threads, files are gone on with,
+//! hunts shrink what they find, and pictures hold what they should.
+
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use linnethook_lab::compare::{difference, table};
-use linnethook_lab::experiment::read;
+use linnethook_lab::experiment::{read, Experiment};
+use linnethook_lab::hunt::{played, Hunt, Prey};
 use linnethook_lab::play::play;
+use linnethook_lab::rows::{self, Header, Row, Rows};
+use linnethook_lab::{report, settings};
+use linnethook_model::plain::Way;
+use linnethook_model::plan::{Fault, Plan};
+use linnethook_standins::checker::Rule;
+use proptest::prelude::{prop_assert_eq, proptest, ProptestConfig};
 
 const SMALL: &str = r#"
+title("a small <one>")
 fleet(locations = 1, caches = 3, routers = 2)
 demand(rate = 60, seconds = 3)
 fault(at = 1, kind = "die", server = 0)
 variant("shipped")
-variant("plain", way = "hash")
-seeds(3)
+variant("plain", way = "hash", again = 0)
+sweep("rate", [30, 60])
+seeds(2)
+judge()
 "#;
 
+fn rows_of(experiment: &Experiment, jobs: usize) -> Vec<Row> {
+    let cases = experiment.cases();
+    let mut rows = Vec::new();
+    let stop = AtomicBool::new(false);
+    play(&cases, experiment.judged, jobs, &stop, |row| {
+        rows.push(row);
+        Ok(())
+    })
+    .expect("played");
+    rows::sorted(&cases, rows)
+}
+
 #[test]
-fn rows_do_not_depend_on_the_threads() {
+fn rows_do_not_depend_on_the_threads_and_make_a_page() {
     let experiment = read("small.star", SMALL).expect("a good file");
-    let one = play(&experiment, 1, |_, _| {}).expect("played");
-    let many = play(&experiment, 4, |_, _| {}).expect("played");
+    let (one, many) = (rows_of(&experiment, 1), rows_of(&experiment, 4));
     assert_eq!(one, many);
-    let rows: Vec<_> = one.into_iter().map(|one| one.row).collect();
-    assert_eq!(rows.len(), 6);
-    let text = table(&rows);
-    assert!(text.lines().count() == 3 && text.contains("plain"), "{text}");
-    let svg = linnethook_lab::plot::service(&experiment, &many).expect("a picture");
-    assert!(svg.starts_with("<svg") && svg.contains("shipped"), "{}", &svg[..200]);
+    assert_eq!(one.len(), 8);
+    assert!(one.iter().all(|row| row.breaches.is_some() && row.took.len() == rows::QUANTILES.len()));
+    let text = table(&one, Some("rate"));
+    assert!(text.lines().count() == 7 && text.contains("rate = 30") && text.contains("breaches"), "{text}");
+    let header = Header::new(&experiment).expect("a header");
+    let page = report::html(&header, &one).expect("a page");
+    // Four pictures over the sweep, three for each of its points.
+    assert_eq!(page.matches("<svg").count(), 10);
+    for part in ["a small &lt;one&gt;", "die 0", "shipped", "nines", "rate = 60"] {
+        assert!(page.contains(part), "{part}");
+    }
+}
+
+/// Stopped after some runs, gone on with; a torn last line is left out, rows of another build or experiment are refused.
+#[test]
+fn a_file_of_rows_is_gone_on_with_or_refused() {
+    let path = std::env::temp_dir().join(format!("linnethook-rows-{}.jsonl", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let experiment = read("small.star", SMALL).expect("a good file");
+    let (cases, header) = (experiment.cases(), Header::new(&experiment).expect("a header"));
+    let (mut file, known) = Rows::open(&path, &header).expect("a file");
+    assert!(known.is_empty());
+    let stop = AtomicBool::new(false);
+    let mut count = 0;
+    play(&cases, true, 1, &stop, |row| {
+        count += 1;
+        stop.store(count == 3, Ordering::Release);
+        file.add(&row)
+    })
+    .expect("stopped");
+    let text = std::fs::read_to_string(&path).expect("rows");
+    std::fs::write(&path, &text[..text.len() - 20]).expect("torn");
+    let (mut file, known) = Rows::open(&path, &header).expect("gone on with");
+    let left = rows::left(&cases, &known);
+    assert_eq!((known.len(), left.len()), (2, 6));
+    play(&left, true, 2, &AtomicBool::new(false), |row| file.add(&row)).expect("played");
+    let (again, all) = rows::read(&path).expect("a whole file");
+    assert_eq!((&again, rows::sorted(&cases, all)), (&header, rows_of(&experiment, 4)));
+    let changed = read("small.star", &SMALL.replace("again = 0", "again = 1")).expect("another");
+    let other_build = Header { build: "0".to_string(), ..header.clone() };
+    for (header, what) in
+        [(Header::new(&changed).expect("a header"), "another experiment"), (other_build, "another build")]
+    {
+        let refused = Rows::open(&path, &header).err().expect(what);
+        assert!(refused.contains(what), "{refused}");
+    }
+    std::fs::write(&path, "{}\nnonsense\n").expect("written");
+    assert!(rows::read(&path).is_err_and(|why| why.contains(":1: ")), "a bad first line");
+    let _ = std::fs::remove_file(&path);
 }
 
 #[test]
@@ -37,16 +104,77 @@
         ),
         ("fault(at = 1, kind = \"sneeze\", server = 1)", "fault(): kind: expected \"die\" or \"start\""),
         ("fault(at = 1, kind = \"die\")", "fault(): server is missing"),
+        ("fault(at = 1, kind = \"slow\", server = 1)", "fault(): times is missing"),
+        ("fault(at = 1, kind = \"cut\", server = 1)", "fault(): location is missing"),
+        ("fault(at = 1, kind = \"cut\", location = 2)", "fault(): location: expected 0 to 1, got 2"),
         ("fault(at = 1, kind = \"die\", server = 11)", "fault(): server: expected 0 to 10, got 11"),
         ("variant(\"a\")\nvariant(\"a\")", "x.star:2:1: variant(): \"a\" is a variant already"),
+        ("variant(\"a\")\nfleet()", "x.star:2:1: fleet(): expected before the first variant()"),
+        ("variant(\"a\", bound = 2)", "variant(): bound is for \"bounded hash\" alone"),
+        ("sweep(\"rat\", [1])", "x.star:1:1: sweep(): there is no setting \"rat\"; expected one of again, "),
+        ("sweep(\"rate\", [1, \"x\"])", "sweep(): rate: expected a number of requests a second"),
+        ("sweep(\"rate\", [])", "sweep(): rate: expected a list of 1 to 100 numbers"),
+        ("fleet(spare = 4)", "fleet(): spare: expected less than caches, 4"),
+        ("bad_day(from_second = 9, to_second = 8)", "bad_day(): to_second: expected more than from_second"),
         ("seeds(0)", "seeds(): expected a whole number from 1 to 100000, got 0"),
         ("def f(): f()\nf()", "x.star:"),
+        ("fleet(", "x.star:1:"),
     ] {
         let wrong = read("x.star", text).expect_err(text).to_string();
         assert!(wrong.contains(expected), "{wrong}\nexpected {expected}");
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A plan that is written down is read as the same plan.
+    #[test]
+    fn a_plan_is_read_as_it_was_written(seed in 0u64..10_000, troubles in 1usize..12, rate in 1u32..5_000) {
+        let plan = Plan { seed, rate: f64::from(rate), again_failed: true, spare: 1, ..Plan::default() };
+        let mut faults = plan.bad_day(seed, troubles, 2.0..20.0);
+        for (at, fault) in &mut faults {
+            *at = (*at * 1e3).round() / 1e3;
+            match fault {
+                Fault::Slow(_, by) | Fault::Rate(by) | Fault::ListLate(by) => *by = (*by * 1e3).round() / 1e3,
+                _ => {}
+            }
+        }
+        let plan = Plan { faults, way: Way::ALL[seed as usize % 5], ..plan };
+        let experiment = read("w.star", &settings::written(&plan, "a day\nof two lines")).expect("a good file");
+        prop_assert_eq!(&experiment.cases()[0].plan, &plan);
+    }
+}
+
+/// A plain way breaks a rule where old copies are purged: the hunt finds a day, and leaves what does it.
+#[test]
+fn a_hunt_finds_a_broken_rule_and_shrinks_it() {
+    let plan = Plan { way: Way::Hash, seconds: 10.0, rate: 80.0, ..Plan::default() };
+    let hunt = Hunt { prey: Prey::Rule, first: 1, last: 16, troubles: 8, jobs: 4 };
+    let (caught, broke) = hunt.run(&plan, &AtomicBool::new(false)).expect("hunted");
+    let caught = caught.expect("a plain way has no purges");
+    let before = caught.plan.faults.len();
+    let (day, days) = hunt.shrink(caught).expect("shrunk");
+    println!("{broke} of 16; {before} faults to {:?} in {days} days", day.plan.faults);
+    assert!(matches!(day.plan.faults.as_slice(), [(_, Fault::Purge(_))]), "{:?}", day.plan.faults);
+    assert_eq!(day.broken, [Rule::Purges]);
+    let again = read("w.star", &settings::written(&day.plan, "")).expect("a good file");
+    assert_eq!(played(again.cases()[0].plan.clone()).expect("played"), day);
+    // The worst day of the module breaks nothing, and what is left of it is as bad.
+    let hunt = Hunt { prey: Prey::Worst, last: 8, ..hunt };
+    let (worst, _) = hunt.run(&Plan { way: Way::Shipped, ..plan }, &AtomicBool::new(false)).expect("hunted");
+    let worst = worst.expect("there is always a worst one");
+    let (shrunk, _) = hunt.shrink(worst.clone()).expect("shrunk");
+    println!(
+        "worst {:.3} with {} faults, {:.3} with {}",
+        worst.share,
+        worst.plan.faults.len(),
+        shrunk.share,
+        shrunk.plan.faults.len()
+    );
+    assert!(worst.broken.is_empty() && shrunk.plan.faults.len() <= worst.plan.faults.len());
+}
+
 /// The interval holds the true mean, and is as wide as it has to be.
 #[test]
 fn intervals_are_by_pairs() {
--- a/experiments/restart-of-half.star
+++ b/experiments/restart-of-half.star
@@ -1,3 +1,4 @@
+title("Half of the caches start again at once")
 # Half of the caches start again at once, while more is asked for than the links to the hub carry.
 fleet(locations = 2, caches = 8, routers = 2, cache_link = 5e6, location_link = 5e6, cache_able = 40, parent_able = 320)
 demand(rate = 320, seconds = 24)
