--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -100,6 +100,7 @@
     ("origin/s", 1, |row| row.origin),
     ("most", 1, |row| f64::from(row.origin_most)),
     ("repeats", 2, |row| row.repeats),
+    ("back s", 1, |row| row.back.unwrap_or(0.0)),
     ("fell", 1, |row| row.fell as f64),
 ];
 
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -51,8 +51,11 @@
     kind("purge", Needs::Number("count", 1, 10_000), |_, count| Fault::Purge(count as u32)),
 ];
 
+/// An argument of a fault under its name.
+pub type Argument<T> = Option<(&'static str, T)>;
+
 /// A fault as a file names it: its kind, what it befalls, and its number.
-pub fn parts(fault: &Fault) -> (&'static str, Option<(&'static str, usize)>, Option<(&'static str, f64)>) {
+pub fn parts(fault: &Fault) -> (&'static str, Argument<usize>, Argument<f64>) {
     let server = |n: &usize| Some(("server", *n));
     let location = |n: &usize| Some(("location", *n));
     match fault {
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -14,11 +14,14 @@
 
 type Failed = Box<dyn std::error::Error>;
 
-/// A line under a name: x, y, and where the interval of y is known that.
+/// x, y, and where the interval of y is known that.
+pub type Point = (f64, f64, Option<(f64, f64)>);
+
+/// A line under a name.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Series {
     pub name: String,
-    pub points: Vec<(f64, f64, Option<(f64, f64)>)>,
+    pub points: Vec<Point>,
 }
 
 /// A picture.
@@ -81,7 +84,7 @@
     }
 
     /// From the least to the most, never empty; for a logarithm above zero.
-    fn range(&self, of: impl Fn(&(f64, f64, Option<(f64, f64)>)) -> f64, log: bool) -> (f64, f64) {
+    fn range(&self, of: impl Fn(&Point) -> f64, log: bool) -> (f64, f64) {
         let all = self.series.iter().flat_map(|series| &series.points).map(of);
         let all: Vec<f64> = all.filter(|value| value.is_finite() && (!log || *value > 0.0)).collect();
         let low = all.iter().copied().fold(f64::INFINITY, f64::min);
@@ -158,7 +161,7 @@
     point: Option<f64>,
     get: impl Fn(&Row) -> Vec<f64>,
     most: usize,
-) -> Vec<(f64, f64, Option<(f64, f64)>)> {
+) -> Vec<Point> {
     let all: Vec<Vec<f64>> = of(rows, variant, point).map(get).collect();
     let longest = all.iter().map(Vec::len).max().unwrap_or(0).min(most);
     let at = |n: usize| {
@@ -185,7 +188,7 @@
         out.extend(over_sweep(header, rows));
     }
     for point in points(rows) {
-        let each = |get: &dyn Fn(&str) -> Vec<(f64, f64, Option<(f64, f64)>)>| -> Vec<Series> {
+        let each = |get: &dyn Fn(&str) -> Vec<Point>| -> Vec<Series> {
             names.iter().map(|name| Series { name: name.to_string(), points: get(name) }).collect()
         };
         let part = |row: &Row| row.by_second.iter().map(|part| f64::from(*part)).collect();
@@ -264,6 +267,11 @@
         over("the origin's worst second", "requests a second", |row| f64::from(row.origin_most)),
         over("99 in 100 took at most", "milliseconds", |row| row.took_at(0.99)),
     ];
+    if rows.iter().any(|row| row.back.is_some()) {
+        out.push(over("from the last fault until service is back, or the end", "seconds", |row| {
+            row.back.unwrap_or(0.0)
+        }));
+    }
     if let Some((first, others)) = names.split_first().filter(|(_, others)| !others.is_empty()) {
         let against = |name: &str, point| against(rows, (name, first), point, |row| row.in_time);
         let lines = others.iter().map(|name| line(name, &against)).collect();
--- a/crates/lab/src/rows.rs
+++ b/crates/lab/src/rows.rs
@@ -53,6 +53,9 @@
     pub repeats: f64,
     pub in_vain: u64,
     pub fell: u64,
+    /// Seconds from the last fault until as much is served in time as before the first; where that is not seen again, to the
+    /// end.
+    pub back: Option<f64>,
     /// Rules that were broken, where the run was judged.
     pub breaches: Option<u64>,
     /// By second: the part served in time, and requests that reached the origin.
@@ -84,6 +87,7 @@
             repeats: part(&seen.repeats),
             in_vain: seen.in_vain,
             fell: seen.fell,
+            back: back(&case.plan, seen),
             breaches,
             by_second: seen.asked.iter().enumerate().map(second).collect(),
             origin_by_second: seen.origin.clone(),
@@ -100,6 +104,20 @@
     }
 }
 
+/// Service counts as back once three seconds in a row have so much of what it was.
+const BACK: f64 = 0.95;
+
+fn back(plan: &Plan, seen: &Seen) -> Option<f64> {
+    let first = plan.faults.iter().map(|(at, _)| *at).reduce(f64::min)?;
+    let last = plan.faults.iter().map(|(at, _)| *at).reduce(f64::max)?;
+    let (before, from, end) = (first.floor() as usize, last.ceil() as usize, plan.seconds.floor() as usize);
+    // What comes in at the very beginning finds empty caches.
+    let wanted = seen.share_between(before / 2, before) * BACK;
+    let served = |second: &usize| seen.share_between(*second, second + 3) >= wanted;
+    let found = (from..end.saturating_sub(2)).find(served).unwrap_or(end);
+    Some((found as f64 - last).max(0.0))
+}
+
 /// Latencies in milliseconds at the quantiles that are kept, to three digits; none where there are none.
 pub fn quantiles(took: impl Iterator<Item = f64>) -> Vec<f64> {
     let Ok(mut histogram) = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3) else { return Vec::new() };
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -49,8 +49,8 @@
     assert!(text.lines().count() == 7 && text.contains("rate = 30") && text.contains("breaches"), "{text}");
     let header = Header::new(&experiment).expect("a header");
     let page = report::html(&header, &one).expect("a page");
-    // Four pictures over the sweep, three for each of its points.
-    assert_eq!(page.matches("<svg").count(), 10);
+    // Five pictures over the sweep, three for each of its points.
+    assert_eq!(page.matches("<svg").count(), 11);
     for part in ["a small &lt;one&gt;", "die 0", "shipped", "nines", "rate = 60"] {
         assert!(page.contains(part), "{part}");
     }
--- a/crates/model/src/fair.rs
+++ b/crates/model/src/fair.rs
@@ -72,10 +72,10 @@
         Some((f64::from_bits(end) - self.served).max(0.0))
     }
 
-    /// The link carries another amount from now on.
-    pub fn carry(&mut self, now: Micros, carries: f64) {
+    /// The link carries another amount from now on, and one transfer may have another.
+    pub fn carry(&mut self, now: Micros, carries: f64, most: f64) {
         self.pass(now);
-        self.carries = carries;
+        (self.carries, self.most) = (carries, most);
     }
 
     /// Which transfer ends next, and when, if nothing changes; none while nothing moves.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -47,8 +47,6 @@
     Link(usize, u64),
     /// An outcome gets to its router.
     Tell(Number),
-    /// The origin is done with something.
-    Worked(Number),
     Fault(usize),
     /// One that fell over starts again.
     Back(usize),
@@ -174,8 +172,9 @@
     brains: Vec<Decides>,
     servers: Vec<Server>,
     places: BTreeMap<CacheId, usize>,
-    /// What the origin has in hand.
+    /// What the origin has in hand; it works at all of it at once, as a link carries its transfers.
     works: BTreeMap<Number, Work>,
+    working: usize,
     wires: Vec<Wire>,
     /// Locations that are cut off from the hub.
     cut: Vec<bool>,
@@ -249,6 +248,7 @@
             servers: Vec::new(),
             places: BTreeMap::new(),
             works: BTreeMap::new(),
+            working: 0,
             wires: Vec::new(),
             cut: vec![false; plan.locations + 1],
             list_late: plan.list_late,
@@ -279,6 +279,8 @@
             self.wire(plan.location_link, plan.flow * 4.0);
         }
         let origin_link = self.wire(plan.origin_link, plan.flow * 4.0);
+        // In microseconds of work each microsecond.
+        self.working = self.wire(plan.origin_easy.max(1) as f64 * 1e6, 1e6);
         let caches = plan.caches.max(1);
         let kinds = (0..plan.locations * plan.caches).map(|n| (0u16, (n / caches) as u16, n % caches));
         let kinds = kinds.chain((0..plan.parents).map(|_| (PARENT, hub, 0)));
@@ -382,7 +384,6 @@
                 Event::Expire(number) => self.end(now, number, Status::Timeout),
                 Event::Link(wire, version) => self.moved(now, wire, version),
                 Event::Tell(number) => self.outcome(now, number),
-                Event::Worked(number) => self.worked(now, number),
                 Event::Fault(n) => self.strike(now, self.plan.faults[n].1),
                 Event::Back(server) => self.strike(now, Fault::Start(server)),
                 Event::List(server) => self.list(now, server),
--- a/crates/model/src/world/origin.rs
+++ b/crates/model/src/world/origin.rs
@@ -48,9 +48,15 @@
         if let Some(parent) = joins {
             self.servers[parent].fetching.insert(key, work);
         }
-        let crowded = (self.works.len() as f64 / self.plan.origin_easy.max(1) as f64).max(1.0);
-        let takes = self.plan.origin_takes * health.slow * crowded * self.chance.random_range(0.7..1.3);
-        self.queue.add(now + micros(takes), Event::Worked(work));
+        let takes = self.plan.origin_takes * self.chance.random_range(0.7..1.3);
+        self.begin(now, self.working, work, takes * 1_000.0);
+    }
+
+    /// The origin works so many times as slowly.
+    pub(super) fn origin_slows(&mut self, now: Micros, times: f64) {
+        let easy = self.plan.origin_easy.max(1) as f64;
+        self.wires[self.working].fair.carry(now, easy / times, 1.0 / times);
+        self.plan_link(self.working);
     }
 
     fn waits_for(&mut self, number: Number, work: Number) {
@@ -100,7 +106,8 @@
 
     /// What the origin had in hand is lost with it.
     pub(super) fn origin_lost(&mut self, now: Micros) {
-        for (_, work) in std::mem::take(&mut self.works) {
+        for (number, work) in std::mem::take(&mut self.works) {
+            self.wires[self.working].fair.end(now, number);
             if let Some(parent) = work.parent {
                 self.servers[parent].fetching.remove(&work.key);
             }
--- a/crates/model/src/world/serving.rs
+++ b/crates/model/src/world/serving.rs
@@ -245,12 +245,12 @@
 
     // ---- Links.
 
-    fn begin(&mut self, now: Micros, wire: usize, number: Number, bytes: f64) {
+    pub(super) fn begin(&mut self, now: Micros, wire: usize, number: Number, bytes: f64) {
         self.wires[wire].fair.begin(now, number, bytes);
         self.plan_link(wire);
     }
 
-    fn plan_link(&mut self, wire: usize) {
+    pub(super) fn plan_link(&mut self, wire: usize) {
         let w = &mut self.wires[wire];
         w.version += 1;
         if let Some((at, _)) = w.fair.next() {
@@ -268,6 +268,9 @@
         };
         self.wires[wire].fair.end(now, number);
         self.plan_link(wire);
+        if wire == self.working {
+            return self.worked(now, number);
+        }
         let Some(attempt) = self.attempts.get(&number).cloned() else { return };
         match attempt.stage {
             Stage::Filling => self.filled(now, number, &attempt),
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -20,7 +20,12 @@
             Fault::Silent(_, silent) => health.silent = silent,
             Fault::Stall(_, stalled) => health.stalled = stalled,
             Fault::FailFast(_, fails) => health.fails = fails,
-            Fault::Slow(_, times) => health.slow = times.max(0.01),
+            Fault::Slow(_, times) => {
+                health.slow = times.max(0.01);
+                if n == self.plan.origin() {
+                    self.origin_slows(now, times.max(0.01));
+                }
+            }
             Fault::Drain(_) => {
                 // The origin is never taken out of service by the list.
                 if self.servers[n].member.phase == Phase::Ready && n != self.plan.origin() {
--- /dev/null
+++ b/experiments/retries.star
@@ -0,0 +1,17 @@
+# The origin takes thirty times as long for five seconds. Clients come again when they are refused or fail.
+# Does the jam go when its cause is gone, and which guard ends it?
+title("Retries and an origin over its edge")
+fleet(locations = 2, caches = 4, routers = 4, cache_copies = 300, parent_copies = 1500, origin_easy = 6, location_link = 8e7, origin_link = 1.6e8, cache_link = 4e7)
+demand(seconds = 40, wait = 1500, again = 8, again_failed = 1, heed = 0, pause = 50, objects = 200000, skew = 0.8)
+fault(at = 10, kind = "slow", server = 10, times = 30)
+fault(at = 15, kind = "slow", server = 10, times = 1)
+variant("hash", way = "hash")
+variant("hash, clients back off", way = "hash", pause = 100, backoff = 2)
+variant("hash, clients' budget", way = "hash", repeats = 0.1)
+variant("hash, clients heed", way = "hash", heed = 1)
+variant("hash, no repeats", way = "hash", again = 0, again_failed = 0)
+variant("shipped")
+variant("shipped, clients heed", heed = 1)
+variant("shipped, clients' budget", repeats = 0.1)
+sweep("rate", [150, 200, 250, 300, 350, 400])
+seeds(5)
