--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::faults::{Needs, KINDS};
-use crate::settings::{find, FLEET, LOAD};
+use crate::settings::{all, find, FLEET, LOAD, TIERS};
 
 /// A plan under a name.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,6 +32,20 @@
 pub struct Sweep {
     pub setting: String,
     pub values: Vec<f64>,
+    /// Settings that grow with it, in the same proportion.
+    pub with: Vec<String>,
+}
+
+impl Sweep {
+    fn set(&self, plan: &mut Plan, value: f64) {
+        let Some(knob) = find(&self.setting) else { return };
+        let times = value / (knob.get)(plan);
+        for other in self.with.iter().filter_map(|name| find(name)) {
+            let grown = ((other.get)(plan) * times).clamp(other.least, other.most);
+            (other.set)(plan, if other.whole { grown.round() } else { grown });
+        }
+        (knob.set)(plan, value);
+    }
 }
 
 /// Troubles drawn from each run's seed.
@@ -74,14 +88,13 @@
             Some(sweep) => sweep.values.iter().copied().map(Some).collect(),
             None => vec![None],
         };
-        let knob = self.sweep.as_ref().and_then(|sweep| find(&sweep.setting));
         let mut cases = Vec::new();
         for point in points {
             for variant in &self.variants {
                 for seed in self.first..self.first + self.seeds {
                     let mut plan = Plan { seed, ..variant.plan.clone() };
-                    if let (Some(knob), Some(value)) = (knob, point) {
-                        (knob.set)(&mut plan, value);
+                    if let (Some(sweep), Some(value)) = (&self.sweep, point) {
+                        sweep.set(&mut plan, value);
                     }
                     if let Some(days) = self.bad_days {
                         plan.faults.extend(plan.bad_day(seed, days.troubles, days.from..days.to));
@@ -153,6 +166,16 @@
         })
     }
 
+    /// The hierarchy that all routers have.
+    fn hierarchy<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("hierarchy()", given);
+        collect(|experiment| {
+            common("hierarchy()", experiment)?;
+            experiment.plan.tiers.get_or_insert_default();
+            arguments.knobs(TIERS, &mut experiment.plan).and_then(|()| arguments.end())
+        })
+    }
+
     /// What is asked for.
     fn demand<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
         let mut arguments = Arguments::new("demand()", given);
@@ -194,6 +217,7 @@
         let place = match kind.needs {
             Needs::Server | Needs::ServerAnd(..) => place("server")?,
             Needs::Location => place("location")?,
+            Needs::Parents => place("parent")?,
             Needs::Number(..) => 0,
         };
         let number = match kind.needs {
@@ -201,7 +225,8 @@
                 let range = (f64::from(least), f64::from(most));
                 arguments.number(name, range, false)?.ok_or_else(|| missing(name))?
             }
-            _ => 0.0,
+            Needs::Parents => arguments.number("to", (0.0, 1e6), true)?.ok_or_else(|| missing("to"))?,
+            Needs::Server | Needs::Location => 0.0,
         };
         arguments.end()?;
         collect(|experiment| {
@@ -244,6 +269,7 @@
             }
             let mut plan = Plan { way, ..experiment.plan.clone() };
             arguments.knobs(FLEET, &mut plan)?;
+            arguments.knobs(TIERS, &mut plan)?;
             arguments.knobs(LOAD, &mut plan)?;
             arguments.end()?;
             experiment.variants.push(Variant { name, plan });
@@ -251,25 +277,35 @@
         })
     }
 
-    /// One setting at several values: each variant is played with each.
-    fn sweep<'v>(setting: &str, values: Value<'v>) -> anyhow::Result<NoneType> {
-        let arguments = Arguments::new("sweep()", SmallMap::new());
-        let knob = find(setting).ok_or_else(|| {
-            let mut all: Vec<&str> = FLEET.iter().chain(LOAD).map(|knob| knob.name).collect();
+    /// One setting at several values, `also` with others that grow in proportion: each variant is played with each.
+    fn sweep<'v>(
+        setting: &str,
+        values: Value<'v>,
+        #[starlark(kwargs)] given: Given<'v>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("sweep()", given);
+        let with = arguments.names("also")?;
+        let unknown = |name: &str| {
+            let mut all: Vec<&str> = all().map(|knob| knob.name).collect();
             all.sort_unstable();
-            anyhow::anyhow!("sweep(): there is no setting {setting:?}; expected one of {}", all.join(", "))
-        })?;
+            anyhow::anyhow!("sweep(): there is no setting {name:?}; expected one of {}", all.join(", "))
+        };
+        let knob = find(setting).ok_or_else(|| unknown(setting))?;
+        if let Some(name) = with.iter().find(|name| find(name).is_none()) {
+            return Err(unknown(name));
+        }
         let list = ListRef::from_value(values).filter(|list| (1..=100).contains(&list.len()));
         let list = list.ok_or_else(|| arguments.wrong(knob.name, "a list of 1 to 100 numbers", values))?;
         let range = (knob.least, knob.most);
         let number = |value| arguments.in_range(knob.name, value, range, knob.whole, &knob.expected());
         let values: anyhow::Result<Vec<f64>> = list.iter().map(number).collect();
         let (setting, values) = (setting.to_string(), values?);
+        arguments.end()?;
         collect(|experiment| {
             if experiment.sweep.is_some() {
                 return Err(anyhow::anyhow!("sweep(): there is one already"));
             }
-            experiment.sweep = Some(Sweep { setting, values });
+            experiment.sweep = Some(Sweep { setting, values, with });
             Ok(())
         })
     }
@@ -344,6 +380,13 @@
             let what = format!("fault(): location: expected 0 to {}, got {n}", plan.locations - 1);
             return Err(wrong(&what));
         }
+        let parent = |(_, fault): &(f64, Fault)| match fault {
+            Fault::Move(one, other) => Some(*one.max(other)).filter(|n| *n >= plan.parents),
+            _ => None,
+        };
+        if let Some(n) = plan.faults.iter().find_map(parent) {
+            return Err(wrong(&format!("fault(): parent: there are {}, got {n}", plan.parents)));
+        }
         if plan.spare >= plan.caches {
             return Err(wrong(&format!("fleet(): spare: expected less than caches, {}", plan.caches)));
         }
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -9,6 +9,8 @@
 pub enum Needs {
     Server,
     Location,
+    /// A parent, counted among the parents, and another.
+    Parents,
     /// A number, under a name of its own.
     Number(&'static str, u32, u32),
     ServerAnd(&'static str, u32, u32),
@@ -47,6 +49,7 @@
     kind("cut", Needs::Location, |n, _| Fault::Cut(n, true)),
     kind("mend", Needs::Location, |n, _| Fault::Cut(n, false)),
     kind("list late", Needs::Number("late", 0, 1_000_000), |_, late| Fault::ListLate(late)),
+    kind("move", Needs::Parents, |n, to| Fault::Move(n, to as usize)),
     kind("rate", Needs::Number("times", 0, 1_000), |_, times| Fault::Rate(times)),
     kind("purge", Needs::Number("count", 1, 10_000), |_, count| Fault::Purge(count as u32)),
 ];
@@ -68,6 +71,7 @@
         Fault::Drain(n) => ("drain", server(n), None),
         Fault::Cut(n, on) => (if *on { "cut" } else { "mend" }, location(n), None),
         Fault::ListLate(late) => ("list late", None, Some(("late", *late))),
+        Fault::Move(n, to) => ("move", Some(("parent", *n)), Some(("to", *to as f64))),
         Fault::Rate(times) => ("rate", None, Some(("times", *times))),
         Fault::Purge(count) => ("purge", None, Some(("count", f64::from(*count)))),
     }
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -2,7 +2,7 @@
 //!
 //! Must never hold a default: those are the model's.
 
-use linnethook_model::plan::Plan;
+use linnethook_model::plan::{Plan, Tiers};
 use linnethook_operator::knobs::Knob;
 
 use crate::experiment::WAYS;
@@ -50,6 +50,95 @@
     };
 }
 
+fn tiers(plan: &Plan) -> Tiers {
+    plan.tiers.unwrap_or_default()
+}
+
+macro_rules! tier {
+    ($name:literal, $unit:literal, $whole:literal, $most:expr, $get:expr, $set:expr, $about:literal) => {
+        Knob {
+            name: $name,
+            about: $about,
+            unit: $unit,
+            least: 0.0,
+            most: $most,
+            whole: $whole,
+            scale: 1.0,
+            get: |plan: &Plan| ($get)(tiers(plan)),
+            set: |plan: &mut Plan, value| ($set)(plan.tiers.get_or_insert_default(), value),
+        }
+    };
+}
+
+/// What `hierarchy(...)` sets: routers then have the shipped one.
+pub const TIERS: &[Knob<Plan>] = &[
+    Knob {
+        name: "hierarchy",
+        about: "whether routers have one, 0 or 1",
+        unit: "",
+        least: 0.0,
+        most: 1.0,
+        whole: true,
+        scale: 1.0,
+        get: |plan: &Plan| f64::from(u8::from(plan.tiers.is_some())),
+        set: |plan: &mut Plan, value| plan.tiers = (value > 0.5).then(|| tiers(plan)),
+    },
+    tier!(
+        "staged",
+        "",
+        true,
+        1.0,
+        |t: Tiers| f64::from(u8::from(t.staged)),
+        |t: &mut Tiers, v| t.staged = v > 0.5,
+        "whether children go over by stages, 0 or 1"
+    ),
+    tier!(
+        "shielded",
+        "",
+        true,
+        1.0,
+        |t: Tiers| f64::from(u8::from(t.shielded)),
+        |t: &mut Tiers, v| t.shielded = v > 0.5,
+        "whether fills pass the shield, 0 or 1"
+    ),
+    tier!(
+        "announce",
+        "milliseconds",
+        false,
+        1e7,
+        |t: Tiers| t.announce,
+        |t: &mut Tiers, v| t.announce = v,
+        "how long a change is told before it begins"
+    ),
+    tier!(
+        "warm",
+        "milliseconds",
+        false,
+        1e7,
+        |t: Tiers| t.warm,
+        |t: &mut Tiers, v| t.warm = v,
+        "from the first objects to all of them"
+    ),
+    tier!(
+        "settle",
+        "milliseconds",
+        false,
+        1e7,
+        |t: Tiers| t.settle,
+        |t: &mut Tiers, v| t.settle = v,
+        "how long the old source is still asked for what it holds"
+    ),
+    tier!(
+        "homes",
+        "",
+        true,
+        1_000.0,
+        |t: Tiers| t.homes as f64,
+        |t: &mut Tiers, v| t.homes = (v as usize).max(1),
+        "the first so many parents are homes of locations in turn"
+    ),
+];
+
 /// What `fleet(...)` sets.
 pub const FLEET: &[Knob<Plan>] = &[
     knob!(whole "locations", usize, 1.0, 1_000.0, locations, "locations"),
@@ -60,6 +149,7 @@
     knob!(whole "cache_copies", usize, 0.0, 1e8, cache_copies, "copies that a cache keeps"),
     knob!(whole "parent_copies", usize, 0.0, 1e8, parent_copies, "copies that a parent keeps"),
     knob!(whole "slots", usize, 1.0, 1e6, slots, "requests that a server takes at a time"),
+    knob!(flag "filled", filled, "whether parents begin with what is asked for most, 0 or 1"),
     knob!("flow", "bytes a second", 1e3, 1e12, flow, "what one transfer may have"),
     knob!("cache_link", "bytes a second", 1e3, 1e12, cache_link, "a cache's link to its clients"),
     knob!("location_link", "bytes a second", 1e3, 1e12, location_link, "a location's link for fills"),
@@ -119,16 +209,21 @@
     knob!("spread", "", 0.0, 4.0, demand.spread, "of the logarithm of the sizes"),
 ];
 
-/// A setting by its name, of either table.
+/// Settings of all tables.
+pub fn all() -> impl Iterator<Item = &'static Knob<Plan>> {
+    FLEET.iter().chain(TIERS).chain(LOAD)
+}
+
+/// A setting by its name, of any table.
 pub fn find(name: &str) -> Option<&'static Knob<Plan>> {
-    FLEET.iter().chain(LOAD).find(|knob| knob.name == name)
+    all().find(|knob| knob.name == name)
 }
 
 /// A plan as a file: what differs from the defaults, and the faults.
 pub fn written(plan: &Plan, about: &str) -> String {
     let plain = Plan::default();
     let mut text: String = about.lines().map(|line| format!("# {line}\n")).collect();
-    for (function, knobs) in [("fleet", FLEET), ("demand", LOAD)] {
+    for (function, knobs) in [("fleet", FLEET), ("hierarchy", TIERS), ("demand", LOAD)] {
         let differs = |knob: &&Knob<Plan>| (knob.get)(plan) != (knob.get)(&plain);
         let given: Vec<String> = knobs
             .iter()
--- a/crates/model/src/notes.rs
+++ b/crates/model/src/notes.rs
@@ -24,6 +24,15 @@
     pub harmful: bool,
 }
 
+/// Who asks a server.
+#[derive(Debug, Clone, Copy)]
+pub enum Asker {
+    /// A router, naming where a miss is to be filled from.
+    Router(Option<(usize, Fill)>),
+    /// A server with its fill, at a version of the shape, for all or only what is held.
+    Server(usize, Option<u64>, bool),
+}
+
 /// The name of a server.
 pub fn name(plan: &Plan, server: usize) -> String {
     let caches = plan.locations * plan.caches;
@@ -75,26 +84,27 @@
     }
 
     /// A request reached a server: from a router by its attempt, or from a server with a fill.
-    pub fn asked(
-        &mut self,
-        now: Micros,
-        plan: &Plan,
-        at: usize,
-        attempt: u64,
-        wish: &Wish,
-        from: (bool, Option<(usize, Fill)>),
-    ) {
+    pub fn asked(&mut self, now: Micros, plan: &Plan, at: usize, attempt: u64, wish: &Wish, from: Asker) {
         self.put(now, || {
-            let (by_router, fill) = from;
+            let (by, version, only_held) = match from {
+                Asker::Router(fill) => (None, None, fill.is_some_and(|(_, fill)| fill.only_held)),
+                Asker::Server(by, version, only_held) => (Some(by), version, only_held),
+            };
+            let source = match from {
+                Asker::Router(fill) => fill.map(|(source, _)| name(plan, source)),
+                Asker::Server(..) => None,
+            };
             What::Asked {
                 attempt,
                 asked: Asked {
                     at: name(plan, at),
                     id: wish.request.to_string(),
                     object: object_name(wish.object),
-                    source: fill.map(|(source, _)| name(plan, source)),
-                    only_held: fill.is_some_and(|(_, fill)| fill.only_held),
-                    router: by_router.then(|| router(wish.router)),
+                    source,
+                    only_held,
+                    passed: by.map(|by| name(plan, by)).into_iter().collect(),
+                    version,
+                    router: by.is_none().then(|| router(wish.router)),
                     ..Asked::default()
                 },
             }
@@ -119,6 +129,14 @@
         self.put(now, || What::Purged { router: router(by), object, group: None, stamp });
     }
 
+    /// The shape that routers have heard of, by its edges.
+    pub fn shape(&mut self, now: Micros, plan: &Plan, version: u64, edges: &[(usize, usize)]) {
+        self.put(now, || {
+            let edges = edges.iter().map(|(from, to)| (name(plan, *from), name(plan, *to))).collect();
+            What::Shape { version, edges }
+        });
+    }
+
     pub fn started(&mut self, now: Micros, plan: &Plan, server: usize, able: f64, cold: ColdStart) {
         let cold = Cold {
             capacity: able,
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -10,6 +10,26 @@
 use crate::demand::{Crowd, DemandRule};
 use crate::plain::Way;
 
+/// How children come to their sources where the routers have the hierarchy: times in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tiers {
+    /// Whether children go over by stages, and whether fills pass the shield.
+    pub staged: bool,
+    pub shielded: bool,
+    pub announce: f64,
+    pub warm: f64,
+    pub settle: f64,
+    /// The first so many parents are homes of locations in turn; the others wait.
+    pub homes: usize,
+}
+
+impl Default for Tiers {
+    fn default() -> Self {
+        let (announce, warm, settle) = (2_000.0, 15_000.0, 10_000.0);
+        Self { staged: true, shielded: true, announce, warm, settle, homes: 1 }
+    }
+}
+
 /// A fleet and its load.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
@@ -27,6 +47,8 @@
     pub cache_copies: usize,
     pub parent_copies: usize,
     pub slots: usize,
+    /// Whether parents that are a home begin with what is asked for most.
+    pub filled: bool,
     /// Bytes a second: what one transfer may have, a cache's link to its clients, a location's link for fills, and the
     /// origin's.
     pub flow: f64,
@@ -61,6 +83,8 @@
     pub heed: bool,
     /// How many repeats clients may ask for by first request, in the mean; 0 = as many as they like.
     pub repeats: f64,
+    /// Without it a cache fills from any parent that is listed.
+    pub tiers: Option<Tiers>,
     pub demand: DemandRule,
     pub crowds: Vec<Crowd>,
     pub faults: Vec<(f64, Fault)>,
@@ -89,6 +113,7 @@
             cache_copies: 1_500,
             parent_copies: 8_000,
             slots: 200,
+            filled: false,
             flow: 2e6,
             cache_link: 2e7,
             location_link: 2e7,
@@ -111,6 +136,7 @@
             backoff: 1.0,
             heed: true,
             repeats: 0.0,
+            tiers: None,
             demand: DemandRule { objects: 20_000, ..DemandRule::default() },
             crowds: Vec::new(),
             faults: Vec::new(),
@@ -251,6 +277,9 @@
     ListLate(f64),
     /// So many times as much is asked for.
     Rate(f64),
+    /// Locations that fill from one parent are to fill from another, both counted among the parents; nothing without the
+    /// hierarchy.
+    Move(usize, usize),
     /// So many of the objects that are asked for most are purged.
     Purge(u32),
 }
@@ -261,7 +290,7 @@
         match self {
             Self::Die(n) | Self::Start(n) | Self::Drain(n) | Self::Slow(n, _) => Some(*n),
             Self::Silent(n, _) | Self::Stall(n, _) | Self::FailFast(n, _) => Some(*n),
-            Self::Cut(..) | Self::ListLate(_) | Self::Rate(_) | Self::Purge(_) => None,
+            Self::Cut(..) | Self::ListLate(_) | Self::Rate(_) | Self::Purge(_) | Self::Move(..) => None,
         }
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod origin;
 mod serving;
+mod tiers;
 mod troubles;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -51,6 +52,9 @@
     /// One that fell over starts again.
     Back(usize),
     List(usize),
+    /// Routers hear of another shape; a hierarchy is due.
+    Shape(usize),
+    Tend(usize),
     /// Copies from before a purge go.
     Drop(u64, Micros),
     /// Servers take stock of their load.
@@ -59,6 +63,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Stage {
+    /// The hierarchy holds it back.
+    Held,
     ToCache,
     /// On its way to the source of its fill.
     ToSource,
@@ -88,6 +94,10 @@
     status: Status,
     /// What the origin does for it.
     work: Option<Number>,
+    /// It passed the hierarchy's shield, at a version of the shape, and may be filled from beside.
+    tolled: bool,
+    version: Option<u64>,
+    beside: Option<usize>,
     /// It took effect at the origin.
     ran: bool,
     /// When the copy that it brings was made.
@@ -183,6 +193,9 @@
     busy: f64,
     /// Repeats that clients may still ask for.
     repeats: f64,
+    tiers: tiers::Tiers,
+    /// When clients whose fills were held back had better come again.
+    come_back: BTreeMap<Number, f64>,
     clients: BTreeMap<Number, Client>,
     attempts: BTreeMap<Number, Attempt>,
     by_id: BTreeMap<(Number, u8), Number>,
@@ -226,6 +239,9 @@
             purge_grace: PURGE_GRACE,
             // The way to a server and back, and no more: there are no threads here.
             slack: plan.far * 2.0 + 1.0,
+            going_over: plan
+                .tiers
+                .map_or(0.0, |t| t.announce + t.warm + t.settle + plan.list_late + plan.wait),
             ..Rules::default()
         };
         let (seen, lines) = Self::noted(plan)?;
@@ -254,6 +270,8 @@
             list_late: plan.list_late,
             busy: 1.0,
             repeats: 0.0,
+            tiers: tiers::Tiers::default(),
+            come_back: BTreeMap::new(),
             clients: BTreeMap::new(),
             attempts: BTreeMap::new(),
             by_id: BTreeMap::new(),
@@ -306,6 +324,16 @@
                 hits: 0,
             });
         }
+        if plan.filled {
+            let homes = plan.tiers.map_or(plan.parents, |tiers| tiers.homes).min(plan.parents);
+            let objects = (plan.parent_copies as u64).min(plan.demand.objects);
+            for server in self.servers.iter_mut().skip(plan.locations * plan.caches).take(homes) {
+                // Those asked for most were used last.
+                (0..objects)
+                    .rev()
+                    .for_each(|rank| _ = server.copies.keep(self.demand.at_rank(0, rank), 1, 0));
+            }
+        }
         let there = |member: &Member| member.phase != Phase::Gone;
         let members: Vec<Member> = self.servers.iter().map(|server| server.member).filter(there).collect();
         for n in 0..plan.locations * plan.routers {
@@ -322,6 +350,7 @@
         if plan.report_every > 0.0 {
             self.queue.add(micros(plan.report_every), Event::Stock);
         }
+        self.build_tiers();
         self.queue.add(0, Event::Arrive);
     }
 
@@ -387,6 +416,8 @@
                 Event::Fault(n) => self.strike(now, self.plan.faults[n].1),
                 Event::Back(server) => self.strike(now, Fault::Start(server)),
                 Event::List(server) => self.list(now, server),
+                Event::Shape(n) => self.reshape(now, n),
+                Event::Tend(router) => self.tend_due(now, router),
                 Event::Drop(object, stamp) => self.drop_copies(object, stamp),
                 Event::Stock => self.stock(now),
             }
@@ -420,6 +451,11 @@
         }
     }
 
+    /// Within what time an answer of that many bytes is wanted.
+    fn aim(&self, size: f64) -> f64 {
+        self.plan.aim + size / self.plan.flow * 1_000.0
+    }
+
     fn server(&self, id: CacheId) -> Option<usize> {
         self.places.get(&id).copied()
     }
--- a/crates/model/src/world/clients.rs
+++ b/crates/model/src/world/clients.rs
@@ -84,6 +84,7 @@
 
     pub(super) fn refused(&mut self, now: Micros, number: Number, wait: f64) {
         self.notes.answered(now, number, REFUSED, None);
+        let wait = wait.max(self.come_back.remove(&number).unwrap_or(0.0));
         if !self.comes_again(now, number, wait) {
             self.finish(now, number, End::Refused);
         }
@@ -132,9 +133,10 @@
         let Some(client) = self.clients.remove(&number) else { return };
         let second = (client.first / 1_000_000) as usize;
         let took = ms(now - client.first);
-        let sending = client.size / self.plan.flow * 1_000.0;
+        self.come_back.remove(&number);
+        let aim = self.aim(client.size);
         let list = match end {
-            End::Served if took <= self.plan.aim + sending => &mut self.seen.in_time,
+            End::Served if took <= aim => &mut self.seen.in_time,
             End::Served => &mut self.seen.late,
             End::Refused => &mut self.seen.refused,
             End::Failed => &mut self.seen.failed,
--- a/crates/model/src/world/serving.rs
+++ b/crates/model/src/world/serving.rs
@@ -2,6 +2,8 @@
 
 use linnethook::interface::{AttemptId, CacheId, Event as Told, Fill, Note, Outcome, RequestId, Status};
 
+use crate::notes::Asker;
+
 use super::{micros, ms, Attempt, Event, Number, Server, Stage, World, COLD, ORIGIN, PARENT};
 use crate::Micros;
 
@@ -30,7 +32,7 @@
             number,
             server,
             fill,
-            stage: Stage::ToCache,
+            stage: Stage::Held,
             key: client.key(),
             write: client.books,
             sent: now,
@@ -38,14 +40,31 @@
             note: None,
             status: Status::Moot,
             work: None,
+            tolled: false,
+            version: None,
+            beside: None,
             ran: false,
             dated: None,
         };
         self.attempts.insert(self.last, attempt);
         self.by_id.insert((request.0, number), self.last);
-        let way = if self.servers[server].member.kind == 0 { self.plan.near } else { self.plan.far };
-        self.queue.add(now + micros(way), Event::Step(self.last));
-        self.queue.add(now + micros(timeout), Event::Expire(self.last));
+        let number = self.last;
+        self.queue.add(now + micros(timeout), Event::Expire(number));
+        match self.plan.tiers {
+            Some(_) => self.admit(now, number),
+            None => self.goes(now, number),
+        }
+    }
+
+    /// An attempt sets out.
+    pub(super) fn goes(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        attempt.stage = Stage::ToCache;
+        let way = match self.servers[attempt.server].member.kind {
+            0 => self.plan.near,
+            _ => self.plan.far,
+        };
+        self.queue.add(now + micros(way), Event::Step(number));
     }
 
     /// Counts one that comes in at a server that warms; false where it falls over by it.
@@ -74,7 +93,8 @@
         match attempt.stage {
             Stage::ToCache => self.at_cache(now, number),
             Stage::ToSource => self.at_source(now, number),
-            Stage::AtOrigin | Stage::Filling | Stage::Answering | Stage::Joined | Stage::Over => {}
+            Stage::Held | Stage::AtOrigin | Stage::Filling | Stage::Answering => {}
+            Stage::Joined | Stage::Over => {}
         }
     }
 
@@ -90,7 +110,7 @@
     }
 
     /// The copy that a server has of what is wanted, where it is not too old.
-    fn held(&mut self, now: Micros, n: usize, key: u64, max_age: f64) -> Option<Micros> {
+    pub(super) fn held(&mut self, now: Micros, n: usize, key: u64, max_age: f64) -> Option<Micros> {
         let made = self.servers[n].copies.get(key)?;
         (max_age <= 0.0 || ms(now - made.min(now)) <= max_age).then_some(made)
     }
@@ -105,7 +125,7 @@
         let source = attempt.fill.filter(|fill| fill.source != self.servers[at].member.id);
         let named = source.and_then(|fill| Some((self.server(fill.source)?, fill)));
         if let Some(wish) = self.wish(attempt.request) {
-            self.notes.asked(now, &self.plan, at, number, &wish, (true, named));
+            self.notes.asked(now, &self.plan, at, number, &wish, Asker::Router(named));
         }
         if !self.answers(now, number, at) {
             return;
@@ -165,7 +185,8 @@
         }
         if health.up {
             if let Some(wish) = self.wish(attempt.request) {
-                self.notes.asked(now, &self.plan, source, BETWEEN + number, &wish, (false, None));
+                let from = Asker::Server(attempt.server, attempt.version, fill.only_held);
+                self.notes.asked(now, &self.plan, source, BETWEEN + number, &wish, from);
             }
         }
         let falls = health.up && !self.bears(now, source);
@@ -201,6 +222,15 @@
                 return self.fill_moves(now, number, Note::Filled);
             }
         }
+        if !attempt.write && kind == PARENT {
+            if let Some(made) = self.found_beside(number, fill.max_age, now) {
+                self.servers[source].copies.keep(attempt.key, 1, made);
+                if let Some(attempt) = self.attempts.get_mut(&number) {
+                    attempt.dated = Some(made);
+                }
+                return self.fill_moves(now, number, Note::Filled);
+            }
+        }
         if fill.only_held || kind == 0 {
             return missing(self, Note::SourceLacks, Status::Full);
         }
@@ -302,14 +332,19 @@
             return;
         }
         let stage = std::mem::replace(&mut attempt.stage, Stage::Over);
+        // What never went has not been at its server.
+        let status = if stage == Stage::Held && status != Status::Full { Status::Moot } else { status };
         attempt.status = status;
         let attempt = attempt.clone();
+        if stage == Stage::Held {
+            self.forget_held(&attempt);
+        }
         self.notes.ended(now, number, attempt.ran);
         if stage == Stage::AtOrigin {
             self.leaves_origin(number, attempt.work);
         }
         let at = &mut self.servers[attempt.server];
-        if stage != Stage::ToCache {
+        if !matches!(stage, Stage::Held | Stage::ToCache) {
             at.in_hand = at.in_hand.saturating_sub(1);
         }
         let (link, zone) = (at.link, usize::from(at.member.zone).min(self.plan.locations));
@@ -333,6 +368,7 @@
         }
         // What the router ends itself it knows at once.
         let way = match status {
+            _ if stage == Stage::Held => 0.0,
             Status::Timeout | Status::Cancelled => 0.0,
             _ if self.servers[attempt.server].member.kind == 0 => self.plan.near,
             _ => self.plan.far,
@@ -346,6 +382,7 @@
         if attempt.status == Status::Ok && self.clients.contains_key(&attempt.request) {
             self.served(now, attempt.request, attempt.dated.filter(|_| !attempt.write));
         }
+        self.toll(now, &attempt);
         let server = &self.servers[attempt.server];
         let outcome = Outcome {
             attempt: AttemptId { request: RequestId(attempt.request), number: attempt.number },
--- /dev/null
+++ b/crates/model/src/world/tiers.rs
@@ -0,0 +1,295 @@
+//! Owns the hierarchy of each router, the shipped one, and what it does to the fills that the decision module picks.
+//!
+//! Must never choose a source: what the hierarchy says is carried out, and what comes of it is told back.
+
+use linnethook::interface::{CacheId, Event as Told, Feed, Feeds, Fill, Note, Phase, Status};
+use linnethook::ring::mix;
+use linnethook_hierarchy::shield::{Priority, Released, Verdict};
+use linnethook_hierarchy::{
+    Author, Batch, Brought, Change, Hierarchy, Node, NodeId, Picked, Role, Rules, Source,
+};
+
+use super::{micros, ms, Attempt, Event, Number, Stage, World, ORIGIN, PARENT};
+use crate::Micros;
+
+/// Who writes the changes of the shape.
+const AUTHOR: Author = Author(1);
+
+/// The hierarchies of all routers.
+#[derive(Default)]
+pub(super) struct Tiers {
+    routers: Vec<Hierarchy>,
+    /// When each has something to do next, as far as an event is on its way.
+    due: Vec<Micros>,
+    /// Changes, and what each router hears of them.
+    batches: Vec<Batch>,
+}
+
+/// A fill as the shield knows it.
+fn ticket(attempt: &Attempt) -> u64 {
+    attempt.request << 8 | u64::from(attempt.number)
+}
+
+fn brought(status: Status, note: Option<Note>) -> Brought {
+    match (status, note) {
+        (Status::Ok, Some(Note::Filled)) => Brought::Held,
+        (Status::Ok, Some(Note::FilledByOrigin)) => Brought::FromOrigin,
+        (Status::Ok, Some(Note::Hit | Note::Stale)) => Brought::NoFill,
+        (Status::Ok, _) => Brought::Somehow,
+        (Status::Cancelled | Status::Moot, _) | (_, Some(Note::NoPlace)) => Brought::Unknown,
+        (Status::ConnectFailed, _) | (Status::Full, None) => Brought::Unknown,
+        _ => Brought::Nothing,
+    }
+}
+
+impl World {
+    /// The shape with which all begin: caches by the home of their location, then the origin.
+    pub(super) fn build_tiers(&mut self) {
+        let Some(rule) = self.plan.tiers else { return };
+        let id = |n: usize| self.servers[n].member.id;
+        let (origin, first) = (self.plan.origin(), self.plan.locations * self.plan.caches);
+        let homes = rule.homes.clamp(1, self.plan.parents.max(1));
+        let mut changes = Vec::new();
+        // Whoever is a source comes before those that fill from it.
+        for n in (0..self.servers.len()).rev() {
+            let member = self.servers[n].member;
+            let (role, tier, sources) = match member.kind {
+                ORIGIN => (Role::Origin, 2, Vec::new()),
+                PARENT => (Role::Parent, 1, vec![Source::new(id(origin), 0)]),
+                _ => {
+                    let home = id(first + usize::from(member.zone) % homes);
+                    (Role::Cache, 0, vec![Source::new(home, 0), Source::new(id(origin), 1)])
+                }
+            };
+            let site = u32::from(member.zone);
+            let node = Node { id: member.id, role, site, tier, capacity: member.weight, retiring: false };
+            changes.push(Change::Add { node, sources });
+        }
+        let mut rules = Rules { staged: rule.staged, shielded: rule.shielded, ..Rules::default() };
+        rules.stages.announce = rule.announce;
+        rules.stages.warm = rule.warm;
+        rules.stages.settle = rule.settle;
+        for router in 0..self.brains.len() {
+            let mut hierarchy = Hierarchy::new(rules);
+            hierarchy.hear(0.0, hierarchy.draft(AUTHOR, 0.0, changes.clone()));
+            let zone = router / self.plan.routers.max(1);
+            for server in &self.servers {
+                hierarchy.listed(0.0, server.member.id, server.member.phase, server.member.since);
+                if server.member.kind == 0 && usize::from(server.member.zone) == zone {
+                    hierarchy.watch(0.0, server.member.id);
+                }
+            }
+            self.tiers.routers.push(hierarchy);
+            self.tiers.due.push(Micros::MAX);
+        }
+        self.note_shape(0);
+        (0..self.brains.len()).for_each(|router| self.tell_feeds(0, router));
+    }
+
+    fn note_shape(&mut self, now: Micros) {
+        let Some(hierarchy) = self.tiers.routers.first() else { return };
+        let shape = hierarchy.shape();
+        let place = |id: NodeId| self.server(id);
+        let edges = self.servers.iter().enumerate().flat_map(|(n, server)| {
+            let sources = shape.sources(server.member.id);
+            sources.filter_map(move |source| Some((n, place(source.node)?)))
+        });
+        let edges: Vec<(usize, usize)> = edges.collect();
+        self.notes.shape(now, &self.plan, hierarchy.version(), &edges);
+    }
+
+    /// The locations that fill from one parent are to fill from another.
+    pub(super) fn moves_home(&mut self, now: Micros, from: usize, to: usize) {
+        let Some(first) = self.tiers.routers.first() else { return };
+        let parents = self.plan.locations * self.plan.caches..self.plan.origin();
+        let id = |n: usize| parents.clone().nth(n).map(|n| self.servers[n].member.id);
+        let (Some(from), Some(to)) = (id(from), id(to)) else { return };
+        let moved = |id: NodeId| {
+            let sources: Vec<Source> = first.shape().sources(id).collect();
+            let changed = sources.iter().any(|source| source.node == from);
+            let swap = |s: &Source| Source { node: if s.node == from { to } else { s.node }, ..*s };
+            changed.then(|| Change::Rerank { node: id, sources: sources.iter().map(swap).collect() })
+        };
+        let caches = self.servers.iter().filter(|server| server.member.kind == 0);
+        let changes: Vec<Change> = caches.filter_map(|server| moved(server.member.id)).collect();
+        if changes.is_empty() {
+            return;
+        }
+        self.tiers.batches.push(first.draft(AUTHOR, ms(now), changes));
+        let late = micros(self.list_late);
+        self.queue.add(now + late, Event::Shape(self.tiers.batches.len() - 1));
+    }
+
+    /// All routers hear of a change.
+    pub(super) fn reshape(&mut self, now: Micros, n: usize) {
+        let Some(batch) = self.tiers.batches.get(n).cloned() else { return };
+        for router in 0..self.tiers.routers.len() {
+            self.tiers.routers[router].hear(ms(now), batch.clone());
+            self.tend(now, router);
+        }
+        self.note_shape(now);
+    }
+
+    /// A line of the list: what waits for one that may not be used any more comes back.
+    pub(super) fn list_tiers(&mut self, now: Micros, router: usize, server: usize) {
+        let Some(hierarchy) = self.tiers.routers.get_mut(router) else { return };
+        let member = self.servers[server].member;
+        let (_, withdrawn) = hierarchy.listed(ms(now), member.id, member.phase, member.since);
+        let own = usize::from(member.zone) == router / self.plan.routers.max(1);
+        if member.kind == 0 && own && member.phase != Phase::Gone {
+            hierarchy.watch(ms(now), member.id);
+        }
+        for ticket in withdrawn {
+            self.turn_back(now, ticket);
+        }
+        self.tend(now, router);
+    }
+
+    fn turn_back(&mut self, now: Micros, ticket: u64) {
+        let Some(&number) = self.by_id.get(&(ticket >> 8, (ticket & 255) as u8)) else { return };
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            attempt.note = Some(Note::NoPlace);
+        }
+        self.end(now, number, Status::Full);
+    }
+
+    /// Tells the decision module what has changed, and sees when the hierarchy is due again.
+    fn tend(&mut self, now: Micros, router: usize) {
+        self.tell_feeds(now, router);
+        let next = micros(self.tiers.routers[router].next(ms(now))).max(now + 1);
+        if next < self.tiers.due[router] {
+            self.tiers.due[router] = next;
+            self.queue.add(next, Event::Tend(router));
+        }
+    }
+
+    fn tell_feeds(&mut self, now: Micros, router: usize) {
+        let changed = self.tiers.routers[router].changed_feeds(ms(now));
+        let all = |list: &[Source]| list.iter().map(|s| Feed { source: s.node, rank: s.rank }).collect();
+        for (cache, lists) in changed {
+            let feeds = Feeds {
+                now: all(&lists.now),
+                before: all(&lists.before),
+                part: lists.part,
+                salt: lists.salt,
+            };
+            self.tell(now, router, &Told::Feeds { cache, feeds: Some(feeds) });
+        }
+    }
+
+    /// Lets a router's hierarchy go on.
+    pub(super) fn tend_due(&mut self, now: Micros, router: usize) {
+        if now < self.tiers.due[router] {
+            return;
+        }
+        self.tiers.due[router] = Micros::MAX;
+        let (released, _) = self.tiers.routers[router].tick(ms(now));
+        self.let_go(now, released);
+        self.tend(now, router);
+    }
+
+    fn let_go(&mut self, now: Micros, released: Vec<Released>) {
+        for word in released {
+            let number = self.by_id.get(&(word.ticket >> 8, (word.ticket & 255) as u8)).copied();
+            let Some(number) = number else { continue };
+            match word.verdict {
+                Verdict::Go => self.goes(now, number),
+                Verdict::Over { come_back, .. } => self.only_held(now, number, come_back),
+                Verdict::Wait { .. } => {}
+            }
+        }
+    }
+
+    /// Whether an attempt's fill may go now; one that may not is sent for what is held, or waits.
+    pub(super) fn admit(&mut self, now: Micros, number: Number) {
+        let Some(attempt) = self.attempts.get(&number).cloned() else { return };
+        let ends = self.ends(attempt.server, attempt.fill.as_ref());
+        let held = attempt.fill.is_some_and(|fill| fill.only_held);
+        let (Some((child, source)), false) = (ends, held) else { return self.goes(now, number) };
+        let Some(client) = self.clients.get(&attempt.request) else { return self.goes(now, number) };
+        let aim = self.aim(client.size);
+        let left = ms(client.since) + aim - ms(now);
+        let picked = Picked {
+            ticket: ticket(&attempt),
+            child,
+            source,
+            object: mix(client.object, 1),
+            key: attempt.key,
+            priority: if attempt.write { Priority::Booking } else { Priority::Demand },
+            bytes: client.size,
+            joins: attempt.fill.is_some_and(|fill| fill.join),
+            patience: (left / 2.0).max(0.0),
+        };
+        let hierarchy = &mut self.tiers.routers[attempt.router];
+        let verdict = hierarchy.send(ms(now), &picked);
+        let version = hierarchy.version();
+        let hops = hierarchy.way(ms(now), child, source, picked.object);
+        let beside = hops.iter().find(|hop| hop.only_held).and_then(|hop| self.server(hop.node));
+        if let Some(attempt) = self.attempts.get_mut(&number) {
+            (attempt.tolled, attempt.beside, attempt.version) = (true, beside, Some(version));
+        }
+        match verdict {
+            Verdict::Go => self.goes(now, number),
+            Verdict::Wait { .. } => self.set_stage(number, Stage::Held),
+            Verdict::Over { come_back, .. } => self.only_held(now, number, come_back),
+        }
+        self.tend(now, attempt.router);
+    }
+
+    /// Who fills, and from where; nothing where no tier above is asked.
+    fn ends(&self, server: usize, fill: Option<&Fill>) -> Option<(CacheId, CacheId)> {
+        let at = self.servers[server].member;
+        let source = fill.map(|fill| fill.source).filter(|source| *source != at.id);
+        match source.and_then(|source| self.server(source)) {
+            Some(source) if self.servers[source].member.kind != 0 => {
+                Some((at.id, self.servers[source].member.id))
+            }
+            None if at.kind != 0 => Some((at.id, at.id)),
+            _ => None,
+        }
+    }
+
+    fn only_held(&mut self, now: Micros, number: Number, come_back: f64) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        attempt.tolled = false;
+        if let Some(fill) = &mut attempt.fill {
+            fill.only_held = true;
+        }
+        self.come_back.insert(attempt.request, come_back);
+        self.goes(now, number);
+    }
+
+    /// Nobody waits any more for a fill that the shield holds.
+    pub(super) fn forget_held(&mut self, attempt: &Attempt) {
+        if let Some(hierarchy) = self.tiers.routers.get_mut(attempt.router) {
+            hierarchy.forget(ticket(attempt));
+        }
+    }
+
+    /// How an attempt ended that passed the shield.
+    pub(super) fn toll(&mut self, now: Micros, attempt: &Attempt) {
+        if !attempt.tolled || self.tiers.routers.is_empty() {
+            return;
+        }
+        let size = self.clients.get(&attempt.request).map_or(self.plan.demand.size, |client| client.size);
+        let late = ms(now - attempt.sent) > self.aim(size);
+        let came = brought(attempt.status, attempt.note);
+        let hierarchy = &mut self.tiers.routers[attempt.router];
+        let released = hierarchy.ended(ms(now), ticket(attempt), came, late);
+        self.let_go(now, released);
+        self.tend(now, attempt.router);
+    }
+
+    /// What a fill's source lacks is looked for beside it, where the child is on its way from there.
+    pub(super) fn found_beside(&mut self, number: Number, max_age: f64, now: Micros) -> Option<Micros> {
+        let attempt = self.attempts.get(&number)?;
+        let (beside, key) = (attempt.beside?, attempt.key);
+        let health = self.servers[beside].health;
+        let there = health.up && !health.silent && !health.stalled && !health.fails;
+        if there {
+            self.held(now, beside, key, max_age)
+        } else {
+            None
+        }
+    }
+}
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -38,6 +38,7 @@
                     *known = cut;
                 }
             }
+            Fault::Move(from, to) => self.moves_home(now, from, to),
             Fault::ListLate(late) => self.list_late = late,
             Fault::Rate(times) => self.busy = times.max(1e-6),
             Fault::Purge(count) => self.purge(now, count),
@@ -106,6 +107,7 @@
         let Some(member) = self.servers.get(n).map(|server| server.member) else { return };
         for router in 0..self.brains.len() {
             self.notes.listed(now, &self.plan, router, n, &member);
+            self.list_tiers(now, router, n);
             self.tell(now, router, &Told::List { kind: ListKind::Changes, members: vec![member] });
         }
     }
