--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! Owns the command line of the lab. Exit codes: 0 done, 1 failed or stopped, 2 wrong use or input.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,8 +10,9 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use linnethook_lab::experiment::{Case, Experiment};
 use linnethook_lab::hunt::{Hunt, Prey};
+use linnethook_lab::load::Clients;
 use linnethook_lab::rows::{self, Header, Row, Rows};
-use linnethook_lab::{compare, experiment, faults, play, plot, report, settings};
+use linnethook_lab::{compare, experiment, faults, play, plot, report, settings, sockets};
 use linnethook_model::world::World;
 
 /// Experiments on a model of the fleet, with the shipped decisions and plain ones.
@@ -90,6 +92,20 @@
         #[arg(long, value_name = "FILE")]
         out: Option<PathBuf>,
     },
+    /// Drive real routers on loopback by the first variant's load, in an open loop; without --router with a fleet of
+    /// stand-ins of its own, so that the day can be compared with the model's
+    Load {
+        file: PathBuf,
+        /// Routers that run already
+        #[arg(long, value_name = "ADDRESS")]
+        router: Vec<SocketAddr>,
+        /// The router's program, for a fleet of stand-ins; the one beside this program where none is named
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+        /// Where the row goes, and that of the model for the same plan
+        #[arg(long, value_name = "FILE")]
+        out: Option<PathBuf>,
+    },
     /// Check the file of an experiment
     Check { file: PathBuf },
 }
@@ -213,6 +229,51 @@
     }
 }
 
+fn load(
+    file: &Path,
+    routers: &[SocketAddr],
+    program: Option<&Path>,
+    out: Option<&Path>,
+) -> Result<String, Failed> {
+    let experiment = read(file)?;
+    let cases = experiment.cases();
+    let plan = &cases[0].plan;
+    let stop = interrupted();
+    let mut rows = Vec::new();
+    let case = |variant: &str| Case { variant: variant.to_string(), ..cases[0].clone() };
+    if routers.is_empty() {
+        sockets::check(plan).map_err(input)?;
+        let program = linnethook_standins::fleet::router_program(program).map_err(input)?;
+        let (seen, breaches) = sockets::play(plan, &program, &stop).map_err(other)?;
+        breaches.iter().take(10).for_each(|breach| eprintln!("{breach}"));
+        rows.push(Row::new(&case("sockets"), &seen, Some(breaches.len() as u64)));
+        rows.push(play::row(&case("model"), true).map_err(other)?);
+    } else {
+        let named = routers.iter().enumerate().map(|(n, address)| (format!("n{n}"), *address));
+        let named: Vec<_> = named.collect();
+        let clients = Clients {
+            plan,
+            routers: &named,
+            connections: 8,
+            record: Default::default(),
+            numbers: Default::default(),
+        };
+        let seen = clients.drive(&stop).map_err(other)?;
+        rows.push(Row::new(&case("sockets"), &seen, None));
+    }
+    if let Some(out) = out {
+        let mut header = Header::new(&experiment).map_err(other)?;
+        header.variants = rows.iter().map(|row| row.variant.clone()).collect();
+        header.title += " (sockets)";
+        let (mut file, known) = Rows::open(out, &header).map_err(input)?;
+        if !known.is_empty() {
+            return Err(input(format!("{}: has rows already", out.display())));
+        }
+        rows.iter().try_for_each(|row| file.add(row)).map_err(other)?;
+    }
+    Ok(compare::table(&rows, None))
+}
+
 fn carry_out(command: Command) -> Result<String, Failed> {
     match command {
         Command::Check { file } => {
@@ -248,6 +309,9 @@
             }
             Ok(String::new())
         }
+        Command::Load { file, router, program, out } => {
+            load(&file, &router, program.as_deref(), out.as_deref())
+        }
         Command::Replay { file, seed, variant, point, record } => {
             replay(&file, seed, (variant.as_deref(), point), record.as_deref())
         }
--- /dev/null
+++ b/crates/lab/src/sockets.rs
@@ -0,0 +1,161 @@
+//! Owns a plan's day on sockets: stand-ins and routers on loopback, the plan's load, and those of its faults that there are
+//! on sockets.
+//!
+//! Must never play something else instead of what it can't: that is an error before anything starts.
+
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use linnethook_model::plan::{Fault, Plan};
+use linnethook_model::seen::Seen;
+use linnethook_standins::checker::{judge, Breach, Rules};
+use linnethook_standins::faults::{Fault as OnSockets, When};
+use linnethook_standins::fleet::Fleet;
+use linnethook_standins::node::{Kind, Makeup};
+use linnethook_standins::record::{now, Phase};
+use serde_json::json;
+
+use crate::faults::told;
+use crate::load::Clients;
+
+/// Connections of clients to each router.
+const CONNECTIONS: usize = 8;
+
+fn name(plan: &Plan, server: usize) -> String {
+    match server {
+        n if n == plan.origin() => "origin".to_string(),
+        n if n >= plan.caches => format!("parent-{}", n - plan.caches),
+        n => format!("cache-{n}"),
+    }
+}
+
+/// What is on at a server from one second to another.
+fn windows(plan: &Plan) -> Result<Vec<(usize, f64, f64, OnSockets)>, String> {
+    let mut all = Vec::new();
+    for (n, (from, fault)) in plan.faults.iter().enumerate() {
+        let later = plan.faults[n + 1..].iter();
+        let until = |ends: &dyn Fn(&Fault) -> bool| {
+            later.clone().find(|(_, other)| ends(other)).map_or(plan.seconds + 60.0, |(at, _)| *at)
+        };
+        let longer = |times: f64| OnSockets::Slow((times - 1.0) * plan.origin_takes);
+        match fault {
+            Fault::Silent(at, true) => {
+                let to = until(&|other| *other == Fault::Silent(*at, false));
+                all.push((*at, *from, to, OnSockets::Silent));
+            }
+            Fault::FailFast(at, true) => {
+                let to = until(&|other| *other == Fault::FailFast(*at, false));
+                all.push((*at, *from, to, OnSockets::Fail));
+            }
+            Fault::Slow(at, times) if *at == plan.origin() => {
+                let to = until(&|other| matches!(other, Fault::Slow(n, _) if n == at));
+                if *times > 1.0 {
+                    all.push((*at, *from, to, longer(*times)));
+                }
+            }
+            Fault::Die(_) | Fault::Start(_) | Fault::Drain(_) => {}
+            Fault::Silent(_, false) | Fault::FailFast(_, false) => {}
+            other => return Err(format!("not to be had on sockets: {}", told(other))),
+        }
+    }
+    Ok(all)
+}
+
+/// Whether a plan can be played on sockets at all.
+pub fn check(plan: &Plan) -> Result<(), String> {
+    let plain = Plan::default();
+    for (what, fits) in [
+        ("one location", plan.locations == 1),
+        ("caches that are there from the beginning", plan.spare == 0),
+        ("no hierarchy", plan.tiers.is_none()),
+        ("one part", plan.parts == 1),
+        ("the shipped way", plan.way == plain.way),
+        ("no cold starts", plan.cache_able <= 0.0 && plan.parent_able <= 0.0),
+    ] {
+        if !fits {
+            return Err(format!("on sockets: expected {what}"));
+        }
+    }
+    windows(plan).map(|_| ())
+}
+
+fn fleet(plan: &Plan, program: &Path) -> std::io::Result<Fleet> {
+    let mut fleet = Fleet::new(program)?;
+    let made = |kind: Kind, copies: usize, takes: f64| Makeup {
+        copies,
+        latency: Duration::from_secs_f64(takes / 1_000.0),
+        size: plan.demand.size as usize,
+        ..Makeup::new(kind)
+    };
+    fleet.add("origin", "hub", 20.0, made(Kind::Origin, 1, plan.origin_takes))?;
+    for n in 0..plan.parents {
+        fleet.add(&format!("parent-{n}"), "hub", 8.0, made(Kind::Parent, plan.parent_copies, plan.far))?;
+    }
+    for n in 0..plan.caches {
+        fleet.add(&format!("cache-{n}"), "shop", 8.0, made(Kind::Cache, plan.cache_copies, plan.near))?;
+    }
+    for n in 0..plan.routers {
+        fleet.start_router(&format!("n{n}"), None, |config| {
+            config["seed"] = json!(format!("{:016x}", plan.seed ^ n as u64));
+            let settings = &mut config["settings"];
+            settings["balancers"] = json!(plan.routers);
+            settings["family-info"]["seats-by-zone"] = json!([0, plan.routers]);
+            settings["family-info"]["merges-fills"] = json!(true);
+            settings["family-info"]["flow-kb-per-s"] = json!(plan.flow / 1_000.0);
+            settings["family-info"]["peers-fill"] = json!("location");
+            settings["grades"][0]["objective"] = json!(plan.aim);
+            settings["grades"][0]["aim-stretch"] = json!(1);
+            settings["grades"][0]["deadline"] = json!(plan.wait);
+        })?;
+    }
+    Ok(fleet)
+}
+
+/// Plays the day: what was seen, and the rules that were broken.
+pub fn play(plan: &Plan, program: &Path, stop: &AtomicBool) -> Result<(Seen, Vec<Breach>), String> {
+    check(plan)?;
+    let text = |why: std::io::Error| why.to_string();
+    let mut fleet = fleet(plan, program).map_err(text)?;
+    let routers: Vec<_> =
+        (0..plan.routers).filter_map(|n| Some((format!("n{n}"), fleet.address(&format!("n{n}"))?))).collect();
+    let (since, begun) = (now(), Instant::now());
+    for (server, from, to, fault) in windows(plan)? {
+        let when = When::Between(since + from * 1_000.0, since + to * 1_000.0);
+        fleet.node(&name(plan, server)).script().add(fault, when);
+    }
+    let (record, numbers) = (fleet.record.clone(), fleet.numbers.clone());
+    let clients = Clients { plan, routers: &routers, connections: CONNECTIONS, record, numbers };
+    let seen = thread::scope(|scope| {
+        let driven = scope.spawn(|| clients.drive(stop));
+        // What the list of caches tells, and when: it is late.
+        let mut steps: Vec<(f64, usize, Option<Phase>)> = Vec::new();
+        for (at, fault) in &plan.faults {
+            let heard = at + plan.list_late / 1_000.0;
+            match fault {
+                Fault::Die(n) => steps.extend([(*at, *n, None), (heard, *n, Some(Phase::Gone))]),
+                Fault::Start(n) => steps.push((heard, *n, Some(Phase::Ready))),
+                Fault::Drain(n) => steps.push((heard, *n, Some(Phase::Draining))),
+                _ => {}
+            }
+        }
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (at, server, phase) in steps {
+            while begun.elapsed().as_secs_f64() < at && !driven.is_finished() {
+                thread::sleep(Duration::from_millis(2));
+            }
+            let node = name(plan, server);
+            match phase {
+                None => fleet.node(&node).kill(),
+                Some(Phase::Ready) => fleet.restart(&node).map_err(text)?,
+                Some(phase) => fleet.tell(&node, phase).map_err(text)?,
+            }
+        }
+        driven.join().unwrap_or_else(|_| Err("the load has failed".to_string()))
+    })?;
+    let origin = fleet.record.by_second("origin", since, plan.seconds.ceil() as usize + 5);
+    let breaches = judge(&fleet.record.lines(), &Rules { slack: 150.0, ..Rules::default() });
+    let fills = origin.iter().map(|n| u64::from(*n)).sum();
+    Ok((Seen { origin, fills, ..seen }, breaches))
+}
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -23,7 +23,8 @@
 }
 
 impl Seen {
-    pub(crate) fn count(list: &mut Vec<u32>, second: usize) {
+    /// One more in a second.
+    pub fn count(list: &mut Vec<u32>, second: usize) {
         if list.len() <= second {
             list.resize(second + 1, 0);
         }
