--- a/crates/hierarchy/src/budget.rs
+++ b/crates/hierarchy/src/budget.rs
@@ -24,7 +24,7 @@
     pub open: f64,
     /// While the shape changes, so many times what went there before may go.
     pub headroom: f64,
-    /// How much of a second's fills may go at once.
+    /// How many seconds' fills may go at once: what comes by chance comes in heaps, the more so the less one router sees.
     pub burst: f64,
     /// Fills a second that may go in any case.
     pub least: f64,
@@ -41,7 +41,7 @@
             grow: 0.1,
             open: 4.0,
             headroom: 1.15,
-            burst: 0.25,
+            burst: 1.0,
             least: 2.0,
         }
     }
