--- a/crates/lab/src/rows.rs
+++ b/crates/lab/src/rows.rs
@@ -154,8 +154,8 @@
     let lines: Result<Vec<String>, io::Error> = BufReader::new(file).lines().collect();
     let lines = lines.map_err(|why| format!("{}: {why}", path.display()))?;
     let first = lines.first().ok_or_else(|| wrong(1, "expected what was played, got an empty file"))?;
-    let header = serde_json::from_str(first).map_err(|why| wrong(1, &why.to_string()))?;
-    let mut rows = Vec::new();
+    let header: Header = serde_json::from_str(first).map_err(|why| wrong(1, &why.to_string()))?;
+    let mut rows: Vec<Row> = Vec::new();
     for (n, line) in lines.iter().enumerate().skip(1) {
         match serde_json::from_str(line) {
             Ok(row) => rows.push(row),
@@ -163,6 +163,12 @@
             Err(why) => return Err(wrong(n + 1, &why.to_string())),
         }
     }
+    // As the experiment names them, in whatever order they were played.
+    let place = |row: &Row| header.variants.iter().position(|name| *name == row.variant);
+    rows.sort_by(|a, b| {
+        let points = a.point.unwrap_or(0.0).total_cmp(&b.point.unwrap_or(0.0));
+        points.then(place(a).cmp(&place(b))).then(a.seed.cmp(&b.seed))
+    });
     Ok((header, rows))
 }
 
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -4,6 +4,7 @@
 
 use std::ops::Range;
 
+use linnethook_hierarchy::stages::StageRule;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -23,6 +24,15 @@
     pub homes: usize,
 }
 
+impl Tiers {
+    /// For how long children may be on their way from one source to another. While the tiers above are short, the shield
+    /// lets stages stand still.
+    pub(crate) fn longest(&self) -> f64 {
+        let held = if self.shielded { StageRule::default().held } else { 0.0 };
+        self.announce + self.warm + self.settle + held
+    }
+}
+
 impl Default for Tiers {
     fn default() -> Self {
         let (announce, warm, settle) = (2_000.0, 15_000.0, 10_000.0);
