Gateway: leave to home what can't cross, and a too long answer ends its own stream alone

The model with the shipped gateway at each router served less with gateways than without: reads that could neither cross nor be had whole at home were refused though caches at home held a third, and one answer over 256 KB ended the connection with all that was on it. crates/model has two sites with a link (world/sites.rs); place() goes home with own reads that no site takes, where caches are listed; begins() calls off the one stream. gateway(answer = ...) sets the bound.

--- a/crates/gateway/src/across.rs
+++ b/crates/gateway/src/across.rs
@@ -250,6 +250,14 @@
             Route::Across(site) if !self.has_room(site, wanted.priority) => full(self),
             route => route,
         };
+        // What can't cross either is left to whoever decides at home: the caches may hold it, and what they lack is
+        // refused there.
+        let own = wanted.passed.is_empty() && wanted.home.is_none_or(|home| home == self.me);
+        let left = own && !wanted.write && !tried.contains(&self.me) && self.home.may_hold();
+        let route = match route {
+            Route::Nowhere(_) if left => Route::Home,
+            route => route,
+        };
         match route {
             Route::Home => {
                 self.counts.home += 1;
@@ -363,12 +371,19 @@
 
     // ---- What the other side says of it.
 
-    pub(crate) fn begins(&mut self, ticket: Ticket, begins: Begins) -> Result<(), Ended> {
+    pub(crate) fn begins(
+        &mut self,
+        now: Ms,
+        conn: Conn,
+        ticket: Ticket,
+        begins: Begins,
+    ) -> Result<(), Ended> {
         let rule = self.rules.across;
-        let Some(request) = self.across.requests.get_mut(&ticket) else { return Ok(()) };
         if begins.length > rule.answer {
-            return Err(Ended::Answer);
+            self.too_long(now, conn, ticket, begins.length);
+            return Ok(());
         }
+        let Some(request) = self.across.requests.get_mut(&ticket) else { return Ok(()) };
         request.served = begins.served;
         request.head = begins.head;
         request.provable = begins.copy.is_some();
@@ -390,6 +405,30 @@
         }
     }
 
+    /// An answer is longer than is taken here. That is its own matter: its stream ends, and all others go on.
+    fn too_long(&mut self, now: Ms, conn: Conn, ticket: Ticket, length: u64) {
+        let Some(token) = self.across.requests.get(&ticket).map(|request| request.token) else { return };
+        if let Some(token) = token {
+            // It ran, whatever it answers.
+            if self.sent.told(token, Fate::Ran(None), conn).is_none() {
+                return;
+            }
+        }
+        let Some(mut request) = self.across.remove(ticket) else { return };
+        let most = self.rules.across.answer;
+        self.actions
+            .push_back(Action::Note(format!("an answer of {length} bytes is left: {most} are taken")));
+        self.ended_there(now, &request, None);
+        self.cancel_stream(&request, ticket);
+        if request.wanted.harmful {
+            return self.finish(ticket, Reply::Failed);
+        }
+        if let State::Out(_, site) = request.state {
+            request.tried.push(site);
+        }
+        self.again(now, ticket, request, false);
+    }
+
     pub(crate) fn bytes_came(&mut self, ticket: Ticket, bytes: &[u8]) -> Result<(), Ended> {
         let Some(request) = self.across.requests.get_mut(&ticket) else { return Ok(()) };
         if !request.transfer.came(bytes.len() as u64) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -423,7 +423,7 @@
                 }
             }
             Heard::Told(token, fate) => self.told(now, conn, token, fate),
-            Heard::Begins(ticket, begins) => return self.begins(ticket, *begins),
+            Heard::Begins(ticket, begins) => return self.begins(now, conn, ticket, *begins),
             Heard::Bytes(ticket, bytes) => return self.bytes_came(ticket, &bytes),
             Heard::End(ticket) => return self.ends(now, conn, ticket),
             Heard::Never(ticket, why, come_back) => self.never(now, conn, ticket, why, come_back),
--- a/crates/gateway/src/home.rs
+++ b/crates/gateway/src/home.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Whether its caches may still serve what they hold, whatever they lack and can't have.
+    pub fn may_hold(&self) -> bool {
+        self.caches > 0 && !self.drained
+    }
+
     pub fn view(&self) -> View {
         View {
             reachable: true,
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::faults::{Needs, KINDS};
-use crate::settings::{all, find, FLEET, LOAD, TIERS};
+use crate::settings::{all, find, FLEET, LOAD, SITES, TIERS};
 
 /// A plan under a name.
 #[derive(Debug, Clone, PartialEq)]
@@ -176,6 +176,16 @@
         })
     }
 
+    /// Two sites, whose routers are gateways to each other.
+    fn sites<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("sites()", given);
+        collect(|experiment| {
+            common("sites()", experiment)?;
+            experiment.plan.sites.get_or_insert_default();
+            arguments.knobs(SITES, &mut experiment.plan).and_then(|()| arguments.end())
+        })
+    }
+
     /// What is asked for.
     fn demand<'v>(#[starlark(kwargs)] given: Given<'v>) -> anyhow::Result<NoneType> {
         let mut arguments = Arguments::new("demand()", given);
@@ -218,7 +228,7 @@
             Needs::Server | Needs::ServerAnd(..) => place("server")?,
             Needs::Location => place("location")?,
             Needs::Parents => place("parent")?,
-            Needs::Number(..) => 0,
+            Needs::Number(..) | Needs::Nothing => 0,
         };
         let number = match kind.needs {
             Needs::Number(name, least, most) | Needs::ServerAnd(name, least, most) => {
@@ -226,7 +236,7 @@
                 arguments.number(name, range, false)?.ok_or_else(|| missing(name))?
             }
             Needs::Parents => arguments.number("to", (0.0, 1e6), true)?.ok_or_else(|| missing("to"))?,
-            Needs::Server | Needs::Location => 0.0,
+            Needs::Server | Needs::Location | Needs::Nothing => 0.0,
         };
         arguments.end()?;
         collect(|experiment| {
@@ -270,6 +280,7 @@
             let mut plan = Plan { way, ..experiment.plan.clone() };
             arguments.knobs(FLEET, &mut plan)?;
             arguments.knobs(TIERS, &mut plan)?;
+            arguments.knobs(SITES, &mut plan)?;
             arguments.knobs(LOAD, &mut plan)?;
             arguments.end()?;
             experiment.variants.push(Variant { name, plan });
@@ -387,6 +398,9 @@
         if let Some(n) = plan.faults.iter().find_map(parent) {
             return Err(wrong(&format!("fault(): parent: there are {}, got {n}", plan.parents)));
         }
+        if plan.sites.is_some() && plan.locations < 2 {
+            return Err(wrong("sites(): expected two locations or more"));
+        }
         if plan.spare >= plan.caches {
             return Err(wrong(&format!("fleet(): spare: expected less than caches, {}", plan.caches)));
         }
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -2,11 +2,12 @@
 //!
 //! Must never know what a fault does.
 
-use linnethook_model::plan::Fault;
+use linnethook_model::plan::{Blow, Fault};
 
 /// What a kind of fault needs beside its time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Needs {
+    Nothing,
     Server,
     Location,
     /// A parent, counted among the parents, and another.
@@ -48,6 +49,10 @@
     kind("drain", Needs::Server, |n, _| Fault::Drain(n)),
     kind("cut", Needs::Location, |n, _| Fault::Cut(n, true)),
     kind("mend", Needs::Location, |n, _| Fault::Cut(n, false)),
+    kind("link cut", Needs::Nothing, |_, _| Fault::Link(Blow::Cut)),
+    kind("link silent", Needs::Nothing, |_, _| Fault::Link(Blow::Silent)),
+    kind("link slow", Needs::Number("times", 0, 10_000), |_, times| Fault::Link(Blow::Slow(times))),
+    kind("link mended", Needs::Nothing, |_, _| Fault::Link(Blow::Mend)),
     kind("list late", Needs::Number("late", 0, 1_000_000), |_, late| Fault::ListLate(late)),
     kind("move", Needs::Parents, |n, to| Fault::Move(n, to as usize)),
     kind("rate", Needs::Number("times", 0, 1_000), |_, times| Fault::Rate(times)),
@@ -70,6 +75,10 @@
         Fault::Slow(n, times) => ("slow", server(n), Some(("times", *times))),
         Fault::Drain(n) => ("drain", server(n), None),
         Fault::Cut(n, on) => (if *on { "cut" } else { "mend" }, location(n), None),
+        Fault::Link(Blow::Cut) => ("link cut", None, None),
+        Fault::Link(Blow::Silent) => ("link silent", None, None),
+        Fault::Link(Blow::Slow(times)) => ("link slow", None, Some(("times", *times))),
+        Fault::Link(Blow::Mend) => ("link mended", None, None),
         Fault::ListLate(late) => ("list late", None, Some(("late", *late))),
         Fault::Move(n, to) => ("move", Some(("parent", *n)), Some(("to", *to as f64))),
         Fault::Rate(times) => ("rate", None, Some(("times", *times))),
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -2,7 +2,7 @@
 //!
 //! Must never hold a default: those are the model's.
 
-use linnethook_model::plan::{Plan, Tiers};
+use linnethook_model::plan::{Plan, Sites, Tiers};
 use linnethook_operator::knobs::Knob;
 
 use crate::experiment::WAYS;
@@ -139,6 +139,49 @@
     ),
 ];
 
+macro_rules! site {
+    ($name:literal, $unit:literal, $least:expr, $most:expr, $place:ident, $about:literal) => {
+        Knob {
+            name: $name,
+            about: $about,
+            unit: $unit,
+            least: $least,
+            most: $most,
+            whole: false,
+            scale: 1.0,
+            get: |plan: &Plan| plan.sites.unwrap_or_default().$place,
+            set: |plan: &mut Plan, value| plan.sites.get_or_insert_default().$place = value,
+        }
+    };
+}
+
+/// What `sites(...)` sets: the locations are two sites, and their routers gateways.
+pub const SITES: &[Knob<Plan>] = &[
+    Knob {
+        name: "sites",
+        about: "whether there are two, 0 or 1",
+        unit: "",
+        least: 0.0,
+        most: 1.0,
+        whole: true,
+        scale: 1.0,
+        get: |plan: &Plan| f64::from(u8::from(plan.sites.is_some())),
+        set: |plan: &mut Plan, value| {
+            plan.sites = (value > 0.5).then(|| -> Sites { plan.sites.unwrap_or_default() });
+        },
+    },
+    site!("link_delay", "milliseconds", 0.0, 1e4, delay, "one way between the sites"),
+    site!(
+        "link_carries",
+        "bytes a second",
+        1e3,
+        1e12,
+        carries,
+        "in each direction, for all gateways together"
+    ),
+    site!("fresh", "milliseconds", 0.0, 1e6, fresh, "how new what is known of the other side must be"),
+];
+
 /// What `fleet(...)` sets.
 pub const FLEET: &[Knob<Plan>] = &[
     knob!(whole "locations", usize, 1.0, 1_000.0, locations, "locations"),
@@ -211,7 +254,7 @@
 
 /// Settings of all tables.
 pub fn all() -> impl Iterator<Item = &'static Knob<Plan>> {
-    FLEET.iter().chain(TIERS).chain(LOAD)
+    FLEET.iter().chain(TIERS).chain(SITES).chain(LOAD)
 }
 
 /// A setting by its name, of any table.
@@ -223,7 +266,7 @@
 pub fn written(plan: &Plan, about: &str) -> String {
     let plain = Plan::default();
     let mut text: String = about.lines().map(|line| format!("# {line}\n")).collect();
-    for (function, knobs) in [("fleet", FLEET), ("hierarchy", TIERS), ("demand", LOAD)] {
+    for (function, knobs) in [("fleet", FLEET), ("hierarchy", TIERS), ("sites", SITES), ("demand", LOAD)] {
         let differs = |knob: &&Knob<Plan>| (knob.get)(plan) != (knob.get)(&plain);
         let given: Vec<String> = knobs
             .iter()
--- a/crates/model/src/notes.rs
+++ b/crates/model/src/notes.rs
@@ -52,6 +52,10 @@
 }
 
 impl Notes {
+    pub fn are_wanted(&self) -> bool {
+        self.lines.is_some()
+    }
+
     pub fn wanted() -> Self {
         Self { lines: Some(Vec::new()) }
     }
@@ -137,6 +141,22 @@
         });
     }
 
+    /// A request passed the link between two sites whole; the proof that one never ran did.
+    pub fn crossed(
+        &mut self,
+        now: Micros,
+        to: String,
+        id: String,
+        token: Option<(u64, u64)>,
+        passed: Vec<String>,
+    ) {
+        self.put(now, || What::Crossed { to, id, token, passed });
+    }
+
+    pub fn proven(&mut self, now: Micros, token: (u64, u64)) {
+        self.put(now, || What::Proven { token });
+    }
+
     pub fn started(&mut self, now: Micros, plan: &Plan, server: usize, able: f64, cold: ColdStart) {
         let cold = Cold {
             capacity: able,
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -24,6 +24,34 @@
     pub homes: usize,
 }
 
+/// Two sites, whose routers are gateways to each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sites {
+    /// One way between them in milliseconds, and bytes a second in each direction.
+    pub delay: f64,
+    pub carries: f64,
+    /// How new what is known of the other side must be for its requests to be let in, in milliseconds.
+    pub fresh: f64,
+}
+
+impl Default for Sites {
+    fn default() -> Self {
+        Self { delay: 10.0, carries: 2e7, fresh: 200.0 }
+    }
+}
+
+/// What befalls the link between two sites.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Blow {
+    /// Connections are reset; new ones fail until it is mended.
+    Cut,
+    /// Nothing passes any more, and nothing is said of it.
+    Silent,
+    /// So many times the delay.
+    Slow(f64),
+    Mend,
+}
+
 impl Tiers {
     /// For how long children may be on their way from one source to another. While the tiers above are short, the shield
     /// lets stages stand still.
@@ -95,6 +123,8 @@
     pub repeats: f64,
     /// Without it a cache fills from any parent that is listed.
     pub tiers: Option<Tiers>,
+    /// Without them there is one site.
+    pub sites: Option<Sites>,
     pub demand: DemandRule,
     pub crowds: Vec<Crowd>,
     pub faults: Vec<(f64, Fault)>,
@@ -147,6 +177,7 @@
             heed: true,
             repeats: 0.0,
             tiers: None,
+            sites: None,
             demand: DemandRule { objects: 20_000, ..DemandRule::default() },
             crowds: Vec::new(),
             faults: Vec::new(),
@@ -290,6 +321,8 @@
     /// Locations that fill from one parent are to fill from another, both counted among the parents; nothing without the
     /// hierarchy.
     Move(usize, usize),
+    /// The link between two sites; nothing where there is one.
+    Link(Blow),
     /// So many of the objects that are asked for most are purged.
     Purge(u32),
 }
@@ -300,7 +333,8 @@
         match self {
             Self::Die(n) | Self::Start(n) | Self::Drain(n) | Self::Slow(n, _) => Some(*n),
             Self::Silent(n, _) | Self::Stall(n, _) | Self::FailFast(n, _) => Some(*n),
-            Self::Cut(..) | Self::ListLate(_) | Self::Rate(_) | Self::Purge(_) | Self::Move(..) => None,
+            Self::Cut(..) | Self::ListLate(_) | Self::Rate(_) | Self::Purge(_) => None,
+            Self::Move(..) | Self::Link(_) => None,
         }
     }
 }
--- a/crates/model/src/seen.rs
+++ b/crates/model/src/seen.rs
@@ -11,6 +11,8 @@
     pub origin: Vec<u32>,
     /// Repeats by clients, by the second in which they came.
     pub repeats: Vec<u32>,
+    /// Requests that the other site served.
+    pub across: u64,
     pub hits: u64,
     pub fills: u64,
     /// Requests that the origin worked for when nobody waited any more.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod origin;
 mod serving;
+mod sites;
 mod tiers;
 mod troubles;
 
@@ -55,6 +56,10 @@
     /// Routers hear of another shape; a hierarchy is due.
     Shape(usize),
     Tend(usize),
+    /// A gateway is due; a connection between two comes up, and bytes arrive at an end of it.
+    Gateway(usize),
+    Up(u64),
+    Bytes(u64, usize),
     /// Copies from before a purge go.
     Drop(u64, Micros),
     /// Servers take stock of their load.
@@ -114,8 +119,13 @@
     /// When it was first asked, and this time.
     first: Micros,
     since: Micros,
+    /// How long it waits, in milliseconds.
+    wait: f64,
     tries: u32,
     attempts: u8,
+    /// From the other site: the ticket of its gateway, and the name that it has there.
+    foreign: Option<u64>,
+    id: Option<Number>,
 }
 
 impl Client {
@@ -194,6 +204,7 @@
     /// Repeats that clients may still ask for.
     repeats: f64,
     tiers: tiers::Tiers,
+    sites: sites::Sites,
     /// When clients whose fills were held back had better come again.
     come_back: BTreeMap<Number, f64>,
     clients: BTreeMap<Number, Client>,
@@ -269,6 +280,7 @@
             busy: 1.0,
             repeats: 0.0,
             tiers: tiers::Tiers::default(),
+            sites: sites::Sites::default(),
             come_back: BTreeMap::new(),
             clients: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -349,6 +361,7 @@
             self.queue.add(micros(plan.report_every), Event::Stock);
         }
         self.build_tiers();
+        self.build_sites();
         self.queue.add(0, Event::Arrive);
     }
 
@@ -416,6 +429,9 @@
                 Event::List(server) => self.list(now, server),
                 Event::Shape(n) => self.reshape(now, n),
                 Event::Tend(router) => self.tend_due(now, router),
+                Event::Gateway(router) => self.gateway_due(now, router),
+                Event::Up(conn) => self.bring_up(now, conn),
+                Event::Bytes(conn, to) => self.arrives(now, conn, to),
                 Event::Drop(object, stamp) => self.drop_copies(object, stamp),
                 Event::Stock => self.stock(now),
             }
@@ -458,6 +474,12 @@
         self.places.get(&id).copied()
     }
 
+    /// Whether anything gets from a router to a server.
+    fn hears(&self, router: usize, server: usize) -> bool {
+        let zone = router / self.plan.routers.max(1);
+        usize::from(self.servers[server].member.zone) == zone || !self.cut.get(zone).is_some_and(|cut| *cut)
+    }
+
     /// Whether anything gets from one server to another; a location that is cut off reaches only its own.
     fn reaches(&self, one: usize, other: usize) -> bool {
         let zone = |n: usize| usize::from(self.servers[n].member.zone);
--- a/crates/model/src/world/clients.rs
+++ b/crates/model/src/world/clients.rs
@@ -1,6 +1,7 @@
 //! Owns the clients: they ask, wait, ask for the next part, come again when they are turned away, and leave.
 
 use linnethook::interface::{Event as Told, ObjectId, Request, RequestId};
+use linnethook_gateway::gateway::Reply;
 use rand::RngExt;
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64Mcg;
@@ -41,7 +42,20 @@
         self.repeats = (self.repeats + self.plan.repeats).min(SAVED);
         self.begin_asking(
             now,
-            Client { router, object, part: 0, books, size, first: now, since: now, tries: 0, attempts: 0 },
+            Client {
+                router,
+                object,
+                part: 0,
+                books,
+                size,
+                first: now,
+                since: now,
+                wait: self.plan.wait,
+                tries: 0,
+                attempts: 0,
+                foreign: None,
+                id: None,
+            },
         );
     }
 
@@ -55,6 +69,18 @@
     pub(super) fn ask(&mut self, now: Micros, number: Number) {
         let Some(client) = self.clients.get_mut(&number) else { return };
         client.since = now;
+        if let Some(wish) = self.wish(number) {
+            self.notes.requested(now, &wish);
+        }
+        if !self.asks_gateway(now, number) {
+            self.ask_home(now, number);
+        }
+    }
+
+    /// A request is served by its own router.
+    pub(super) fn ask_home(&mut self, now: Micros, number: Number) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        client.attempts = 0;
         let request = Request {
             id: RequestId(number),
             object: ObjectId(linnethook::ring::mix(client.object, 1)),
@@ -64,33 +90,57 @@
             size_kb: client.size / 1_000.0,
             repeat: client.tries > 0,
             write: client.books,
-            budget: self.plan.wait,
+            budget: client.wait - ms(now - client.since),
         };
         let router = client.router;
-        let wish = self.wish(number);
-        if let Some(wish) = wish {
-            self.notes.requested(now, &wish);
-        }
         self.tell(now, router, &Told::Request(request));
     }
 
     /// What is noted of a request.
     pub(super) fn wish(&self, number: Number) -> Option<Wish> {
         let client = self.clients.get(&number)?;
-        let deadline = ms(client.since) + self.plan.wait;
+        let deadline = ms(client.since) + client.wait;
         let (object, router, harmful) = (client.object, client.router, client.books);
-        Some(Wish { request: number, object, router, deadline, harmful })
+        Some(Wish { request: client.id.unwrap_or(number), object, router, deadline, harmful })
     }
 
+    /// Its router has refused it.
     pub(super) fn refused(&mut self, now: Micros, number: Number, wait: f64) {
-        self.notes.answered(now, number, REFUSED, None);
         let wait = wait.max(self.come_back.remove(&number).unwrap_or(0.0));
+        if self.ended_at_home(now, number, false, true)
+            || self.replies(now, number, |_| Reply::Refused { wait })
+        {
+            return;
+        }
+        self.client_refused(now, number, wait);
+    }
+
+    /// Its router promises nothing.
+    pub(super) fn failed(&mut self, now: Micros, number: Number) {
+        self.ended_at_home(now, number, false, false);
+        if !self.replies(now, number, |_| Reply::Failed) {
+            self.client_failed(now, number);
+        }
+    }
+
+    /// Its router has served it.
+    pub(super) fn served(&mut self, now: Micros, number: Number, dated: Option<Micros>) {
+        self.ended_at_home(now, number, true, false);
+        if !self.replies(now, number, |client| Self::body(client, dated)) {
+            self.client_served(now, number, dated);
+        }
+    }
+
+    // ---- Final answers.
+
+    pub(super) fn client_refused(&mut self, now: Micros, number: Number, wait: f64) {
+        self.notes.answered(now, number, REFUSED, None);
         if !self.comes_again(now, number, wait) {
             self.finish(now, number, End::Refused);
         }
     }
 
-    pub(super) fn failed(&mut self, now: Micros, number: Number) {
+    pub(super) fn client_failed(&mut self, now: Micros, number: Number) {
         self.notes.answered(now, number, FAILED, None);
         let may = self.plan.again_failed && self.clients.get(&number).is_some_and(|client| !client.books);
         if !(may && self.comes_again(now, number, 0.0)) {
@@ -98,7 +148,7 @@
         }
     }
 
-    pub(super) fn served(&mut self, now: Micros, number: Number, dated: Option<Micros>) {
+    pub(super) fn client_served(&mut self, now: Micros, number: Number, dated: Option<Micros>) {
         self.notes.answered(now, number, SERVED, dated);
         let next = self.clients.get(&number).filter(|c| !c.books && c.part + 1 < self.plan.parts).cloned();
         self.finish(now, number, End::Served);
--- a/crates/model/src/world/serving.rs
+++ b/crates/model/src/world/serving.rs
@@ -23,7 +23,7 @@
         let Some(client) = self.clients.get_mut(&request.0) else { return };
         let number = client.attempts;
         client.attempts += 1;
-        let left = self.plan.wait - ms(now - client.since);
+        let left = client.wait - ms(now - client.since);
         let timeout = if timeout > 0.0 { timeout.min(left) } else { left };
         self.last += 1;
         let attempt = Attempt {
@@ -118,6 +118,10 @@
     fn at_cache(&mut self, now: Micros, number: Number) {
         let Some(attempt) = self.attempts.get(&number).cloned() else { return };
         let at = attempt.server;
+        if !self.hears(attempt.router, at) {
+            // Nothing gets there, and nothing is said of it.
+            return;
+        }
         if !self.servers[at].health.up || self.servers[at].health.silent {
             _ = self.answers(now, number, at);
             return;
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -39,6 +39,7 @@
                 }
             }
             Fault::Move(from, to) => self.moves_home(now, from, to),
+            Fault::Link(blow) => self.blow(now, blow),
             Fault::ListLate(late) => self.list_late = late,
             Fault::Rate(times) => self.busy = times.max(1e-6),
             Fault::Purge(count) => self.purge(now, count),
@@ -108,6 +109,7 @@
         for router in 0..self.brains.len() {
             self.notes.listed(now, &self.plan, router, n, &member);
             self.list_tiers(now, router, n);
+            self.own_caches(now, router);
             self.tell(now, router, &Told::List { kind: ListKind::Changes, members: vec![member] });
         }
     }
--- a/crates/model/tests/day.rs
+++ b/crates/model/tests/day.rs
@@ -1,8 +1,11 @@
 //! A day of the model's fleet: how requests end, what it costs to play, and that one seed is one run.
 
+use linnethook_model::demand::DemandRule;
 use linnethook_model::plain::Way;
+use linnethook_model::plan::{Blow, Sites};
 use linnethook_model::world::{Fault, Plan, Seen, World};
 use linnethook_standins::checker::Rule;
+use linnethook_standins::record::What;
 
 fn play(plan: &Plan) -> Seen {
     World::new(plan.clone()).expect("a plan").run()
@@ -152,3 +155,38 @@
     println!("{} hits with two caches a location, {} with two more", alone.hits, helped.hits);
     assert!(helped.hits > alone.hits && helped.share() > 0.9, "{}", helped.share());
 }
+
+/// One of two sites is cut off from the hub while most is asked for, and then the link between the sites is cut and falls
+/// silent: what crosses is served, nothing runs twice, and the rules of links hold.
+#[test]
+fn a_cut_between_sites_at_the_peak() {
+    let faults = vec![
+        (5.0, Fault::Rate(2.0)),
+        (6.0, Fault::Cut(0, true)),
+        (11.0, Fault::Link(Blow::Cut)),
+        (13.0, Fault::Link(Blow::Mend)),
+        (15.0, Fault::Link(Blow::Silent)),
+        (16.5, Fault::Link(Blow::Mend)),
+        (19.0, Fault::Cut(0, false)),
+        (20.0, Fault::Rate(1.0)),
+    ];
+    let plan = Plan {
+        rate: 80.0,
+        seconds: 26.0,
+        bookings: 0.15,
+        cache_copies: 200,
+        demand: DemandRule { objects: 10_000, ..DemandRule::default() },
+        faults,
+        ..Plan::default()
+    };
+    let (alone, breaches) = World::judged(plan.clone()).expect("a plan");
+    assert!(breaches.is_empty(), "{:?}", breaches.first());
+    let plan = Plan { sites: Some(Sites::default()), ..plan };
+    let (both, lines) = World::noted(plan.clone()).expect("a plan");
+    let (again, breaches) = World::judged(plan.clone()).expect("a plan");
+    println!("{:.3} alone, {:.3} with the other site, {} across", alone.share(), both.share(), both.across);
+    assert!(breaches.is_empty(), "{:?}", breaches.first());
+    assert!(again == both && lines == World::noted(plan).expect("a plan").1, "one seed is one run");
+    let crossed = lines.iter().filter(|line| matches!(line.what, What::Crossed { .. })).count();
+    assert!(crossed > 100 && both.across > 50 && both.share() > alone.share() + 0.03, "{crossed}");
+}
--- a/crates/operator/src/knobs/gateway.rs
+++ b/crates/operator/src/knobs/gateway.rs
@@ -32,6 +32,7 @@
     knob!("window", "", (1.0, 4_096.0), 1.0, window.first, "requests that may be under way to a site at first, and after a cut"),
     knob!("window_most", "", (1.0, 65_536.0), 1.0, window.most, "and at the most"),
     knob!("window_bytes", "bytes", (65_536.0, 1e9), 1.0, window.bytes, "bytes of answers expected at a time"),
+    knob!(whole "answer", "bytes", (1_024.0, 1e9), u64, across.answer, "the longest answer that is taken from another site; one beyond it is left, and nothing else with it"),
     knob!("late", "", (0.01, 1.0), 1.0, window.bear, "share of late answers above which less goes to a site"),
     knob!("first", "", (0.0, 1.0), 1.0, routes.first, "the part of the objects that a new or returned site gets at first"),
     knob!("rise", "seconds", (0.0, 600.0), SECONDS, routes.rise, "how long until it may get all"),
--- a/crates/standins/tests/twosites.rs
+++ b/crates/standins/tests/twosites.rs
@@ -53,3 +53,16 @@
     assert!(out.reads.served * 10 > out.reads.asked * 8, "{:?}", out.reads);
     assert!(breaches(&out).is_empty());
 }
+
+/// Answers that are longer than the other site takes: each is left by itself, the connection and all else on it go on.
+#[test]
+fn an_answer_that_is_too_long_ends_nothing_else() {
+    let script = vec![(1_000.0, Blow::Caches(0, false)), (1_000.0, Blow::Store(0, false))];
+    let play = Play { length: 15_000.0, sizes: (100_000, 400_000), script, ..Play::default() };
+    let outcome = World::new(play).run();
+    println!("{:?} {:?}, down at {:?}", outcome.reads, outcome.bookings, outcome.downs);
+    assert!(outcome.downs.is_empty(), "the connection broke: {:?}", outcome.downs);
+    assert!(outcome.reads.served > 100 && outcome.reads.refused > 20, "{:?}", outcome.reads);
+    assert_eq!(outcome.bookings.failed, 0);
+    assert!(outcome.ran_twice.is_empty());
+}
