--- a/crates/learned/tests/stops.rs
+++ b/crates/learned/tests/stops.rs
@@ -349,7 +349,9 @@
 fn knowledge_ages() {
     let ages = Ages::HEALTH;
     let now = 1e9;
-    for (age, expected) in [(0.0, 1.0), (ages.half, 0.5), (2.0 * ages.half, 0.25), (ages.bound, 0.0), (-1.0, 0.0)] {
+    for (age, expected) in
+        [(0.0, 1.0), (ages.half, 0.5), (2.0 * ages.half, 0.25), (ages.bound, 0.0), (-1.0, 0.0)]
+    {
         assert!((ages.weight(now - age, now) - expected).abs() < 1e-9, "{age}");
     }
     assert_eq!(ages.weight(f64::NAN, now), 0.0);
