Model: parents of parents, and fills limited by a cache's cores

The issue names both; the model had one tier of parents and slots for requests alone. tops = N in fleet(): parents ask one of them by hash, keep what they bring, and the hierarchy's shape has the edges; fills = N turns further fills of a cache away.

--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -71,6 +71,9 @@
         ("caches that are there from the beginning", plan.spare == 0),
         ("no hierarchy", plan.tiers.is_none()),
         ("one part", plan.parts == 1),
+        ("one tier of parents", plan.tops == 0),
+        ("any number of fills", plan.fills == 0),
+        ("one site", plan.sites.is_none()),
         ("the shipped way", plan.way == plain.way),
         ("no cold starts", plan.cache_able <= 0.0 && plan.parent_able <= 0.0),
     ] {
--- a/crates/model/src/notes.rs
+++ b/crates/model/src/notes.rs
@@ -39,6 +39,7 @@
     match server {
         n if n < caches => format!("cache-{n}"),
         n if n < caches + plan.parents => format!("parent-{}", n - caches),
+        n if n < plan.origin() => format!("top-{}", n - caches - plan.parents),
         _ => "origin".to_string(),
     }
 }
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -79,12 +79,16 @@
     pub routers: usize,
     pub caches: usize,
     pub parents: usize,
+    /// Parents of the parents, which these share by hash; 0 = they ask the origin.
+    pub tops: usize,
     /// The last so many caches of each location are not there until a fault starts them.
     pub spare: usize,
     /// Copies that a cache and a parent keep, and requests that each takes at a time.
     pub cache_copies: usize,
     pub parent_copies: usize,
     pub slots: usize,
+    /// Fills that a cache takes at a time, of all its cores; 0 = any number.
+    pub fills: usize,
     /// Whether parents that are a home begin with what is asked for most.
     pub filled: bool,
     /// Bytes a second: what one transfer may have, a cache's link to its clients, a location's link for fills, and the
@@ -159,10 +163,12 @@
             routers: 2,
             caches: 4,
             parents: 2,
+            tops: 0,
             spare: 0,
             cache_copies: 1_500,
             parent_copies: 8_000,
             slots: 200,
+            fills: 0,
             filled: false,
             flow: 2e6,
             cache_link: 2e7,
@@ -211,14 +217,14 @@
 const TOLD: f64 = 8.0;
 
 impl Plan {
-    /// All servers: caches by location, then parents, then the origin.
+    /// All servers: caches by location, then parents, then their parents, then the origin.
     pub fn servers(&self) -> usize {
-        self.locations * self.caches + self.parents + 1
+        self.locations * self.caches + self.parents + self.tops + 1
     }
 
     /// What routers are told that a server can do at a time, in transfers of mean size.
     pub(crate) fn weight(&self, kind: u16) -> f64 {
-        let able = [self.cache_able, self.parent_able, 0.0][usize::from(kind)];
+        let able = [self.cache_able, self.parent_able, 0.0, self.parent_able][usize::from(kind)];
         let mean = self.demand.size * (self.demand.spread * self.demand.spread / 2.0).exp() / self.flow;
         if able > 0.0 {
             able * mean
@@ -317,7 +323,7 @@
     ];
 }
 
-/// What befalls the fleet. Servers are numbered: caches by location, then parents, then the origin.
+/// What befalls the fleet. Servers are numbered: caches by location, then parents, then their parents, then the origin.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
     /// It dies: connections are reset, what it held is lost; the list tells of it late.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -193,6 +193,8 @@
     parent: Option<usize>,
     key: u64,
     waiting: Vec<Number>,
+    /// Parents that have it through the parent that asked.
+    through: Vec<usize>,
     /// The cache that renews its copy by it.
     renews: Option<usize>,
 }
@@ -244,6 +246,8 @@
 
 const PARENT: u16 = 1;
 const ORIGIN: u16 = 2;
+/// A parent of parents, of which routers hear nothing.
+const TOP: u16 = 3;
 
 fn micros(ms: f64) -> Micros {
     (ms.max(0.0) * 1_000.0) as Micros
@@ -328,13 +332,14 @@
         let caches = plan.caches.max(1);
         let kinds = (0..plan.locations * plan.caches).map(|n| (0u16, (n / caches) as u16, n % caches));
         let kinds = kinds.chain((0..plan.parents).map(|_| (PARENT, hub, 0)));
+        let kinds = kinds.chain((0..plan.tops).map(|_| (TOP, hub, 0)));
         for (n, (kind, zone, place)) in kinds.chain(std::iter::once((ORIGIN, hub, 0))).enumerate() {
             let id = CacheId(linnethook::ring::mix(n as u64, 0x6d6f_6465));
             let there = kind != 0 || place + plan.spare < plan.caches;
             let phase = if there { Phase::Ready } else { Phase::Gone };
             let member = Member { id, cell: 0, zone, kind, weight: plan.weight(kind), since: 0.0, phase };
             let link = if kind == 0 { self.wire(plan.cache_link, plan.flow) } else { origin_link };
-            let room = [plan.cache_copies, plan.parent_copies, 0][usize::from(kind)];
+            let room = [plan.cache_copies, plan.parent_copies, 0, plan.parent_copies][usize::from(kind)];
             self.places.insert(id, n);
             self.servers.push(Server {
                 member,
@@ -361,7 +366,7 @@
                     .for_each(|rank| _ = server.copies.keep(self.demand.at_rank(0, rank), 1, 0));
             }
         }
-        let there = |member: &Member| member.phase != Phase::Gone;
+        let there = |member: &Member| member.phase != Phase::Gone && member.kind != TOP;
         let members: Vec<Member> = self.servers.iter().map(|server| server.member).filter(there).collect();
         for n in 0..plan.locations * plan.routers {
             let settings = self.settings((n / plan.routers.max(1)) as u16);
--- a/crates/model/src/world/origin.rs
+++ b/crates/model/src/world/origin.rs
@@ -4,7 +4,7 @@
 use linnethook::interface::{Note, Status};
 use rand::RngExt;
 
-use super::{micros, Event, Fault, Number, Seen, Stage, Work, World, PARENT};
+use super::{micros, Event, Fault, Number, Seen, Stage, Work, World, PARENT, TOP};
 use crate::Micros;
 
 impl World {
@@ -12,8 +12,32 @@
     pub(super) fn ask_origin(&mut self, now: Micros, number: Number, parent: Option<usize>) {
         let Some(attempt) = self.attempts.get(&number) else { return };
         let (key, write) = (attempt.key, attempt.write);
+        let max_age = attempt.fill.map_or(0.0, |fill| fill.max_age);
+        let (parent, through) = match parent.and_then(|n| Some((n, self.top_of(n, key)?))) {
+            None => (parent, None),
+            Some((below, top)) => {
+                let health = self.servers[top].health;
+                if health.fails {
+                    return self.origin_failed(now, number);
+                }
+                if health.silent || health.stalled {
+                    return;
+                }
+                if let Some(made) = self.held(now, top, key, max_age).filter(|_| !write) {
+                    self.servers[below].copies.keep(key, 1, made);
+                    if let Some(attempt) = self.attempts.get_mut(&number) {
+                        attempt.dated = Some(made);
+                    }
+                    return self.fill_moves(now, number, Note::Filled);
+                }
+                (Some(top), Some(below).filter(|_| !write))
+            }
+        };
         let joins = parent.filter(|_| !write);
         if let Some(work) = joins.and_then(|n| self.servers[n].fetching.get(&key)).copied() {
+            if let Some(work) = self.works.get_mut(&work) {
+                work.through.extend(through);
+            }
             return self.waits_for(number, work);
         }
         let origin = self.plan.origin();
@@ -43,7 +67,10 @@
         }
         self.last += 1;
         let work = self.last;
-        self.works.insert(work, Work { parent, key, waiting: Vec::new(), renews: None });
+        self.works.insert(
+            work,
+            Work { parent, key, waiting: Vec::new(), through: through.into_iter().collect(), renews: None },
+        );
         self.waits_for(number, work);
         if let Some(parent) = joins {
             self.servers[parent].fetching.insert(key, work);
@@ -59,6 +86,14 @@
         self.plan_link(self.working);
     }
 
+    /// The parent that a parent asks, of those that are there.
+    fn top_of(&self, parent: usize, key: u64) -> Option<usize> {
+        let first = self.plan.origin() - self.plan.tops;
+        let up = (first..self.plan.origin()).filter(|n| self.servers[*n].health.up);
+        let tops = up.filter(|_| self.servers[parent].member.kind == PARENT);
+        tops.min_by_key(|n| linnethook::ring::mix(key, self.servers[*n].member.id.0 ^ u64::from(TOP)))
+    }
+
     /// A cache has served an ageing copy and has it renewed behind, where the origin is there and is not asked already.
     pub(super) fn renew(&mut self, now: Micros, cache: usize, source: usize, key: u64) {
         let health = self.servers[self.plan.origin()].health;
@@ -72,7 +107,10 @@
         Seen::count(&mut self.seen.origin, (now / 1_000_000) as usize);
         self.last += 1;
         let (work, parent) = (self.last, through.then_some(source));
-        self.works.insert(work, Work { parent, key, waiting: Vec::new(), renews: Some(cache) });
+        self.works.insert(
+            work,
+            Work { parent, key, waiting: Vec::new(), through: Vec::new(), renews: Some(cache) },
+        );
         self.servers[cache].renewing.insert(key);
         if let Some(parent) = parent {
             self.servers[parent].fetching.insert(key, work);
@@ -108,6 +146,12 @@
                 self.servers[parent].copies.keep(work.key, 1, now);
             }
         }
+        for below in &work.through {
+            let below = &mut self.servers[*below];
+            if below.health.up {
+                below.copies.keep(work.key, 1, now);
+            }
+        }
         if let Some(cache) = work.renews {
             self.servers[cache].renewing.remove(&work.key);
             self.servers[cache].copies.keep(work.key, 1, now);
--- a/crates/model/src/world/serving.rs
+++ b/crates/model/src/world/serving.rs
@@ -4,7 +4,7 @@
 
 use crate::notes::Asker;
 
-use super::{micros, ms, Attempt, Event, Number, Server, Stage, World, COLD, ORIGIN, PARENT};
+use super::{micros, ms, Attempt, Event, Number, Server, Stage, World, COLD, ORIGIN, PARENT, TOP};
 use crate::Micros;
 
 /// Numbers of requests from server to server in the record, beside those of attempts.
@@ -71,7 +71,7 @@
     fn bears(&mut self, now: Micros, n: usize) -> bool {
         let (able, cold) = match self.servers[n].member.kind {
             0 => (self.plan.cache_able, COLD[0]),
-            PARENT => (self.plan.parent_able, COLD[1]),
+            PARENT | TOP => (self.plan.parent_able, COLD[1]),
             _ => return true,
         };
         let server = &mut self.servers[n];
@@ -181,6 +181,13 @@
                 return self.set_stage(number, Stage::Joined);
             }
         }
+        // Each of its cores brings in so many at a time, and no more.
+        if self.plan.fills > 0 && self.servers[at].filling.len() >= self.plan.fills && !attempt.write {
+            if let Some(attempt) = self.attempts.get_mut(&number) {
+                attempt.note = Some(Note::NoPlace);
+            }
+            return self.end(now, number, Status::Full);
+        }
         if !attempt.write {
             self.servers[at].filling.entry(attempt.key).or_default();
         }
--- a/crates/model/src/world/tiers.rs
+++ b/crates/model/src/world/tiers.rs
@@ -9,7 +9,7 @@
     Author, Batch, Brought, Change, Hierarchy, Node, NodeId, Picked, Role, Rules, Source,
 };
 
-use super::{micros, ms, Attempt, Event, Number, Stage, World, ORIGIN, PARENT};
+use super::{micros, ms, Attempt, Event, Number, Stage, World, ORIGIN, PARENT, TOP};
 use crate::Micros;
 
 /// Who writes the changes of the shape.
@@ -54,8 +54,13 @@
         for n in (0..self.servers.len()).rev() {
             let member = self.servers[n].member;
             let (role, tier, sources) = match member.kind {
-                ORIGIN => (Role::Origin, 2, Vec::new()),
-                PARENT => (Role::Parent, 1, vec![Source::new(id(origin), 0)]),
+                ORIGIN => (Role::Origin, 3, Vec::new()),
+                TOP => (Role::Parent, 2, vec![Source::new(id(origin), 0)]),
+                PARENT => {
+                    let tops = (origin - self.plan.tops..origin).map(|n| Source::new(id(n), 0));
+                    let last = Source::new(id(origin), u16::from(self.plan.tops > 0));
+                    (Role::Parent, 1, tops.chain(std::iter::once(last)).collect())
+                }
                 _ => {
                     let home = id(first + usize::from(member.zone) % homes);
                     (Role::Cache, 0, vec![Source::new(home, 0), Source::new(id(origin), 1)])
@@ -101,7 +106,8 @@
     /// The locations that fill from one parent are to fill from another.
     pub(super) fn moves_home(&mut self, now: Micros, from: usize, to: usize) {
         let Some(first) = self.tiers.routers.first() else { return };
-        let parents = self.plan.locations * self.plan.caches..self.plan.origin();
+        let caches = self.plan.locations * self.plan.caches;
+        let parents = caches..caches + self.plan.parents;
         let id = |n: usize| parents.clone().nth(n).map(|n| self.servers[n].member.id);
         let (Some(from), Some(to)) = (id(from), id(to)) else { return };
         let moved = |id: NodeId| {
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -3,7 +3,9 @@
 use linnethook::interface::{Event as Told, ListKind, Load, ObjectId, Phase, Status};
 use rand::RngExt;
 
-use super::{micros, ms, Event, Fault, Health, Number, Stage, World, COLD, ORIGIN, PARENT, PURGE_DONE, WELL};
+use super::{
+    micros, ms, Event, Fault, Health, Number, Stage, World, COLD, ORIGIN, PARENT, PURGE_DONE, TOP, WELL,
+};
 use crate::copies::Copies;
 use crate::Micros;
 
@@ -79,7 +81,7 @@
         let there: Vec<Number> = there.map(|(number, _)| *number).collect();
         there.into_iter().for_each(|number| self.end(now, number, Status::Reset));
         match kind {
-            PARENT => self.parent_lost(now, n),
+            PARENT | TOP => self.parent_lost(now, n),
             ORIGIN => return self.origin_lost(now),
             _ => {}
         }
@@ -99,7 +101,7 @@
             server.renewing.clear();
             let (able, cold) = match server.member.kind {
                 0 => (self.plan.cache_able, COLD[0]),
-                PARENT => (self.plan.parent_able, COLD[1]),
+                PARENT | TOP => (self.plan.parent_able, COLD[1]),
                 _ => return,
             };
             server.member.since = ms(now);
@@ -113,6 +115,10 @@
     /// Routers hear how a server stands now.
     pub(super) fn list(&mut self, now: Micros, n: usize) {
         let Some(member) = self.servers.get(n).map(|server| server.member) else { return };
+        // Routers name no parent of a parent; the hierarchy knows them.
+        if member.kind == TOP {
+            return (0..self.brains.len()).for_each(|router| self.list_tiers(now, router, n));
+        }
         for router in 0..self.brains.len() {
             self.notes.listed(now, &self.plan, router, n, &member);
             self.list_tiers(now, router, n);
--- a/crates/model/tests/day.rs
+++ b/crates/model/tests/day.rs
@@ -2,7 +2,7 @@
 
 use linnethook_model::demand::DemandRule;
 use linnethook_model::plain::Way;
-use linnethook_model::plan::{Blow, Sites};
+use linnethook_model::plan::{Blow, Sites, Tiers};
 use linnethook_model::world::{Fault, Plan, Seen, World};
 use linnethook_standins::checker::Rule;
 use linnethook_standins::record::What;
@@ -213,3 +213,22 @@
     let longest = |seen: &Seen| seen.took.iter().copied().fold(0.0, f32::max);
     assert!(longest(&old) > longest(&young) * 2.0, "{} {}", longest(&old), longest(&young));
 }
+
+/// Parents of parents take what reaches the origin; one of them dies and comes back, and the rules are kept. A cache that takes few
+/// fills at a time turns the others away.
+#[test]
+fn parents_in_tiers_and_fills_by_cores() {
+    let plan = Plan { parents: 4, parent_copies: 600, seconds: 16.0, rate: 150.0, ..Plan::default() };
+    let tiers = Some(Tiers { homes: 4, ..Tiers::default() });
+    let two = Plan { tops: 2, tiers, ..plan.clone() };
+    let faults = vec![(6.0, Fault::Die(12)), (9.0, Fault::Start(12))];
+    let (one, tiered) = (play(&Plan { tiers, ..plan.clone() }), play(&two));
+    println!("{} and {} fills by the origin", one.fills, tiered.fills);
+    assert!(tiered.fills < one.fills && tiered.share() > 0.95, "{} {}", tiered.fills, tiered.share());
+    let (seen, breaches) = World::judged(Plan { faults, ..two }).expect("a plan");
+    assert!(breaches.is_empty() && seen.share() > 0.9, "{:?} {}", breaches.first(), seen.share());
+    let (any, few) =
+        (play(&Plan { way: Way::Hash, ..plan.clone() }), play(&Plan { way: Way::Hash, fills: 1, ..plan }));
+    let turned = |seen: &Seen| seen.repeats.iter().sum::<u32>() + seen.refused.iter().sum::<u32>();
+    assert!(turned(&few) > turned(&any) + 20, "{} {}", turned(&few), turned(&any));
+}
