Learn how much a cache can send where the list tells no weights

Cause: with tier.weights = none every weight is 1, so crowding(), LINK_GATE.most (twice the sum of weights) and the cold allowances took each cache for one transfer wide.

Change: Settings.unweighted (weight-source off); a cache's size is what its hits show, requests in hand times sending time over time taken, where they slowed each other or where that is more than known; a guess until then. A parent is taken for 0.3 of its share of all caches (told parents at the pneus sites have 0.35 to 0.8 of it).

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -75,6 +75,7 @@
     report: Report,
     resolution: Ms,
     rules: Rules,
+    weight_source: WeightSource,
 }
 
 impl Default for Text {
@@ -91,6 +92,7 @@
             report: Report::default(),
             resolution: 1.0,
             rules: Rules::default(),
+            weight_source: WeightSource::default(),
         }
     }
 }
@@ -127,6 +129,17 @@
     }
 }
 
+/// What the list's weights are.
+#[derive(Deserialize, Default, Clone, Copy, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum WeightSource {
+    Off,
+    #[default]
+    Nominal,
+    Rough,
+    Live,
+}
+
 #[derive(Deserialize, Default, Clone, Copy, PartialEq)]
 #[serde(rename_all = "snake_case")]
 enum Discovery {
@@ -285,6 +298,7 @@
         zone: told.locality,
         classes,
         tick: told.resolution,
+        unweighted: told.weight_source == WeightSource::Off,
         ask_for_list: told.discovery == Discovery::OnRequest,
         max_attempts: allowed.max_attempts,
         parallel_attempts: allowed.parallel_tries,
@@ -377,7 +391,7 @@
         let (settings, fields) = (told.settings, told.report);
         assert!(fields.is_empty() && settings.classes.is_empty());
         assert_eq!((settings.parent_kind, settings.origin_kind), (None, None));
-        assert!(!settings.ask_for_list && settings.tells == Tells::Nothing);
+        assert!(!settings.unweighted && !settings.ask_for_list && settings.tells == Tells::Nothing);
         assert_eq!(settings.class(3).effect, Effect::Unsafe);
     }
 
@@ -398,6 +412,7 @@
                  "window": 3000, "worth": 3, "late-worth": 0.2, "aim-stretch": 1.5, "streamed": true},
                 {"objective": 300, "deadline": 2500, "effect": "read_like", "worth": 1}],
             "report": {"fields": ["outstanding", "utilization", "x1", "x0", "backlog"]},
+            "weight-source": "off",
             "rules": {"cold": 15000, "drain-grace": 250, "fall": 3000, "fall-multiple": 3,
                       "start-capacity": 0.25}}"#;
         let told = decode(text).expect("settings");
@@ -424,6 +439,7 @@
         assert_eq!((class.effect, class.write), (Effect::Safe, false));
         assert_eq!((class.fresh, class.grace, class.stale_worth), (12_000.0, 20_000.0, 0.7));
         assert!(settings.ask_for_list && settings.may_cancel && settings.may_probe && settings.retry_after);
+        assert!(settings.unweighted);
         assert!(settings.parallel_attempts && settings.direct && settings.joins);
         assert_eq!((settings.routers, settings.zone, settings.max_attempts), (5, 1, 6));
         assert_eq!((settings.tick, settings.max_retry_after, settings.drain_grace), (2.0, 900.0, 250.0));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,14 @@
 const SALT_PART: u64 = 0x7061_7274;
 const SALT_DEAL: u64 = 0x6465_616c;
 
+/// Where the list tells no sizes: the transfers that a cache is taken to send at once until its answers tell, the
+/// weight of one that does, how many times its sending time such a one takes at least, and the part of what
+/// a parent's share of all caches can send that is within what the parent can.
+const SIZE_GUESS: f64 = 5.0;
+const SIZE_WEIGHT: f64 = 0.1;
+const SIZE_SLOWED: f64 = 1.3;
+const SIZE_PARENT: f64 = 0.3;
+
 /// The owner is far busier when it has this multiple of the others' mean in flight, and more by so many times
 /// this router's part of what fills its link. A sibling fill drains that link as much as an answer does.
 const BUSY_RATIO: f64 = 3.0;
@@ -147,6 +155,8 @@
     ring: Ring<CacheId>,
     /// By cache, where a hierarchy says what it may be filled from.
     feeds: BTreeMap<CacheId, Feeds>,
+    /// Caches in all locations.
+    caches: usize,
     /// What the location's caches could send at once at most: its link does not shrink with those lost.
     at_once: f64,
     open: BTreeMap<RequestId, Open>,
@@ -192,6 +202,7 @@
             servers: BTreeMap::new(),
             ring: Ring::default(),
             feeds: BTreeMap::new(),
+            caches: 0,
             at_once: 0.0,
             open: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -261,23 +272,27 @@
             }
             ListKind::Failed | ListKind::Changes => {}
         }
+        if kind == ListKind::Complete {
+            let above = |m: &&Member| self.set.is_parent(m) || self.set.is_origin(m);
+            self.caches = members.len() - members.iter().filter(above).count();
+        }
         let empty = |id: CacheId| TwoGenerations::new(FILTER_BITS, FILTER_HASHES, id.0);
         // Caches of other locations are none of this router's business, and most of a large fleet.
         let near = |m: &&Member| self.set.is_own(m) || self.set.is_parent(m) || self.set.is_origin(m);
         for member in members.iter().filter(near) {
-            let fresh = || Server::new(*member, self.now, empty(member.id), SEND_GATE.most);
-            let server = self.servers.entry(member.id).or_insert_with(fresh);
+            let fresh = |size| Server::new(*member, self.now, size, empty(member.id), SEND_GATE.most);
+            let server = self.servers.entry(member.id).or_insert_with(|| fresh(SIZE_GUESS));
             // A restart empties it: a filter can't forget, and its health starts anew.
             if member.since > server.member.since {
                 let in_flight = server.in_flight;
-                *server = Server { in_flight, ..fresh() };
+                *server = Server { in_flight, ..fresh(server.size.value) };
             }
             server.member = *member;
         }
         let all = self.servers.values().map(|server| server.member);
         let ready: Vec<Member> = all.filter(|m| m.phase == Phase::Ready && self.set.is_own(m)).collect();
         let sum: f64 = ready.iter().map(|m| m.weight).sum();
-        self.at_once = self.at_once.max(sum);
+        self.at_once = self.at_once.max(ready.iter().map(|m| self.size(m.id)).sum());
         let mean = sum / ready.len() as f64;
         let size = |m: &Member| if mean > 0.0 { m.weight / mean } else { 1.0 };
         let points = |m: &Member| (RING_POINTS * size(m)).clamp(1.0, RING_POINTS * 4.0) as u32;
@@ -286,6 +301,18 @@
         });
     }
 
+    /// How many transfers a server can send at once: by the list, or where that does not tell, by its answers.
+    fn size(&self, id: CacheId) -> f64 {
+        let Some(server) = self.servers.get(&id) else { return SIZE_GUESS };
+        if !self.set.unweighted {
+            return server.member.weight.max(0.01);
+        }
+        match self.set.is_parent(&server.member) {
+            true => SIZE_PARENT * SIZE_GUESS * self.caches as f64 / self.parents().count().max(1) as f64,
+            false => server.size.value.max(0.01),
+        }
+    }
+
     fn origin(&self) -> Option<CacheId> {
         let up = |s: &&Server| self.set.is_origin(&s.member) && s.member.phase == Phase::Ready;
         self.servers.values().find(up).map(|s| s.member.id)
@@ -649,14 +676,14 @@
 
     /// This router's requests in flight at a cache, for its size.
     fn load(&self, id: CacheId) -> f64 {
-        self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / s.member.weight.max(0.01))
+        self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / self.size(id))
     }
 
     /// How full a cache's link is, with what the location's other routers usually have there.
     fn crowding(&self, id: CacheId) -> f64 {
         self.servers.get(&id).map_or(0.0, |s| {
             let others = f64::from(self.set.routers_for(&s.member) - 1);
-            (f64::from(s.in_flight) + others * s.usual.mean) / s.member.weight.max(0.01)
+            (f64::from(s.in_flight) + others * s.usual.mean) / self.size(id)
         })
     }
 
@@ -669,10 +696,10 @@
         let others: Vec<CacheId> = caches.iter().copied().filter(|&id| id != owner).collect();
         let least = self.least_busy(&others)?;
         let mean = others.iter().map(|&id| self.load(id)).sum::<f64>() / others.len() as f64;
-        let even = mean * self.servers[&owner].member.weight;
+        let even = mean * self.size(owner);
         let mine = f64::from(self.servers[&owner].in_flight);
         let routers = f64::from(self.set.routers_for(&self.servers[&owner].member));
-        let more = BUSY_MORE * self.servers[&owner].member.weight / routers;
+        let more = BUSY_MORE * self.size(owner) / routers;
         (mine > even * BUSY_RATIO && mine > even + more).then_some(least)
     }
 
@@ -693,7 +720,7 @@
     /// and the most at once; `None` where there is no limit.
     fn cold_rate(&self, server: &Server) -> Option<(f64, f64)> {
         let routers = f64::from(self.set.routers_for(&server.member));
-        let rate = self.cold_share(server)? * server.member.weight / routers;
+        let rate = self.cold_share(server)? * self.size(server.member.id) / routers;
         Some((rate, rate * self.set.cold_start(&server.member).window * COLD_BURST))
     }
 
@@ -771,6 +798,7 @@
         if held && (late || outcome.status == Status::Ok) {
             let took = if outcome.status == Status::Ok { outcome.took } else { f64::INFINITY };
             self.judge_sending(&attempt, took);
+            self.learn_size(&attempt, outcome);
         }
         let to_avoid = self.judge_servers(&attempt, outcome);
         let id = outcome.attempt.request;
@@ -914,6 +942,17 @@
         }
     }
 
+    /// What a cache sends in all, by how long an answer took beside the others that it had in hand: as much as
+    /// it can if they slowed each other, and at least that much if not.
+    fn learn_size(&mut self, attempt: &Attempt, outcome: &Outcome) {
+        let Some(server) = self.servers.get_mut(&attempt.cache) else { return };
+        let Some(in_hand) = outcome.load.in_flight.filter(|_| outcome.status == Status::Ok) else { return };
+        let sent = in_hand.max(1.0) * attempt.work / outcome.took.max(1.0);
+        if sent > server.size.value || outcome.took > SIZE_SLOWED * attempt.work {
+            server.size.blend(sent, SIZE_WEIGHT);
+        }
+    }
+
     /// Takes in what a cache of the location tells of the link that all its caches share.
     fn note_load(&mut self, id: CacheId, load: &Load) {
         let own = |s: &Server| self.set.is_own(&s.member);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -125,6 +125,8 @@
     pub zone: u16,
     pub classes: Vec<Class>,
     pub tick: Ms,
+    /// The list tells nothing of sizes: its weights are all the same.
+    pub unweighted: bool,
     /// The list of caches must be asked for.
     pub ask_for_list: bool,
     pub max_attempts: u32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,8 @@
     pub gap: Mean,
     /// What it takes for its answers, in wanted times.
     pub pace: Mean,
+    /// How many transfers it can send at once, by its answers.
+    pub size: Mean,
     pub in_flight: u32,
     /// Its usual number in flight.
     pub usual: Level,
@@ -35,7 +37,7 @@
 }
 
 impl Server {
-    pub fn new(member: Member, now: Ms, filter: TwoGenerations, gate: f64) -> Self {
+    pub fn new(member: Member, now: Ms, size: f64, filter: TwoGenerations, gate: f64) -> Self {
         Self {
             member,
             health: Health::default(),
@@ -44,6 +46,7 @@
             down: 0.0,
             gap: Mean::new(0.0),
             pace: Mean::new(0.0),
+            size: Mean::new(size),
             in_flight: 0,
             usual: Level::new(now),
             late: Mean::new(0.0),
