Deal parts by learned size, and put late and refused fills down to what made them so

Checked and dropped: the parents' health (rarely out), the link (told 0.5 to 1 while fills were refused).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -122,12 +122,6 @@
 const LINK_GATE: GateRule =
     GateRule { part: 0.08, span: 5e3, bear: 0.25, cut: 0.85, gap: 2e2, raise: 1.0, least: 1.0, most: 2.0 };
 
-/// Weight of a new report of the link, for how long one holds, and how full, in transfers over those that
-/// fit at full pace, a link with room is told to be. Reports lag: it is well below what slows clients.
-const LINK_TOLD_WEIGHT: f64 = 0.25;
-const LINK_TOLD_FOR: Ms = 2_000.0;
-const LINK_ROOM: f64 = 0.8;
-
 /// How crowded a cache may be, in its link's transfers, before what comes is refused: cut while many of its
 /// hits are late. `most` lets a short pause fill up its waiting room.
 const SEND_GATE: GateRule =
@@ -244,7 +238,7 @@
             }
             Event::Gone(id) => self.close(*id),
             Event::Outcome(outcome) => self.on_outcome(outcome),
-            Event::Probed { cache, load, .. } => self.note_load(*cache, load),
+            Event::Probed { .. } => {}
             Event::Timer(LOOK) => self.look_round(),
             Event::Timer(token) => self.waiting.remove(token).into_iter().for_each(|id| self.place(id)),
             Event::Purged { object, group, ago } => {
@@ -561,9 +555,7 @@
         let mut several = holders[..several.min(holders.len())].to_vec();
         let item = self.item(request);
         // By rendezvous hash, in proportion to their weights.
-        let far = |id: &CacheId| {
-            -fraction(mix(item, id.0 ^ SALT_DEAL)).ln() / self.servers[id].member.weight.max(0.01)
-        };
+        let far = |id: &CacheId| -fraction(mix(item, id.0 ^ SALT_DEAL)).ln() / self.size(*id);
         several.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
         let least = self.least_busy(&several);
@@ -768,7 +760,6 @@
 
     fn on_outcome(&mut self, outcome: &Outcome) {
         let Some(attempt) = self.attempts.remove(&outcome.attempt) else { return };
-        self.note_load(outcome.cache, &outcome.load);
         self.link.usual.pass(self.now, self.link.filling, USUAL);
         self.link.filling = (self.link.filling - attempt.filling).max(0.0);
         if let Some(server) = self.servers.get_mut(&attempt.cache) {
@@ -875,7 +866,10 @@
     /// Meets a slow, crowded or stopped origin, purges and losses that send everybody there at once, and
     /// a link that can't carry the fills. Might hurt by refusing misses that would have been just in time.
     fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome) {
-        if outcome.note == Some(Note::OriginFailed) {
+        // Where it is not told why, what the origin was asked for and refused was past its rate.
+        let untold = self.set.tells != Tells::All && outcome.status == Status::Full;
+        let refused = untold && attempt.source.is_some() && attempt.source == self.origin();
+        if outcome.note == Some(Note::OriginFailed) || refused {
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         // Taken back by its client before it was late, it tells nothing: many would shut out all fills.
@@ -919,12 +913,6 @@
         if late && (own || self.clearly_slow(source)) {
             return;
         }
-        // The link itself is told to have room: what is late is crowded out at the cache.
-        let crowded_out = late && self.set.tells != Tells::All && self.link_has_room();
-        if crowded_out {
-            self.judge_sending(attempt, f64::INFINITY);
-        }
-        let late = late && !crowded_out;
         let most = LINK_GATE.most * self.at_once.max(1.0);
         self.link_gate.limit = self.link_gate.limit.min(most);
         let used = self.all_filling() / self.mean_size();
@@ -953,20 +941,6 @@
         }
     }
 
-    /// Takes in what a cache of the location tells of the link that all its caches share.
-    fn note_load(&mut self, id: CacheId, load: &Load) {
-        let own = |s: &Server| self.set.is_own(&s.member);
-        if let Some(link) = load.link.filter(|_| self.servers.get(&id).is_some_and(own)) {
-            self.link.told.add(link, LINK_TOLD_WEIGHT);
-            self.link.told_at = self.now;
-        }
-    }
-
-    fn link_has_room(&self) -> bool {
-        let fresh = self.link.told.seen > 0.0 && self.now - self.link.told_at < LINK_TOLD_FOR;
-        fresh && self.link.told.value < LINK_ROOM
-    }
-
     /// Counts one good or bad answer of a server; `None` tells nothing of it.
     fn judge(&mut self, id: CacheId, good: Option<bool>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,9 +75,6 @@
     /// Work of this router's fills that are under way, and how much that usually is.
     pub filling: Ms,
     pub usual: Level,
-    /// How full it is told to be, and when it was told last.
-    pub told: Mean,
-    pub told_at: Ms,
 }
 
 /// One attempt that is out.
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -77,3 +77,58 @@
     };
     assert_eq!(crowd(100.0), crowd(290.0));
 }
+
+/// Where notes say nothing of failures, the origin's refusals show that more than its rate is asked of it.
+#[test]
+fn refusals_of_the_origin_are_its_own_where_only_hits_are_told() {
+    let fills = |refused: bool| {
+        let no_parents = everyone().into_iter().filter(|member| member.kind != PARENT).collect();
+        let mut world = World::with(layout(false), no_parents);
+        for object in 1000..1100 {
+            world.pass(50.0);
+            let Some(sent) = world.ask(SAFE, object) else { continue };
+            let status = if refused { Status::Full } else { Status::Ok };
+            world.end_after(sent, status, (!refused).then_some(Note::Filled), 110.0);
+        }
+        let tried = (2000..2100).filter(|&object| {
+            world.pass(50.0);
+            let Some(sent) = world.ask(SAFE, object) else { return false };
+            world.end_after(sent, Status::Miss, None, 10.0);
+            sent.fill.is_some_and(|fill| fill.source == THE_ORIGIN)
+        });
+        tried.count()
+    };
+    let (sound, refusing) = (fills(false), fills(true));
+    assert!(sound > 90 && refusing < sound / 2, "{refusing} of {sound} still filled from the origin");
+}
+
+#[test]
+fn parts_are_dealt_by_what_each_cache_can_send() {
+    let mut world = World::with(layout(true), unweighted());
+    // Part after part, the first cache sends ten at full pace, the others two.
+    let mut count = [0; 2];
+    for part in 1..3000 {
+        world.pass(20.0);
+        let request = Request { part, ..world.request(SAFE, 7) };
+        let Some(sent) = world.submit(request) else { continue };
+        let wide = sent.cache == CACHES[0];
+        if part > 1000 {
+            count[usize::from(wide)] += 1;
+        }
+        world.tell(Event::Outcome(Outcome {
+            attempt: sent.attempt,
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: if wide { 100.0 } else { 200.0 },
+            waited: 0.0,
+            note: Some(Note::Hit),
+            load: Load { in_flight: Some(if wide { 10.0 } else { 4.0 }), ..Load::default() },
+        }));
+    }
+    let share = f64::from(count[1]) / f64::from(count[0] + count[1]);
+    assert!(
+        (0.6..0.8).contains(&share),
+        "{share:.2} of the parts go to a cache five times as wide as each other"
+    );
+}
