Let the next cache stand in for a crowded owner where arcs don't go by size

At fault: without weights the ring gives small caches as much as large ones, and read_route() refused at the owner. Change: there the first on the ring that would be in time takes it; where the list tells sizes nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -579,12 +579,14 @@
             }
         }
         // What a crowded cache would answer too late is refused, the least worth for its work first. Meets
-        // bursts, lost neighbours and slow caches; might hurt where sizes are neither told nor learnt.
+        // bursts, lost neighbours and slow caches; might hurt where sizes are neither told nor learnt. Where
+        // arcs don't go by size, the next on the ring that would be in time stands in for a small owner.
         let class = self.set.class(request.class);
         let aim = class.aim + class.aim_stretch * open.work;
-        if self.crowding(owner) * open.work > self.servers[&owner].gate.limit * aim {
-            return None;
-        }
+        let late = |id: &CacheId| self.crowding(*id) * open.work > self.servers[id].gate.limit * aim;
+        let mut others = holders.iter().copied().filter(|_| self.set.unweighted);
+        let owner = if late(&owner) { others.find(|id| !late(id))? } else { owner };
+        let known = shows(&owner);
         // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
         // what is held, here or at the parent, and is refused at once if that is nothing. What the filter
         // shows may still be past its fresh time, and then has to be renewed at the origin.
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -132,3 +132,23 @@
         "{share:.2} of the parts go to a cache five times as wide as each other"
     );
 }
+
+/// What its owner would send too late another cache may still send in time.
+#[test]
+fn the_next_cache_stands_in_for_an_owner_too_crowded_to_be_in_time() {
+    let mut world = World::with(layout(true), unweighted());
+    let objects = world.owned(CACHES[0]);
+    (0..60).for_each(|n| {
+        world.pass(50.0);
+        hit(&mut world, objects[n % objects.len()], 400.0, 4.0);
+    });
+    // Its filter forgets: none of these can be filled from it.
+    world.pass(25_000.0);
+    let before = world.sent.len();
+    for &object in objects.iter().take(12) {
+        world.ask(SAFE, object);
+    }
+    let sent = &world.sent[before..];
+    let stood_in = sent.iter().filter(|sent| sent.cache != CACHES[0]).count();
+    assert!(sent.len() == 12 && stood_in > 0 && world.finals.is_empty(), "{stood_in} of {}", sent.len());
+}
