Deal all objects by what caches can send where the list tells no sizes

Change: where sizes are learnt, every object is dealt by rendezvous hash over the location's caches, by learned size, as parts were before; the stand-in for a crowded owner is the next in that order. The ring stays where weights are told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -551,10 +551,15 @@
         let ramped: Vec<CacheId> = usable.iter().copied().filter(|&id| self.ramped(id, request)).collect();
         let holders = if ramped.is_empty() { &usable } else { &ramped };
         // The parts of a watched object are dealt out among its holders, so that these cost no further fills.
-        let several = if request.part > 0 { WATCHED_HOLDERS } else { 1 };
+        // Where the list tells no sizes all is dealt, to every cache: arcs of the ring would be too alike.
+        let several = match request.part {
+            _ if self.set.unweighted => holders.len(),
+            0 => 1,
+            _ => WATCHED_HOLDERS,
+        };
         let mut several = holders[..several.min(holders.len())].to_vec();
         let item = self.item(request);
-        // By rendezvous hash, in proportion to their weights.
+        // By rendezvous hash, in proportion to what they can send.
         let far = |id: &CacheId| -fraction(mix(item, id.0 ^ SALT_DEAL)).ln() / self.size(*id);
         several.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
@@ -580,11 +585,11 @@
         }
         // What a crowded cache would answer too late is refused, the least worth for its work first. Meets
         // bursts, lost neighbours and slow caches; might hurt where sizes are neither told nor learnt. Where
-        // arcs don't go by size, the next on the ring that would be in time stands in for a small owner.
+        // sizes are only learnt, the next that would be in time stands in for an owner.
         let class = self.set.class(request.class);
         let aim = class.aim + class.aim_stretch * open.work;
         let late = |id: &CacheId| self.crowding(*id) * open.work > self.servers[id].gate.limit * aim;
-        let mut others = holders.iter().copied().filter(|_| self.set.unweighted);
+        let mut others = several.iter().copied().filter(|_| self.set.unweighted);
         let owner = if late(&owner) { others.find(|id| !late(id))? } else { owner };
         let known = shows(&owner);
         // The link and the origin are shared by all: a miss beyond what they answer in time asks only for
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -152,3 +152,31 @@
     let stood_in = sent.iter().filter(|sent| sent.cache != CACHES[0]).count();
     assert!(sent.len() == 12 && stood_in > 0 && world.finals.is_empty(), "{stood_in} of {}", sent.len());
 }
+
+/// A ring with as many points for each would give a narrow cache as much as a wide one.
+#[test]
+fn objects_of_one_part_go_by_what_each_cache_can_send_too() {
+    let mut world = World::with(layout(true), unweighted());
+    let owned =
+        |world: &mut World| (0..400).filter(|&n| world.serve(SAFE, n, Note::Hit).cache == CACHES[0]).count();
+    let before = owned(&mut world);
+    for n in 0..2000 {
+        world.pass(20.0);
+        let Some(sent) = world.ask(SAFE, n % 400) else { continue };
+        let narrow = sent.cache == CACHES[0];
+        world.tell(Event::Outcome(Outcome {
+            attempt: sent.attempt,
+            cache: sent.cache,
+            status: Status::Ok,
+            settled: true,
+            took: if narrow { 200.0 } else { 100.0 },
+            waited: 0.0,
+            note: Some(Note::Hit),
+            load: Load { in_flight: Some(if narrow { 4.0 } else { 10.0 }), ..Load::default() },
+        }));
+    }
+    // What a filter shows stays where it is held; here all has been forgotten.
+    world.pass(25_000.0);
+    let after = owned(&mut world);
+    assert!(after * 2 < before && after > 0, "{after} of {before} stay with a cache a fifth as wide");
+}
