Watch what another shape's settings would decide, and say where settings are wrong

Cause: operators of the two new fleets want to see what the module would do by their settings before they switch; and a setting of a wrong kind was told by a line and column of a text that nobody has, one out of range not at all.

Change: crates/watch is a second instance of the module with other settings and the same seed. It hears the same events as that shape would tell them, has no effect, and each decision is compared and counted by kind: owner, source, fill, refusal, cancellation, wait. Where it differs, the request is taken from it. A failure in it ends it alone. watch(...) in the operator file switches it on; off otherwise. The counts stand with the counters, and in the log once a minute. Settings: weight-source is read, the way to a wrong value is named (settings.family-info.tells: ...), ranges are checked.

Tests: counts worked out by hand, equal settings stay in step whatever happens (property), nothing kept of what is over, a failing instance; on sockets twenty requests with the same answers watched or not, counts zero with equal settings.

--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -17,7 +17,7 @@
 
 use crate::knobs::gateway::GATEWAY;
 use crate::knobs::HIERARCHY;
-use crate::script::{GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec};
+use crate::script::{GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, WatchPart};
 use crate::{changes, Bounds, Gateway, Hierarchy, Operator, Wrong};
 
 /// The first argument that makes the program do nothing but evaluate.
@@ -35,6 +35,7 @@
 struct Sent {
     control: Option<String>,
     log: Option<(bool, u32)>,
+    watch: Option<WatchPart>,
     hierarchy: Option<SentHierarchy>,
     gateway: Option<SentGateway>,
 }
@@ -78,7 +79,7 @@
             sites,
             links,
         });
-        Self { control: operator.control, log, hierarchy, gateway }
+        Self { control: operator.control, log, watch: operator.watch, hierarchy, gateway }
     }
 }
 
@@ -101,7 +102,7 @@
             let part = GatewayPart { site: sent.site, listen: sent.listen, rules };
             Gateway { part, sites: sent.sites, links: sent.links }
         });
-        Self { control: sent.control, log, hierarchy, gateway }
+        Self { control: sent.control, log, watch: sent.watch, hierarchy, gateway }
     }
 }
 
--- a/crates/operator/src/arguments.rs
+++ b/crates/operator/src/arguments.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// True, False, or as it is.
+    pub fn choice(&mut self, name: &'static str) -> anyhow::Result<Option<bool>> {
+        let Some(value) = self.take(name) else { return Ok(None) };
+        value.unpack_bool().map(Some).ok_or_else(|| self.wrong(name, "True or False", value))
+    }
+
     /// A number within a range.
     pub fn number(
         &mut self,
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,7 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use script::{evaluate, At, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec};
+use script::{evaluate, At, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, WatchPart};
 
 /// How far an evaluation may go.
 #[derive(Debug, Clone, Copy)]
@@ -65,6 +65,7 @@
     /// The path of the control socket.
     pub control: Option<String>,
     pub log: Option<Log>,
+    pub watch: Option<WatchPart>,
     pub hierarchy: Option<Hierarchy>,
     pub gateway: Option<Gateway>,
 }
@@ -117,7 +118,8 @@
         let control = parts.control.map(|(_, path)| path);
         let gateway = gateway(parts.gateway, parts.sites, parts.links);
         let gateway = gateway.map_err(|(at, what)| wrong(Some(at), what))?;
-        Ok(Self { control, log: parts.log.map(|(_, log)| log), hierarchy, gateway })
+        let (log, watch) = (parts.log.map(|(_, log)| log), parts.watch.map(|(_, watch)| watch));
+        Ok(Self { control, log, watch, hierarchy, gateway })
     }
 }
 
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -38,6 +38,7 @@
 pub struct Parts {
     pub control: Option<(At, String)>,
     pub log: Option<(At, Log)>,
+    pub watch: Option<(At, WatchPart)>,
     pub hierarchy: Option<(At, HierarchyPart)>,
     pub nodes: Vec<(At, NodeSpec)>,
     pub gateway: Option<(At, GatewayPart)>,
@@ -53,6 +54,19 @@
     pub lines_per_second: u32,
 }
 
+/// Settings of another shape that are watched beside those that decide; what is not given is as it is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WatchPart {
+    pub weight_source: Option<String>,
+    pub tells: Option<String>,
+    pub peers_fill: Option<String>,
+    pub merges_fills: Option<bool>,
+    pub bypass_allowed: Option<bool>,
+    pub max_attempts: Option<u32>,
+    /// Seconds between two lines of the log.
+    pub every: f64,
+}
+
 #[derive(Debug, Clone)]
 pub struct HierarchyPart {
     pub author: u16,
@@ -198,6 +212,30 @@
         collect(|parts| once(&mut parts.log, at, "log()", Log { json, lines_per_second: rate as u32 }))
     }
 
+    /// Counts where the settings of another shape would have decided otherwise.
+    fn watch<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("watch()", given);
+        let word = |word| (word, word);
+        let weights = ["off", "nominal", "rough", "live"].map(word);
+        let part = WatchPart {
+            weight_source: arguments.one_of("weight_source", &weights)?.map(str::to_string),
+            tells: arguments.one_of("tells", &["all", "hit", "off"].map(word))?.map(str::to_string),
+            peers_fill: arguments
+                .one_of("peers_fill", &["off", "location", "any"].map(word))?
+                .map(str::to_string),
+            merges_fills: arguments.choice("merges_fills")?,
+            bypass_allowed: arguments.choice("bypass_allowed")?,
+            max_attempts: arguments.number("max_attempts", (1.0, 255.0), true)?.map(|most| most as u32),
+            every: arguments.number("every", (1.0, 86_400.0), false)?.unwrap_or(60.0),
+        };
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| once(&mut parts.watch, at, "watch()", part))
+    }
+
     /// Switches the hierarchy on.
     fn hierarchy<'v>(
         #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -44,6 +44,14 @@
     assert_eq!((gateway.part.rules.peers.fresh, gateway.part.rules.routes.hops), (150.0, 3));
     assert_eq!(gateway.sites[0].classes, ["booking"]);
     assert!(read("").expect("an empty file").gateway.is_none());
+    assert!(read("").expect("an empty file").watch.is_none());
+    let watch =
+        read("watch(weight_source = \"off\", max_attempts = 3)").expect("a watch").watch.expect("a watch");
+    assert_eq!(
+        (watch.weight_source.as_deref(), watch.tells, watch.max_attempts),
+        (Some("off"), None, Some(3))
+    );
+    assert_eq!((watch.merges_fills, watch.every), (None, 60.0));
     assert!(read("").expect("an empty file").hierarchy.is_none());
     assert!(read("hierarchy()").expect("no nodes").hierarchy.is_some_and(|h| h.nodes.is_empty()));
 }
@@ -58,6 +66,13 @@
         ("x = 1\nif x:\n    hierarchy(warm = 0)", "operator.star:3:5: hierarchy(): warm: expected a number of seconds"),
         ("hierarchy(tries = 1.5)", "tries: expected a whole number from 1 to 100, got 1.5"),
         ("hierarchy(tries = True)", "tries: expected a whole number"),
+        ("watch(weight_source = \"heavy\")", "operator.star:1:1: watch(): weight_source: expected \"off\" or \"nominal\""),
+        ("watch(tells = 3)", "watch(): tells: expected \"all\" or \"hit\" or \"off\", got 3"),
+        ("watch(merges_fills = 1)", "watch(): merges_fills: expected True or False, got 1"),
+        ("watch(max_attempts = 0)", "watch(): max_attempts: expected a whole number from 1 to 255, got 0"),
+        ("watch(every = 0)", "watch(): every: expected a number from 1 to 86400, got 0"),
+        ("watch(sizes = 3)", "watch(): there is no setting \"sizes\"; expected one of bypass_allowed"),
+        ("watch()\nwatch()", "operator.star:2:1: watch(): it is set already, in line 1"),
         ("hierarchy(staged = 1)", "staged: expected True or False, got 1"),
         ("hierarchy()\nhierarchy()", "operator.star:2:1: hierarchy(): it is set already, in line 1"),
         ("hierachy()", "operator.star:1:1: Variable `hierachy` not found, did you mean `hierarchy`?"),
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -153,8 +153,9 @@
                 let (sites, links) = (gateway.sites.len(), gateway.links.len());
                 format!("; gateway of {}: {sites} other sites, {links} links", gateway.part.site)
             });
+            let watch = if operator.watch.is_some() { "; another shape is watched" } else { "" };
             let file = file.display();
-            Ok(format!("{file}: good (control socket: {control}; hierarchy: {hierarchy}{gateway})\n"))
+            Ok(format!("{file}: good (control socket: {control}; hierarchy: {hierarchy}{gateway}{watch})\n"))
         }
         Command::Settings => Ok(format!(
             "| function | setting | default | range | what it is |\n| --- | --- | --- | --- | --- |\n{}",
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -48,12 +48,20 @@
 
     pub fn decode(text: &[u8]) -> Result<Self, Failure> {
         let file: File = serde_json::from_slice(text)?;
-        let told = linnethook_settings::decode(&serde_json::to_vec(&file.settings)?)?;
+        let told = linnethook_settings::decode(&serde_json::to_vec(&file.settings)?);
+        let told = told.map_err(|wrong| format!("settings.{wrong}"))?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| "a seed that is not hexadecimal")?;
         let longest = told.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         let limits = Limits::new(file.limits, told.transport, longest);
         Ok(Self { file, told, seed, limits })
     }
+
+    /// The settings as they would be with these changes.
+    pub fn with(&self, changes: &serde_json::Value) -> Result<Told, Failure> {
+        let settings = linnethook_settings::changed(&self.file.settings, changes);
+        let told = linnethook_settings::decode(&serde_json::to_vec(&settings)?);
+        told.map_err(|wrong| format!("watch(): settings.{wrong}").into())
+    }
 }
 
 /// Every size, count and time of the transport. Times are in milliseconds.
@@ -235,5 +243,10 @@
         for text in ["", "{}", r#"{"name": 3}"#] {
             assert!(Config::decode(text.as_bytes()).is_err(), "{text}");
         }
+        let text = r#"{"name": "n3", "listen": "127.0.0.4:8080", "seed": "8c1f", "limits": {"memory_mb": 192, "sockets": 99},
+            "journal": "127.0.0.1:9092", "known": {"pos": 0, "entries": []}, "settings": {"weight-source": "heavy"}}"#;
+        let said =
+            Config::decode(text.as_bytes()).expect_err("a weight source that there is not").to_string();
+        assert!(said.starts_with("settings.weight-source: unknown variant `heavy`"), "{said}");
     }
 }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -12,6 +12,8 @@
 };
 use linnethook::Brain;
 use linnethook_settings::{load, LoadField, Names, Told as Settings};
+pub use linnethook_watch::Counts as Watched;
+use linnethook_watch::Watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Milliseconds, on the clock of the process.
@@ -226,6 +228,8 @@
     owed: BTreeMap<Ticket, Owed>,
     /// By time, in microseconds.
     timers: BTreeSet<(u64, u32)>,
+    /// What other settings would decide; nothing where that is not asked.
+    watch: Option<Watch>,
 }
 
 impl Decider {
@@ -241,9 +245,19 @@
             report_names: told.report_names,
             owed: BTreeMap::new(),
             timers: BTreeSet::new(),
+            watch: None,
         }
     }
 
+    /// Counts from now on where these settings would have decided otherwise. It has no other effect.
+    pub fn watch(&mut self, told: Settings, seed: u64) {
+        self.watch = Some(Watch::new(told.settings, seed));
+    }
+
+    pub fn watched(&self) -> Option<Watched> {
+        self.watch.as_ref().map(Watch::counts)
+    }
+
     /// Whether the settings tell of the class that is asked for.
     pub fn knows(&self, wish: &Wish) -> bool {
         self.names.classes.contains(&wish.class)
@@ -329,7 +343,7 @@
         let mut orders = Vec::new();
         while let Some(&(at, token)) = self.timers.first().filter(|(at, _)| *at <= micros(now)) {
             self.timers.remove(&(at, token));
-            orders.extend(self.tell(now, &Event::Timer(token)));
+            orders.extend(self.tell_due(now, &Event::Timer(token), Some((at, token))));
         }
         orders.extend(self.timers.first().map(|(at, _)| Order::WakeAt(*at as Ms / 1000.0)));
         orders
@@ -398,7 +412,15 @@
     }
 
     fn tell(&mut self, now: Ms, event: &Event) -> Vec<Order> {
+        self.tell_due(now, event, None)
+    }
+
+    /// A timer comes with when it was due.
+    fn tell_due(&mut self, now: Ms, event: &Event, due: Option<(u64, u32)>) -> Vec<Order> {
         let actions = self.brain.handle(now, event);
+        if let Some(watch) = &mut self.watch {
+            watch.see(now, event, due, &actions);
+        }
         let mut orders = Vec::with_capacity(actions.len());
         for action in actions {
             orders.extend(self.order(now, action));
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -145,6 +145,8 @@
     wake: Option<Ms>,
     run: Run,
     counters: Counters,
+    /// Time between two lines of what is watched, and when the next one is due; nothing where nothing is watched.
+    watch: Option<(Ms, Ms)>,
 }
 
 impl Router {
@@ -156,6 +158,9 @@
     ) -> Result<Self, Failure> {
         let limits = config.limits;
         let pool = Pool::new(limits.block, limits.blocks_kept, limits.blocks_most);
+        // What is watched has to be right before anything begins.
+        let watched = operator.as_ref().and_then(|(_, operator)| operator.watch.as_ref());
+        let other = watched.map(|watch| config.with(&steer::changes(watch))).transpose()?;
         let known = config.file.known;
         let mut router = Self {
             clock: Clock::new(),
@@ -176,8 +181,13 @@
             wake: None,
             run: Run::Serving,
             counters: Counters::default(),
+            watch: None,
         };
         if let Some((file, operator)) = operator {
+            if let Some(watch) = &operator.watch {
+                router.decider.watch(other.ok_or("watch(): no settings")?, config.seed);
+                router.watch = Some((watch.every * 1000.0, router.clock.now() + watch.every * 1000.0));
+            }
             router.switch_on(&config.file.name, config.seed, &operator)?;
             router.operator = Some(file);
         }
@@ -452,6 +462,12 @@
             self.tick_beyond();
             self.settle();
         }
+        if let Some((every, _)) = self.watch.filter(|(_, next)| *next <= now) {
+            self.watch = Some((every, now + every));
+            if let Some(watched) = self.decider.watched() {
+                log_line!("{watched}");
+            }
+        }
         self.journal.tick(now);
         let mut said = Vec::new();
         self.clients.tick(now, &mut said);
@@ -551,8 +567,9 @@
         let links = self.beyond.as_ref().map_or(String::new(), |beyond| {
             format!(" links={} links_accepted={}", beyond.links.len(), beyond.links.accepted)
         });
+        let watched = self.decider.watched().map_or(String::new(), |watched| format!(" {watched}"));
         log_line!(always "{counters} held_clients={clients} held_caches={peers} held_connections={connections} \
-            open={open} out={out} buffers={buffers}{links}");
+            open={open} out={out} buffers={buffers}{links}{watched}");
     }
 
     /// Whether all that was taken is answered, and nothing more is expected.
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -11,8 +11,9 @@
 
 use calloop::generic::{Generic, NoIoDrop};
 use calloop::{Interest, Mode, PostAction, Readiness};
-use linnethook_operator::script::Kind;
+use linnethook_operator::script::{Kind, WatchPart};
 use linnethook_operator::{apart, Operator};
+use serde_json::{json, Map, Value};
 
 use crate::caches::Brought;
 use crate::cli;
@@ -25,6 +26,26 @@
 use crate::upstream::{Applied, Step, Upstream};
 use crate::Router;
 
+/// What `watch()` changes, by the names that the settings have.
+pub fn changes(watch: &WatchPart) -> Value {
+    let mut all = Map::new();
+    let mut family = Map::new();
+    let mut put =
+        |name: &str, value: Option<Value>| value.map(|value| family.insert(name.to_string(), value));
+    put("tells", watch.tells.clone().map(Value::from));
+    put("peers-fill", watch.peers_fill.clone().map(Value::from));
+    put("merges-fills", watch.merges_fills.map(Value::from));
+    put("bypass-allowed", watch.bypass_allowed.map(Value::from));
+    if let Some(source) = &watch.weight_source {
+        all.insert("weight-source".to_string(), Value::from(source.as_str()));
+    }
+    if let Some(most) = watch.max_attempts {
+        all.insert("allowed".to_string(), json!({ "max-attempts": most }));
+    }
+    all.insert("family-info".to_string(), Value::Object(family));
+    Value::Object(all)
+}
+
 /// An operator file that is read again by a process beside this one.
 pub struct Evaluation {
     child: Child,
--- a/crates/router/tests/commands.rs
+++ b/crates/router/tests/commands.rs
@@ -38,6 +38,7 @@
     let doubled = "x = \"a\"\nfor n in range(60):\n    x = x + x";
     let table = [
         (good.replace("SOCKET", "/tmp/x.sock"), 0, "good (control socket: /tmp/x.sock; hierarchy: 5 nodes)"),
+        ("watch(tells = \"hit\")".to_string(), 0, "hierarchy: off; another shape is watched)"),
         ("hierarchy(warm = \"\")".to_string(), 2, ":1:1: hierarchy(): warm: expected a number"),
         (doubled.to_string(), 2, "its evaluation needs more than"),
         ("x = [0] * 2000000000".to_string(), 2, "evaluation"),
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! The router as a process, between stand-ins for all that it talks to.
+#![allow(dead_code)]
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
@@ -96,7 +97,16 @@
     fleet_with(a, b, origin, 1024)
 }
 
+/// A fleet whose router has an operator file.
+pub fn operated_fleet(operator: &str) -> Fleet {
+    fleet_by(echo("a"), echo("b"), echo("origin"), 1024, Some(operator))
+}
+
 fn fleet_with(a: Cache, b: Cache, origin: Cache, sockets: usize) -> Fleet {
+    fleet_by(a, b, origin, sockets, None)
+}
+
+fn fleet_by(a: Cache, b: Cache, origin: Cache, sockets: usize, operator: Option<&str>) -> Fleet {
     let parent = echo("parent");
     let targets = [
         host("cache-a", a.address, "Ready"),
@@ -106,12 +116,12 @@
     ];
     let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
     let journal = Journal::start("127.0.0.1:0", known).expect("the journal listens");
-    let router = Router::start(&journal, sockets);
+    let router = Router::start(&journal, sockets, operator);
     Fleet { a, b, parent, origin, journal, router }
 }
 
 impl Router {
-    fn start(journal: &Journal, sockets: usize) -> Self {
+    fn start(journal: &Journal, sockets: usize, operator: Option<&str>) -> Self {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
         config["listen"] = json!("127.0.0.1:0");
@@ -122,7 +132,13 @@
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("linnethook-{}-{n}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).expect("a configuration is written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_linnethook"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_linnethook"));
+        if let Some(text) = operator {
+            let file = path.with_extension("star");
+            std::fs::write(&file, text).expect("an operator file is written");
+            command.env("LB_OPERATOR", file);
+        }
+        let mut child = command
             .env("LB_CONFIG", &path)
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
@@ -173,6 +189,12 @@
         self.signal(Signal::SIGHUP);
     }
 
+    /// Writes the operator file anew and has it read.
+    pub fn rewrite_operator(&mut self, text: &str) {
+        std::fs::write(self.config.with_extension("star"), text).expect("an operator file is written");
+        self.signal(Signal::SIGHUP);
+    }
+
     /// The next line of the log with that in it.
     pub fn logged(&self, part: &str) -> String {
         wait(&self.log, |line: &String| line.contains(part))
@@ -195,6 +217,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("star"));
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,8 +3,11 @@
 //!
 //! Keys that are not known are passed over. An absent key takes the value that stands for "not told".
 
+use std::fmt;
+
 use linnethook::interface::{Class, ColdStart, Effect, Group, Load, Ms, Settings, Siblings, Tells};
 use serde::Deserialize;
+use serde_json::Value;
 
 /// What the values of a load report are, in their order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -280,9 +283,97 @@
     start_capacity: f64,
 }
 
+/// What is wrong with the settings, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wrong {
+    /// The way to the value, as in `family-info.tells`.
+    pub at: String,
+    pub what: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.at, self.what)
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+/// A value that is out of its range.
+fn out_of_range(told: &Text) -> Result<(), Wrong> {
+    let (family, rules, allowed) = (&told.family_info, &told.rules, &told.allowed);
+    let (any, part) = ((0.0, f64::MAX), (0.0, 1.0));
+    let mut values = vec![
+        ("resolution".to_string(), told.resolution, any),
+        ("allowed.conn-idle".to_string(), allowed.conn_idle, any),
+        ("allowed.connect-timeout".to_string(), allowed.connect_timeout, any),
+        ("allowed.max-retry-after".to_string(), allowed.max_retry_after, any),
+        ("family-info.cleared-within".to_string(), family.cleared_within, any),
+        ("family-info.flow-kb-per-s".to_string(), family.flow_kb_per_s, any),
+        ("family-info.notice-time".to_string(), family.notice_time, any),
+        ("family-info.parent-fall-multiple".to_string(), family.parent_fall_multiple, any),
+        ("family-info.parent-floor".to_string(), family.parent_floor, part),
+        ("family-info.parent-warms-in".to_string(), family.parent_warms_in, any),
+        ("rules.cold".to_string(), rules.cold, any),
+        ("rules.drain-grace".to_string(), rules.drain_grace, any),
+        ("rules.fall".to_string(), rules.fall, any),
+        ("rules.fall-multiple".to_string(), rules.fall_multiple, any),
+        ("rules.start-capacity".to_string(), rules.start_capacity, part),
+    ];
+    for (n, grade) in told.grades.iter().enumerate() {
+        let at = |name: &str| format!("grades[{n}].{name}");
+        values.extend([
+            (at("aim-stretch"), grade.aim_stretch, any),
+            (at("objective"), grade.objective, any),
+            (at("deadline"), grade.deadline, any),
+            (at("late-worth"), grade.late_worth, part),
+            (at("window"), grade.window, any),
+            (at("worth"), grade.worth, any),
+        ]);
+    }
+    let lists = [
+        ("grace-for", &family.grace_for, any),
+        ("inlet-kb-per-s", &family.inlet_kb_per_s, any),
+        ("max-age", &family.max_age, any),
+        ("old-copy-worth", &family.old_copy_worth, part),
+    ];
+    for (name, list, range) in lists {
+        let at = |n: usize| format!("family-info.{name}[{n}]");
+        values.extend(list.iter().enumerate().map(|(n, value)| (at(n), *value, range)));
+    }
+    let bad = values.into_iter().find(|(_, value, (least, most))| !(least..=most).contains(&value));
+    if let Some((at, value, (least, most))) = bad {
+        let most =
+            if most < f64::MAX { format!("from {least} to {most}") } else { format!("{least} or more") };
+        return Err(Wrong { at, what: format!("{value}, expected {most}") });
+    }
+    let kinds = [("second-tier-kind", family.second_tier_kind), ("store-kind", family.store_kind)];
+    let stray = |kind: i32| kind < -1 || usize::try_from(kind).is_ok_and(|kind| kind >= told.kinds.len());
+    if let Some((name, kind)) = kinds.into_iter().find(|(_, kind)| !told.kinds.is_empty() && stray(*kind)) {
+        let what = format!("{kind}, expected -1 or the place of one of {} kinds", told.kinds.len());
+        return Err(Wrong { at: format!("family-info.{name}"), what });
+    }
+    Ok(())
+}
+
+/// The settings with some of them changed: objects are merged, all else takes the other's place.
+pub fn changed(settings: &Value, changes: &Value) -> Value {
+    let (Value::Object(old), Value::Object(new)) = (settings, changes) else { return changes.clone() };
+    let mut all = old.clone();
+    for (key, value) in new {
+        let merged = old.get(key).map_or_else(|| value.clone(), |old| changed(old, value));
+        all.insert(key.clone(), merged);
+    }
+    Value::Object(all)
+}
+
 /// Reads the text.
-pub fn decode(text: &[u8]) -> Result<Told, serde_json::Error> {
-    let told: Text = serde_json::from_slice(text)?;
+pub fn decode(text: &[u8]) -> Result<Told, Wrong> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let told: Text = serde_path_to_error::deserialize(&mut json)
+        .map_err(|wrong| Wrong { at: wrong.path().to_string(), what: wrong.inner().to_string() })?;
+    json.end().map_err(|wrong| Wrong { at: ".".to_string(), what: wrong.to_string() })?;
+    out_of_range(&told)?;
     let (family, rules, allowed) = (&told.family_info, &told.rules, &told.allowed);
     let classes = told.grades.iter().enumerate().map(|(n, grade)| class(n, grade, family)).collect();
     let fields = told.report.fields.iter().map(|name| match name.as_str() {
@@ -454,6 +545,43 @@
         assert_eq!(settings.parent_cold, cold);
     }
 
+    #[test]
+    fn an_error_says_where_and_what() {
+        let said = |text: &str| decode(text.as_bytes()).expect_err(text).to_string();
+        let cases = [
+            (r#"{"weight-source": "heavy"}"#, "weight-source: unknown variant `heavy`, expected one of"),
+            (r#"{"weight-source": 3}"#, "weight-source: expected value"),
+            (r#"{"family-info": {"tells": "maybe"}}"#, "family-info.tells: unknown variant `maybe`"),
+            (r#"{"family-info": {"merges-fills": "yes"}}"#, "family-info.merges-fills: invalid type"),
+            (
+                r#"{"family-info": {"parent-floor": 1.5}}"#,
+                "family-info.parent-floor: 1.5, expected from 0 to 1",
+            ),
+            (r#"{"family-info": {"max-age": [0, -1]}}"#, "family-info.max-age[1]: -1, expected 0 or more"),
+            (r#"{"grades": [{"objective": -4}]}"#, "grades[0].objective: -4, expected 0 or more"),
+            (r#"{"grades": [{"effect": "none"}]}"#, "grades[0].effect: unknown variant `none`"),
+            (r#"{"rules": {"start-capacity": -0.1}}"#, "rules.start-capacity: -0.1, expected from 0 to 1"),
+            (
+                r#"{"kinds": ["box"], "family-info": {"store-kind": 1}}"#,
+                "family-info.store-kind: 1, expected -1",
+            ),
+        ];
+        for (text, start) in cases {
+            assert!(said(text).starts_with(start), "{}", said(text));
+        }
+    }
+
+    #[test]
+    fn changes_are_merged_into_settings() {
+        let all = serde_json::json!({"weight-source": "nominal", "family-info": {"tells": "all", "max-age": [0, 5]}});
+        let changes = serde_json::json!({"weight-source": "off", "family-info": {"tells": "hit"}});
+        let expected =
+            serde_json::json!({"weight-source": "off", "family-info": {"tells": "hit", "max-age": [0, 5]}});
+        assert_eq!(changed(&all, &changes), expected);
+        let told = decode(expected.to_string().as_bytes()).expect("settings").settings;
+        assert!(told.unweighted && told.tells == Tells::Hit);
+    }
+
     #[test]
     fn what_is_not_valid_is_an_error() {
         for text in ["", "[", "{\"grades\": 3}", "{\"discovery\": \"by pigeon\"}"] {
--- /dev/null
+++ b/crates/watch/tests/watch.rs
@@ -0,0 +1,292 @@
+//! The second instance beside the one that decides: counts worked out by hand, equal settings, bounds, failure.
+
+use linnethook::interface::*;
+use linnethook::ring::mix;
+use linnethook::Brain;
+use linnethook_watch::hearing::Hearing;
+use linnethook_watch::watch::{Decides, Due};
+use linnethook_watch::{Counts, Watch};
+use proptest::prelude::*;
+
+const CACHES: [CacheId; 3] = [CacheId(11), CacheId(12), CacheId(13)];
+const PARENT: CacheId = CacheId(21);
+const ORIGIN: CacheId = CacheId(31);
+
+fn settings() -> Settings {
+    let class =
+        Class { effect: Effect::Safe, aim: 400.0, aim_stretch: 2.0, deadline: 5_000.0, ..Class::default() };
+    Settings {
+        routers: 2,
+        routers_by_zone: vec![0, 2],
+        zone: 1,
+        classes: vec![class],
+        tick: 2.0,
+        max_attempts: 6,
+        may_cancel: true,
+        retry_after: true,
+        max_retry_after: 1_000.0,
+        parent_kind: Some(1),
+        origin_kind: Some(2),
+        flow_kb_per_s: 1_000.0,
+        siblings: Siblings::Location,
+        direct: true,
+        tells: Tells::All,
+        purge_done: 6_000.0,
+        ..Settings::default()
+    }
+}
+
+fn member(id: CacheId) -> Member {
+    let (kind, zone) = match id {
+        PARENT => (1, 0),
+        ORIGIN => (2, 0),
+        _ => (0, 1),
+    };
+    Member { id, cell: 0, zone, kind, weight: 8.0, since: 0.0, phase: Phase::Ready }
+}
+
+/// A router in small: the instance that decides, its timers, and the watch beside it.
+struct Router {
+    brain: Brain,
+    watch: Option<Watch>,
+    now: Ms,
+    timers: Vec<Due>,
+    out: Vec<(AttemptId, CacheId)>,
+    sent: std::collections::BTreeMap<RequestId, u8>,
+    actions: Vec<Action>,
+    next: u64,
+}
+
+impl Router {
+    fn new(watched: Option<Settings>) -> Self {
+        let mut router = Self {
+            brain: Brain::new(settings(), 7),
+            watch: watched.map(|settings| Watch::new(settings, 7)),
+            now: 100_000.0,
+            timers: Vec::new(),
+            out: Vec::new(),
+            sent: Default::default(),
+            actions: Vec::new(),
+            next: 0,
+        };
+        let members = CACHES.into_iter().chain([PARENT, ORIGIN]).map(member).collect();
+        router.tell(&Event::List { kind: ListKind::Complete, members }, None);
+        router
+    }
+
+    fn tell(&mut self, event: &Event, due: Option<Due>) {
+        let actions = self.brain.handle(self.now, event);
+        if let Some(watch) = &mut self.watch {
+            watch.see(self.now, event, due, &actions);
+        }
+        for action in &actions {
+            match action {
+                Action::Ask { request, cache, .. } | Action::Fetch { request, cache, .. } => {
+                    let number = self.sent.entry(*request).or_default();
+                    self.out.push((AttemptId { request: *request, number: *number }, *cache));
+                    *number += 1;
+                }
+                Action::Timer { at, token } => self.timers.push(((at * 1000.0) as u64, *token)),
+                _ => {}
+            }
+        }
+        self.actions.extend(actions);
+    }
+
+    fn pass(&mut self, length: Ms) {
+        self.now += length;
+        let now = (self.now * 1000.0) as u64;
+        while let Some(&due) = self.timers.iter().min().filter(|due| due.0 <= now) {
+            self.timers.retain(|other| *other != due);
+            self.tell(&Event::Timer(due.1), Some(due));
+        }
+    }
+
+    fn ask(&mut self, object: u64) {
+        self.next += 1;
+        let request = Request {
+            id: RequestId(self.next),
+            object: ObjectId(object),
+            part: 0,
+            group: 0,
+            class: 0,
+            size_kb: 100.0,
+            repeat: false,
+            write: false,
+            budget: 3_000.0,
+        };
+        self.tell(&Event::Request(request), None);
+    }
+
+    /// The first attempt that is out ends.
+    fn end(&mut self, status: Status, note: Option<Note>) {
+        if self.out.is_empty() {
+            return;
+        }
+        let (attempt, cache) = self.out.remove(0);
+        let outcome = Outcome {
+            attempt,
+            cache,
+            status,
+            settled: status == Status::Ok,
+            took: 100.0,
+            waited: 0.0,
+            note,
+            load: Load::default(),
+        };
+        self.tell(&Event::Outcome(outcome), None);
+    }
+
+    fn counts(&self) -> Counts {
+        self.watch.as_ref().expect("a watch").counts()
+    }
+}
+
+/// Ten requests are served, two fail once and are served then, and three are asked for with no cache left.
+fn scripted(watched: Settings) -> Router {
+    let mut router = Router::new(Some(watched));
+    for object in 0..10 {
+        router.ask(object);
+        router.end(Status::Ok, Some(Note::Filled));
+    }
+    for object in 100..102 {
+        router.ask(object);
+        router.end(Status::Error, None);
+        router.end(Status::Ok, Some(Note::Filled));
+    }
+    let gone =
+        CACHES.into_iter().chain([PARENT, ORIGIN]).map(|id| Member { phase: Phase::Gone, ..member(id) });
+    router.tell(&Event::List { kind: ListKind::Changes, members: gone.collect() }, None);
+    (200..203).for_each(|object| router.ask(object));
+    router
+}
+
+#[test]
+fn equal_settings_count_no_difference() {
+    let counts = scripted(settings()).counts();
+    assert_eq!(counts, Counts { compared: 17, ..Counts::default() });
+}
+
+/// Each of the twelve first attempts joins fills here and would not there; what comes after is no longer compared.
+#[test]
+fn another_way_of_filling_is_counted_once_a_request() {
+    let counts = scripted(Settings { joins: true, ..settings() }).counts();
+    assert_eq!(counts, Counts { compared: 15, fill: 12, ..Counts::default() });
+}
+
+/// Without a second attempt the two that failed would have been refused.
+#[test]
+fn a_refusal_in_place_of_a_further_attempt_is_counted() {
+    let counts = scripted(Settings { max_attempts: 1, ..settings() }).counts();
+    // A first attempt that is the last one also gets all the time there is.
+    assert_eq!((counts.compared, counts.refusal), (17, 2));
+    assert_eq!(counts.owner + counts.source + counts.fill + counts.cancellation, 0);
+}
+
+/// The three that are refused would have been told no time.
+#[test]
+fn another_time_to_come_back_is_counted() {
+    let counts = scripted(Settings { retry_after: false, ..settings() }).counts();
+    assert_eq!(counts, Counts { compared: 17, wait: 3, ..Counts::default() });
+}
+
+#[test]
+fn a_shape_without_weights_has_other_owners_and_everything_else_goes_on() {
+    let mut router = Router::new(Some(Settings { unweighted: true, tells: Tells::Hit, ..settings() }));
+    (0..60).for_each(|object| {
+        router.ask(object);
+        router.end(Status::Ok, Some(Note::FilledByOrigin));
+    });
+    let counts = router.counts();
+    assert_eq!(counts.compared, 60);
+    assert!((10..60).contains(&counts.owner), "{counts}");
+    assert_eq!(counts.different(), counts.owner);
+}
+
+#[test]
+fn watching_changes_no_action_and_keeps_nothing_of_what_is_over() {
+    let play = |watched: Option<Settings>| {
+        let mut router = Router::new(watched);
+        for step in 0..600 {
+            router.pass(15.0);
+            router.ask(mix(step, 5) % 90);
+            if step % 5 > 0 {
+                let bad = mix(step, 6).is_multiple_of(9);
+                router.end(if bad { Status::Full } else { Status::Ok }, (!bad).then_some(Note::Hit));
+            }
+        }
+        while !router.out.is_empty() {
+            router.end(Status::Ok, Some(Note::Hit));
+        }
+        router
+    };
+    let alone = play(None);
+    let beside = play(Some(Settings { unweighted: true, tells: Tells::Nothing, ..settings() }));
+    assert_eq!(alone.actions, beside.actions);
+    let (open, out, timers) = beside.watch.as_ref().expect("a watch").kept();
+    assert_eq!((open, out), (0, 0));
+    assert!(timers < 10, "{timers} timers");
+    assert!(beside.counts().compared > 600 && beside.counts().owner > 100, "{}", beside.counts());
+}
+
+/// Decides nothing, and fails at the third request.
+struct Failing(u32);
+
+impl Decides for Failing {
+    fn handle(&mut self, _: Ms, event: &Event) -> Vec<Action> {
+        self.0 += u32::from(matches!(event, Event::Request(_)));
+        assert!(self.0 < 3, "the third request");
+        Vec::new()
+    }
+}
+
+#[test]
+fn a_failure_ends_the_watch_and_nothing_else() {
+    let mut watch = Watch::with(Failing(0), Hearing::new(&settings()));
+    let mut brain = Brain::new(settings(), 7);
+    let mut router = Router::new(None);
+    for object in 0..6 {
+        router.ask(object);
+        let events = Event::Request(Request {
+            id: RequestId(object),
+            object: ObjectId(object),
+            part: 0,
+            group: 0,
+            class: 0,
+            size_kb: 1.0,
+            repeat: false,
+            write: false,
+            budget: 1_000.0,
+        });
+        let done = brain.handle(1_000.0, &events);
+        watch.see(1_000.0, &events, None, &done);
+    }
+    // Two were compared, both of which would have waited.
+    assert_eq!(watch.counts(), Counts { compared: 2, wait: 2, ended: 1, ..Counts::default() });
+    assert_eq!(watch.kept(), (0, 0, 0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    /// Whatever happens in whatever order, an instance with the same settings and seed stays in step.
+    #[test]
+    fn equal_settings_stay_in_step(steps in proptest::collection::vec((0u8..8, 0u64..40), 1..300)) {
+        let mut router = Router::new(Some(settings()));
+        for (kind, n) in steps {
+            match kind {
+                0..=2 => router.ask(n),
+                3 | 4 => router.end(Status::Ok, Some(Note::Hit)),
+                5 => router.end([Status::Error, Status::Full, Status::Timeout][n as usize % 3], None),
+                6 => {
+                    let id = CACHES[n as usize % 3];
+                    let phase = [Phase::Ready, Phase::Gone][n as usize / 3 % 2];
+                    let members = vec![Member { phase, ..member(id) }];
+                    router.tell(&Event::List { kind: ListKind::Changes, members }, None);
+                }
+                _ => router.pass(n as f64 * 10.0),
+            }
+        }
+        prop_assert_eq!(router.counts().different(), 0);
+    }
+}
