Measure the last parent that is up against the origin where no waits are told

At fault: clearly_slow() compares a parent with the best one that is up; the last one is its own best, so its late fills go on and close the location's link instead. Checked and dropped: crowding (no refusal by it), the caches (hits in time), the link (few fills under way). Change: without another one up, the origin's own share of late fills is what it is compared with, where outcomes tell no waits; where they do, these tell a slow origin from a slow parent, and nothing changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -642,11 +642,15 @@
     /// the link or the origin. Meets a thin or crowded link of a parent, lost answers, and one that hangs now
     /// and then. Might hurt a parent whose objects are larger than the others'.
     fn clearly_slow(&self, id: CacheId) -> bool {
+        // Waits, where they are told, show that the origin behind it is slow. Else its own fills have to.
+        let beside = self.origin().filter(|_| self.set.tells != Tells::All);
         let best = self
             .parents()
-            .filter(|s| s.member.phase == Phase::Ready && s.health.is_up())
+            .filter(|s| s.member.id != id && s.member.phase == Phase::Ready && s.health.is_up())
             .map(|s| s.late.value)
-            .fold(f64::INFINITY, f64::min);
+            .reduce(f64::min)
+            .or(beside.map(|id| self.servers[&id].late.value))
+            .unwrap_or(f64::INFINITY);
         let own =
             self.servers.get(&id).filter(|s| self.set.is_parent(&s.member)).map_or(0.0, |s| s.late.value);
         own > SLOW_SHARE && own > best * SLOW_RATIO
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -180,3 +180,27 @@
     let after = owned(&mut world);
     assert!(after * 2 < before && after > 0, "{after} of {before} stay with a cache a fifth as wide");
 }
+
+/// The last parent that is up answers every second fill late; the origin itself is quick.
+#[test]
+fn a_slow_parent_without_another_one_is_passed_by_where_no_waits_are_told() {
+    let to_origin = |tells: Tells| {
+        let one_parent = everyone().into_iter().filter(|member| member.id != PARENTS[1]).collect();
+        let mut world = World::with(Settings { tells, ..settings() }, one_parent);
+        let mut past = 0;
+        for object in 1000..1400 {
+            world.pass(40.0);
+            let Some(sent) = world.ask(SAFE, object) else { continue };
+            let Some(fill) = sent.fill.filter(|fill| fill.source != sent.cache) else {
+                world.end_after(sent, Status::Miss, None, 10.0);
+                continue;
+            };
+            let slow = fill.source == PARENTS[0] && object % 2 == 0;
+            past += usize::from(fill.source == THE_ORIGIN);
+            world.end_after(sent, Status::Ok, Some(Note::Filled), if slow { 1500.0 } else { 100.0 });
+        }
+        past
+    };
+    let (told, untold) = (to_origin(Tells::All), to_origin(Tells::Hit));
+    assert!(told == 0 && untold > 100, "{told} and {untold} of 400 filled straight from the origin");
+}
