Put fills that all parents refuse down to the origin behind them

At fault: judge_servers() puts each untold refusal down to the parent, whoever refused behind it; further attempts went the same way through another parent, 2.23 a request. Checked and dropped: the caches (hits in time), cold starts (none). Change: a parent's share of refused fills is kept; where that of the others is past what one fails by itself, the refusal counts against the origin's share, the parent stays in, and the request is answered at once.

Failed try: cold caches' refusals left out (the same).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -782,6 +782,13 @@
                 server.fails.blend(f64::from(u8::from(outcome.status != Status::Ok)), HEALTH.weight);
             }
         }
+        let source = attempt.source.and_then(|id| self.servers.get_mut(&id)).filter(|_| attempt.fills);
+        if let Some(source) = source.filter(|_| matches!(outcome.status, Status::Ok | Status::Full)) {
+            if outcome.note != Some(Note::Hit) {
+                source.fails.blend(f64::from(u8::from(outcome.status == Status::Full)), HEALTH.weight);
+            }
+        }
+        let refused = self.origin_refused(&attempt, outcome);
         self.judge_ways(&attempt, outcome);
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
         let held = outcome.note == Some(Note::Hit) || !attempt.fills && attempt.source.is_some();
@@ -803,6 +810,8 @@
         }
         match outcome.status {
             Status::Moot => return self.give_up(id),
+            // Another way leads to the same origin.
+            Status::Full if refused => open.lacking |= !open.request.write,
             Status::Miss => {
                 open.lacking |= !attempt.sibling;
                 open.owner_only = true;
@@ -830,6 +839,7 @@
             (_, Some(SourceUnreached)) if troubled && outcome.waited > attempt.aim / 2.0 => (None, None),
             (_, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
             (_, Some(OriginFailed | NoPlace)) => (None, None),
+            _ if self.origin_refused(attempt, outcome) => (None, None),
             // Where it is not told whose doing it was: the cache's, if it fails with what it holds too.
             (Full | Error, _) if told != Tells::All && attempt.fills && !failing => (None, Some(false)),
             // Turned away as full is a matter of load, not of health: taking the cache out would only
@@ -865,10 +875,7 @@
     /// Meets a slow, crowded or stopped origin, purges and losses that send everybody there at once, and
     /// a link that can't carry the fills. Might hurt by refusing misses that would have been just in time.
     fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome) {
-        // Where it is not told why, what the origin was asked for and refused was past its rate.
-        let untold = self.set.tells != Tells::All && outcome.status == Status::Full;
-        let refused = untold && attempt.source.is_some() && attempt.source == self.origin();
-        if outcome.note == Some(Note::OriginFailed) || refused {
+        if outcome.note == Some(Note::OriginFailed) || self.origin_refused(attempt, outcome) {
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         // Taken back by its client before it was late, it tells nothing: many would shut out all fills.
@@ -898,6 +905,16 @@
         }
     }
 
+    /// Whether a refused fill is the origin's doing, where that is not told: past its rate it refuses what is
+    /// asked straight of it, and what all parents fetch. One of them that fails by itself is beside others.
+    fn origin_refused(&self, attempt: &Attempt, outcome: &Outcome) -> bool {
+        let untold = self.set.tells != Tells::All && outcome.status == Status::Full && attempt.fills;
+        let Some(source) = attempt.source.filter(|_| untold) else { return false };
+        let others = self.parents().filter(|s| s.member.id != source && s.member.phase == Phase::Ready);
+        let (fails, count) = others.fold((0.0, 0.0), |(sum, n), s| (sum + s.fails.value, n + 1.0));
+        Some(source) == self.origin() || fails > FAILS_SHARE * count || count == 0.0
+    }
+
     /// Counts a fill whose wait is not known, or was not long. What a parent, or a cache that is slower than
     /// its peers, makes late by itself is not the link's doing, which would be shut for those that are well.
     fn judge_fill(&mut self, attempt: &Attempt, late: bool) {
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -232,3 +232,32 @@
         "{narrow} asked beside a narrow cache, {wide} beside a wide one"
     );
 }
+
+/// Fills that all parents refuse are refused behind them; what one refuses alone is its own doing.
+#[test]
+fn parents_that_all_refuse_stay_in_and_one_that_does_alone_goes_out() {
+    let asked_of_first = |refuses: &dyn Fn(CacheId) -> bool| {
+        let mut world = World::with(layout(true), unweighted());
+        let (mut last, mut again) = (0, 0);
+        for object in 1000..1400 {
+            world.pass(40.0);
+            let Some(sent) = world.ask(SAFE, object) else { continue };
+            let source = sent.fill.map_or(sent.cache, |fill| fill.source);
+            last += usize::from(source == PARENTS[0] && object >= 1200);
+            let bad = PARENTS.contains(&source) && refuses(source);
+            let status = if bad { Status::Full } else { Status::Ok };
+            if world.end_after(sent, status, (!bad).then_some(Note::Filled), 110.0).is_some() {
+                again += 1;
+                let sent = *world.sent.last().expect("it was sent again");
+                world.end_after(sent, Status::Ok, Some(Note::Filled), 110.0);
+            }
+        }
+        (last, again)
+    };
+    let (all, again) = asked_of_first(&|_| true);
+    let (alone, _) = asked_of_first(&|parent| parent == PARENTS[0]);
+    let (none, _) = asked_of_first(&|_| false);
+    assert!(alone * 4 < none, "{alone} of {none} still asked of a parent that refuses alone");
+    assert!(all > alone * 2, "{all} asked of one of two that refuse, {alone} of one alone");
+    assert!(again < 20, "{again} tried again where all refuse");
+}
