--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -76,3 +76,57 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use linnethook::interface::{CacheId, ListKind, Phase};
+
+    use super::*;
+
+    fn open(settings: &str) -> Result<Reply, String> {
+        let settings = settings.as_bytes().to_vec();
+        Host::default().play(0.0, vec![(Input::Open { instance: 3, seed: 7, settings }, Vec::new())])
+    }
+
+    #[test]
+    fn wrong_settings_are_told_with_the_way_to_them_and_unknown_ones_passed_over() {
+        let told = |settings: &str| open(settings).err().unwrap_or_default();
+        assert!(told(r#"{"weight-source": "heavy"}"#)
+            .starts_with("settings of instance 3: weight-source: unknown variant `heavy`"));
+        assert!(told(r#"{"family-info": {"parent-floor": 7}}"#)
+            .starts_with("settings of instance 3: family-info.parent-floor: 7, expected from 0 to 1"));
+        assert!(told(r#"{"allowed": {"max-attempts": "six"}}"#)
+            .starts_with("settings of instance 3: allowed.max-attempts: invalid type"));
+        assert_eq!(told("{}") + &told(r#"{"colour": "red", "weight-source": "off"}"#), "");
+    }
+
+    /// A list whose weights are 0 or all 1, and messages of other instances, which nobody sends: neither does harm.
+    #[test]
+    fn lists_without_weights_and_messages_of_others_are_taken() {
+        let mut host = Host::default();
+        let settings = br#"{"weight-source": "off", "resolution": 2}"#.to_vec();
+        let rows = |weight: f64| {
+            let row = |id| Member {
+                id: CacheId(id),
+                cell: 0,
+                zone: 0,
+                kind: 0,
+                weight,
+                since: 0.0,
+                phase: Phase::Ready,
+            };
+            (1..4).map(row).collect()
+        };
+        let inputs = vec![
+            Input::Open { instance: 3, seed: 7, settings },
+            Input::DefineList { list: 0, rows: rows(0.0) },
+            Input::Fleet { instance: 3, kind: ListKind::Complete, list: 0 },
+            Input::DefineList { list: 1, rows: rows(1.0) },
+            Input::Fleet { instance: 3, kind: ListKind::Complete, list: 1 },
+            Input::Datagram { instance: 3 },
+            Input::Datagram { instance: 4 },
+        ];
+        let played = host.play(1.0, inputs.into_iter().map(|input| (input, Vec::new())).collect());
+        assert!(played.is_ok() && host.instances.len() == 1);
+    }
+}
