Review: judge a refusal once an outcome, and say things in one place

The module's first lines and the note at Server.fails were no longer whole. Change: once, handed on; only where unweighted; one place each.

--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -8,45 +8,28 @@
 use crate::experiment::WAYS;
 use crate::faults;
 
+/// A setting in the package's own unit.
+const fn plain(
+    name: &'static str,
+    about: &'static str,
+    unit: &'static str,
+    (least, most): (f64, f64),
+    whole: bool,
+    get: fn(&Plan) -> f64,
+    set: fn(&mut Plan, f64),
+) -> Knob<Plan> {
+    Knob { name, about, unit, least, most, whole, scale: 1.0, get, set }
+}
+
 macro_rules! knob {
     ($name:literal, $unit:literal, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: $unit,
-            least: $least,
-            most: $most,
-            whole: false,
-            scale: 1.0,
-            get: |plan: &Plan| plan.$($place).+,
-            set: |plan: &mut Plan, value| plan.$($place).+ = value,
-        }
+        plain($name, $about, $unit, ($least, $most), false, |plan: &Plan| plan.$($place).+, |plan: &mut Plan, value| plan.$($place).+ = value)
     };
     (whole $name:literal, $kind:ty, $least:expr, $most:expr, $($place:ident).+, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: "",
-            least: $least,
-            most: $most,
-            whole: true,
-            scale: 1.0,
-            get: |plan: &Plan| plan.$($place).+ as f64,
-            set: |plan: &mut Plan, value| plan.$($place).+ = value as $kind,
-        }
+        plain($name, $about, "", ($least, $most), true, |plan: &Plan| plan.$($place).+ as f64, |plan: &mut Plan, value| plan.$($place).+ = value as $kind)
     };
     (flag $name:literal, $place:ident, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: "",
-            least: 0.0,
-            most: 1.0,
-            whole: true,
-            scale: 1.0,
-            get: |plan: &Plan| f64::from(u8::from(plan.$place)),
-            set: |plan: &mut Plan, value| plan.$place = value > 0.5,
-        }
+        plain($name, $about, "", (0.0, 1.0), true, |plan: &Plan| f64::from(u8::from(plan.$place)), |plan: &mut Plan, value| plan.$place = value > 0.5)
     };
 }
 
@@ -56,17 +39,15 @@
 
 macro_rules! tier {
     ($name:literal, $unit:literal, $whole:literal, $most:expr, $get:expr, $set:expr, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: $unit,
-            least: 0.0,
-            most: $most,
-            whole: $whole,
-            scale: 1.0,
-            get: |plan: &Plan| ($get)(tiers(plan)),
-            set: |plan: &mut Plan, value| ($set)(plan.tiers.get_or_insert_default(), value),
-        }
+        plain(
+            $name,
+            $about,
+            $unit,
+            (0.0, $most),
+            $whole,
+            |plan: &Plan| ($get)(tiers(plan)),
+            |plan: &mut Plan, value| ($set)(plan.tiers.get_or_insert_default(), value),
+        )
     };
 }
 
@@ -141,17 +122,15 @@
 
 macro_rules! site {
     ($name:literal, $unit:literal, $least:expr, $most:expr, $place:ident, $about:literal) => {
-        Knob {
-            name: $name,
-            about: $about,
-            unit: $unit,
-            least: $least,
-            most: $most,
-            whole: false,
-            scale: 1.0,
-            get: |plan: &Plan| plan.sites.unwrap_or_default().$place,
-            set: |plan: &mut Plan, value| plan.sites.get_or_insert_default().$place = value,
-        }
+        plain(
+            $name,
+            $about,
+            $unit,
+            ($least, $most),
+            false,
+            |plan: &Plan| plan.sites.unwrap_or_default().$place,
+            |plan: &mut Plan, value| plan.sites.get_or_insert_default().$place = value,
+        )
     };
 }
 
--- a/crates/operator/src/arguments.rs
+++ b/crates/operator/src/arguments.rs
@@ -83,10 +83,7 @@
 
     /// True or False.
     pub fn flag(&mut self, name: &'static str, default: bool) -> anyhow::Result<bool> {
-        match self.take(name) {
-            None => Ok(default),
-            Some(value) => value.unpack_bool().ok_or_else(|| self.wrong(name, "True or False", value)),
-        }
+        Ok(self.choice(name)?.unwrap_or(default))
     }
 
     /// True, False, or as it is.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -159,8 +159,9 @@
         let limits = config.limits;
         let pool = Pool::new(limits.block, limits.blocks_kept, limits.blocks_most);
         // What is watched has to be right before anything begins.
-        let watched = operator.as_ref().and_then(|(_, operator)| operator.watch.as_ref());
-        let other = watched.map(|watch| config.with(&steer::changes(watch))).transpose()?;
+        let watch = operator.as_ref().and_then(|(_, operator)| operator.watch.as_ref());
+        let told = |watch| Ok::<_, Failure>((config.with(&steer::changes(watch))?, watch.every * 1000.0));
+        let watched = watch.map(told).transpose()?;
         let known = config.file.known;
         let mut router = Self {
             clock: Clock::new(),
@@ -183,11 +184,11 @@
             counters: Counters::default(),
             watch: None,
         };
+        if let Some((told, every)) = watched {
+            router.decider.watch(told, config.seed);
+            router.watch = Some((every, router.clock.now() + every));
+        }
         if let Some((file, operator)) = operator {
-            if let Some(watch) = &operator.watch {
-                router.decider.watch(other.ok_or("watch(): no settings")?, config.seed);
-                router.watch = Some((watch.every * 1000.0, router.clock.now() + watch.every * 1000.0));
-            }
             router.switch_on(&config.file.name, config.seed, &operator)?;
             router.operator = Some(file);
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,8 @@
 //! All decisions of linnethook. What it hears and says is in `src/interface.rs`.
 //!
 //! The ordinary path: an object's owner on the ring of the location's ready caches serves it and keeps
-//! it; its misses are filled from the object's home parent. Only a far busier owner sends a request to
+//! it; its misses are filled from the object's home parent. Where the list tells no sizes, owners go by
+//! rendezvous hash and learned size instead of the ring. Only a far busier owner sends a request to
 //! the least busy cache, which fills from the owner when the owner's filter has the object. All else
 //! here answers for what the design leaves open: health, time-outs, retries, refusals and the rules.
 
@@ -32,9 +33,9 @@
 const SALT_DEAL: u64 = 0x6465_616c;
 
 /// Where the list tells no sizes: the transfers that a cache is taken to send at once until its answers
-/// tell, the weight of one that does, how many times its sending time such a one takes at least, and the
-/// part of what a parent's share of all caches can send that is within what the parent can; and the part of
-/// the least known size that a cold cache has for certain.
+/// tell, the weight of one that does, how many times its sending time such a one takes at least, the part
+/// of its share of all caches that a parent can send, and the part of the least known size that a cold
+/// cache has for certain.
 const SIZE_GUESS: f64 = 5.0;
 const SIZE_WEIGHT: f64 = 0.1;
 const SIZE_SLOWED: f64 = 1.3;
@@ -789,22 +790,24 @@
                 server.fails.blend(f64::from(u8::from(outcome.status != Status::Ok)), HEALTH.weight);
             }
         }
-        let source = attempt.source.and_then(|id| self.servers.get_mut(&id)).filter(|_| attempt.fills);
-        if let Some(source) = source.filter(|_| matches!(outcome.status, Status::Ok | Status::Full)) {
-            if outcome.note != Some(Note::Hit) {
-                source.fails.blend(f64::from(u8::from(outcome.status == Status::Full)), HEALTH.weight);
+        let filled = matches!(outcome.status, Status::Ok | Status::Full) && outcome.note != Some(Note::Hit);
+        if let Some(source) = attempt.source.filter(|_| attempt.fills && filled) {
+            if let Some(server) = self.servers.get_mut(&source) {
+                server.fails.blend(f64::from(u8::from(outcome.status == Status::Full)), HEALTH.weight);
             }
         }
         let refused = self.origin_refused(&attempt, outcome);
-        self.judge_ways(&attempt, outcome);
+        self.judge_ways(&attempt, outcome, refused);
         let late = outcome.took > attempt.aim || outcome.status == Status::Timeout;
         let held = outcome.note == Some(Note::Hit) || !attempt.fills && attempt.source.is_some();
         if held && (late || outcome.status == Status::Ok) {
             let took = if outcome.status == Status::Ok { outcome.took } else { f64::INFINITY };
             self.judge_sending(&attempt, took);
-            self.learn_size(&attempt, outcome);
+            if self.set.unweighted {
+                self.learn_size(&attempt, outcome);
+            }
         }
-        let to_avoid = self.judge_servers(&attempt, outcome);
+        let to_avoid = self.judge_servers(&attempt, outcome, refused);
         let id = outcome.attempt.request;
         let Some(open) = self.open.get_mut(&id) else { return };
         open.out = open.out.saturating_sub(1);
@@ -829,7 +832,7 @@
     }
 
     /// Learns who did well and who did not; the one to avoid for this request comes back.
-    fn judge_servers(&mut self, attempt: &Attempt, outcome: &Outcome) -> Option<CacheId> {
+    fn judge_servers(&mut self, attempt: &Attempt, outcome: &Outcome, refused: bool) -> Option<CacheId> {
         use {Note::*, Status::*};
         let told = self.set.tells;
         let asked = self.servers.get(&attempt.cache);
@@ -846,7 +849,7 @@
             (_, Some(SourceUnreached)) if troubled && outcome.waited > attempt.aim / 2.0 => (None, None),
             (_, Some(SourceRefused | SourceUnreached)) => (None, Some(false)),
             (_, Some(OriginFailed | NoPlace)) => (None, None),
-            _ if self.origin_refused(attempt, outcome) => (None, None),
+            _ if refused => (None, None),
             // Where it is not told whose doing it was: the cache's, if it fails with what it holds too.
             (Full | Error, _) if told != Tells::All && attempt.fills && !failing => (None, Some(false)),
             // Turned away as full is a matter of load, not of health: taking the cache out would only
@@ -881,8 +884,8 @@
     ///
     /// Meets a slow, crowded or stopped origin, purges and losses that send everybody there at once, and
     /// a link that can't carry the fills. Might hurt by refusing misses that would have been just in time.
-    fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome) {
-        if outcome.note == Some(Note::OriginFailed) || self.origin_refused(attempt, outcome) {
+    fn judge_ways(&mut self, attempt: &Attempt, outcome: &Outcome, refused: bool) {
+        if outcome.note == Some(Note::OriginFailed) || refused {
             self.origin_gate.report(self.now, true, ORIGIN_GATE.most, &ORIGIN_GATE);
         }
         // Taken back by its client before it was late, it tells nothing: many would shut out all fills.
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,7 @@
 pub struct Server {
     pub member: Member,
     pub health: Health,
-    /// Share of what it was known to hold that it failed or turned away.
+    /// Share of what it was known to hold that it failed or turned away; of a parent, of the fills.
     pub fails: Mean,
     pub heard: Ms,
     /// When it last took no connection while it was judged bad; 0 = not yet.
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -22,6 +22,10 @@
 /// A hit ends with so many requests in hand there.
 fn hit(world: &mut World, object: u64, took: Ms, in_hand: f64) {
     let sent = world.ask(SAFE, object).expect("an attempt");
+    end_hit(world, sent, took, in_hand);
+}
+
+fn end_hit(world: &mut World, sent: Sent, took: Ms, in_hand: f64) {
     world.tell(Event::Outcome(Outcome {
         attempt: sent.attempt,
         cache: sent.cache,
@@ -115,16 +119,7 @@
         if part > 1000 {
             count[usize::from(wide)] += 1;
         }
-        world.tell(Event::Outcome(Outcome {
-            attempt: sent.attempt,
-            cache: sent.cache,
-            status: Status::Ok,
-            settled: true,
-            took: if wide { 100.0 } else { 200.0 },
-            waited: 0.0,
-            note: Some(Note::Hit),
-            load: Load { in_flight: Some(if wide { 10.0 } else { 4.0 }), ..Load::default() },
-        }));
+        end_hit(&mut world, sent, if wide { 100.0 } else { 200.0 }, if wide { 10.0 } else { 4.0 });
     }
     let share = f64::from(count[1]) / f64::from(count[0] + count[1]);
     assert!(
@@ -164,16 +159,7 @@
         world.pass(20.0);
         let Some(sent) = world.ask(SAFE, n % 400) else { continue };
         let narrow = sent.cache == CACHES[0];
-        world.tell(Event::Outcome(Outcome {
-            attempt: sent.attempt,
-            cache: sent.cache,
-            status: Status::Ok,
-            settled: true,
-            took: if narrow { 200.0 } else { 100.0 },
-            waited: 0.0,
-            note: Some(Note::Hit),
-            load: Load { in_flight: Some(if narrow { 4.0 } else { 10.0 }), ..Load::default() },
-        }));
+        end_hit(&mut world, sent, if narrow { 200.0 } else { 100.0 }, if narrow { 4.0 } else { 10.0 });
     }
     // What a filter shows stays where it is held; here all has been forgotten.
     world.pass(25_000.0);
