Answer what is open on a connection before it is closed, and read before making room

Gone through: clients.rs break_off called open requests off without an answer (also those that came in the same read as the frame that can't be read); make_room closed the idlest connection while its request lay unread, and half a message without a word; main.rs done() ended after SIGTERM while someone waited for a place or to be read; caches.rs same() took an 'unchanged' without a tag for the client's copy; wiring.rs took 'valid' from another site for a client that holds none.

Change: open requests are answered as failed before the error on stream 0; whoever is to make room is read first; half a message is told; the end waits for the backlog; 'unchanged' has to name the copy.

Tests in tests/router.rs, each red without its change: what_is_open_on_a_connection_that_is_broken_off_has_its_final_answer_first, a_request_that_has_arrived_keeps_its_client_the_place_that_another_wants, half_a_message_that_gives_way_for_another_client_is_told, at_sigterm_whoever_still_waits_for_a_place_is_answered_before_it_ends, a_copy_that_no_cache_names_is_not_said_to_hold; the one for more than 32 open requests now expects their 32 answers before the error.

--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -721,9 +721,9 @@
     }
 }
 
-/// Whether the copy that a client holds is the one with that tag.
+/// Whether the copy that a client holds is the one that the cache names.
 fn same(known: &Option<String>, digest: Option<&str>) -> bool {
-    known.as_deref().is_some_and(|known| digest.is_none_or(|digest| digest == known))
+    known.is_some() && known.as_deref() == digest
 }
 
 fn made(fields: &Pairs) -> Option<Made> {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -121,6 +121,8 @@
     listener: Option<RegistrationToken>,
     /// No more are accepted until there is room.
     full: bool,
+    /// Some may wait to be accepted.
+    backlog: bool,
     stopping: bool,
     pub accepted: u64,
     pub malformed: u64,
@@ -142,6 +144,7 @@
             next_sweep: 0.0,
             listener: None,
             full: false,
+            backlog: false,
             stopping: false,
             accepted: 0,
             malformed: 0,
@@ -172,6 +175,7 @@
     ///
     /// Each is read at once, so that one that has something to say is not taken for a silent one.
     pub fn accept(&mut self, now: Ms, listener: &TcpListener, said: &mut Vec<Said>) -> bool {
+        self.backlog = true;
         for _ in 0..self.limits.accept_turn {
             if self.clients.len() >= self.limits.clients && !self.make_room(now, said) {
                 self.full = true;
@@ -179,7 +183,10 @@
             }
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {
+                    self.backlog = false;
+                    return true;
+                }
                 // The client has gone before it was accepted.
                 Err(wrong) if wrong.kind() == io::ErrorKind::ConnectionAborted => continue,
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
@@ -200,21 +207,41 @@
     }
 
     /// Gives up the connection that has done least: one that is closing, one that never asked anything, or the
-    /// one that has been idle for longest.
+    /// one that has been idle for longest. One with a message that is there in part comes last, and is told.
     ///
     /// Guards against silent connections that take the places of clients with something to ask. Those that
-    /// have only just come, or only just been answered, may have their request on the way and are spared.
+    /// have only just come, or only just been answered, may have their request on the way and are spared; what
+    /// has arrived and was not read yet is read first, for a close would leave it without an answer.
     fn make_room(&mut self, now: Ms, said: &mut Vec<Said>) -> bool {
+        loop {
+            let may_go = self.clients.iter().filter(|(id, client)| self.may_go(now, id, client));
+            let least = may_go.min_by(|(_, a), (_, b)| {
+                let rank =
+                    |client: &Client| (client.begun.is_some(), client.phase == Phase::Open, client.proven);
+                rank(a).cmp(&rank(b)).then(a.used.total_cmp(&b.used))
+            });
+            let Some(id) = least.map(|(id, _)| *id) else { return false };
+            self.read(now, id, said);
+            let Some(client) = self.clients.get(&id) else { return true };
+            if !self.may_go(now, &id, client) {
+                continue;
+            }
+            self.made_room += 1;
+            if client.begun.is_some() {
+                // Its place is free once it had the time to take that.
+                self.break_off(now, id, "half a message while places are short", said);
+                return false;
+            }
+            self.lose(id, said);
+            return true;
+        }
+    }
+
+    /// Whether nobody would miss it, for as long as a request of it may take to arrive.
+    fn may_go(&self, now: Ms, id: &ClientId, client: &Client) -> bool {
         let spared = now - self.limits.client_spared;
-        let idle = self.clients.iter().filter(|(_, client)| client.idle() && client.used <= spared);
-        let least = idle.min_by(|(_, a), (_, b)| {
-            let rank = |client: &Client| (client.phase == Phase::Open, client.proven);
-            rank(a).cmp(&rank(b)).then(a.used.total_cmp(&b.used))
-        });
-        let Some(id) = least.map(|(id, _)| *id) else { return false };
-        self.made_room += 1;
-        self.lose(id, said);
-        true
+        let unread = client.phase == Phase::Open && self.held.contains(id);
+        client.idle() && !unread && client.used <= spared && client.begun.is_none_or(|begun| begun <= spared)
     }
 
     fn take_in(&mut self, now: Ms, stream: TcpStream) -> io::Result<ClientId> {
@@ -336,13 +363,16 @@
                         return self.break_off(now, id, "more requests than may be open", said);
                     }
                     let asker = Asker { client: id, stream };
+                    self.tickets += 1;
                     match taken(asker, &fields, body, &self.limits) {
                         Some(taken) => {
-                            self.tickets += 1;
                             client.open.insert(stream, self.tickets);
                             said.push(Said::Request(self.tickets, Box::new(taken)));
                         }
-                        None => said.push(Said::Unreadable(asker)),
+                        None => {
+                            client.open.insert(stream, self.tickets);
+                            said.push(Said::Unreadable(asker));
+                        }
                     }
                 }
                 Message::GivenUp { stream } => {
@@ -389,10 +419,9 @@
     /// Guards against a client that asks the same again as soon as it is turned away, at full speed.
     pub fn turn_away(&mut self, now: Ms, asker: Asker, said: &mut Vec<Said>) {
         let Some(client) = self.clients.get_mut(&asker.client) else { return };
-        if client.phase != Phase::Open {
+        if client.open.remove(&asker.stream).is_none() {
             return;
         }
-        client.open.remove(&asker.stream);
         client.faults += 1;
         let nothing = Chain::new(&self.pool);
         client.output.append(frames::answer(&self.pool, asker.stream, Code::Failed, &[], nothing));
@@ -423,7 +452,8 @@
         }
     }
 
-    /// Ends a connection that can't be used any more: says why, and calls its requests off.
+    /// Ends a connection that can't be used any more: its open requests have failed, are answered so and called
+    /// off, and it is told why.
     fn break_off(&mut self, now: Ms, id: ClientId, why: &str, said: &mut Vec<Said>) {
         let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase == Phase::Open) else {
             return;
@@ -433,6 +463,12 @@
         client.phase = Phase::Closing;
         client.begun = None;
         client.input = Chain::new(&self.pool);
+        let mut streams: Vec<u32> = client.open.keys().copied().collect();
+        streams.sort_unstable();
+        for stream in streams {
+            let nothing = Chain::new(&self.pool);
+            client.output.append(frames::answer(&self.pool, stream, Code::Failed, &[], nothing));
+        }
         let body = Chain::from_bytes(&self.pool, why.as_bytes());
         client.output.append(frames::answer(&self.pool, 0, Code::Failed, &[], body));
         let open: HashSet<Ticket> = client.open.drain().map(|(_, ticket)| ticket).collect();
@@ -502,9 +538,9 @@
         }
     }
 
-    /// Whether every answer has been written.
-    pub fn written(&self) -> bool {
-        self.clients.values().all(|client| client.output.is_empty())
+    /// Whether every answer has been written, and nobody waits to be accepted or read.
+    pub fn settled(&self) -> bool {
+        !self.backlog && self.held.is_empty() && self.clients.values().all(|client| client.output.is_empty())
     }
 
     /// Ends all connections in order, so that what was written still arrives.
--- a/crates/router/src/links/wiring.rs
+++ b/crates/router/src/links/wiring.rs
@@ -136,8 +136,10 @@
             }
             return;
         }
+        let holds = self.requests.held.get(&ticket).is_some_and(|held| held.parcel.known.is_some());
         let (answer, brought) = match reply {
-            Reply::Served { head, .. } if valid(&head) => (Final::Served, Brought::Unchanged),
+            Reply::Served { head, .. } if valid(&head) && holds => (Final::Served, Brought::Unchanged),
+            Reply::Served { head, .. } if valid(&head) => (Final::Failed, Brought::Nothing),
             Reply::Served { body, .. } => {
                 (Final::Served, Brought::Body(Chain::from_bytes(&self.pool, &body), None))
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -579,7 +579,7 @@
         let passed = self.clock.now() - since;
         // What is at another site is owed by the gateway and not by the decider.
         let across = self.beyond.is_some() && self.requests.len() > 0;
-        let answered = self.decider.owed() == 0 && !across && self.clients.written();
+        let answered = self.decider.owed() == 0 && !across && self.clients.settled();
         passed >= self.limits.stop_most || (passed >= self.limits.stop_least && answered)
     }
 }
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -254,6 +254,19 @@
     assert!(!client.read().expect("an answer").fields.contains(&valid), "it holds another copy");
 }
 
+#[test]
+fn a_copy_that_no_cache_names_is_not_said_to_hold() {
+    let unnamed =
+        || cache(|_, _, _| Some(Answer { word: "unchanged", fields: "res=HIT".into(), body: Vec::new() }));
+    let fleet = fleet_of(unnamed(), unnamed(), echo("origin"));
+    let mut client = fleet.router.client();
+    let mut fields = video("00000000000000e1", "00000000000000aa").to_vec();
+    fields.push(("known", "4be0c1"));
+    client.ask(1, &fields, b"").expect("sent");
+    let answer = client.read().expect("an answer");
+    assert!(answer.fields.is_empty() && !answer.body.is_empty(), "the bytes, from elsewhere: {answer:?}");
+}
+
 #[test]
 fn a_malformed_frame_is_told_of_on_stream_0_and_ends_the_connection() {
     let fleet = fleet();
@@ -293,6 +306,43 @@
     assert!(start.elapsed().as_millis() < 5_000, "{:?}", start.elapsed());
 }
 
+/// A router with room for one client, whose place is taken by one that is idle for long enough to lose it.
+fn one_place() -> (Fleet, Client) {
+    let fleet = narrow_fleet_of(34, echo("a"), echo("b"));
+    let mut client = fleet.router.client();
+    client.ask_ready(1).expect("sent");
+    assert_eq!(client.read().expect("an answer").kind, 81);
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    (fleet, client)
+}
+
+/// A close while a request lies unread would leave it without an answer.
+#[test]
+fn a_request_that_has_arrived_keeps_its_client_the_place_that_another_wants() {
+    let (fleet, mut client) = one_place();
+    fleet.router.signal(Signal::SIGSTOP);
+    let mut other = fleet.router.client();
+    other.ask_ready(1).expect("sent");
+    client.ask(2, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    fleet.router.signal(Signal::SIGCONT);
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.stream, answer.code), (2, SERVED));
+    assert_eq!(other.read().expect("an answer").kind, 81, "its turn comes");
+}
+
+#[test]
+fn half_a_message_that_gives_way_for_another_client_is_told() {
+    let (fleet, mut client) = one_place();
+    let bytes = request(2, &video("00000000000000e1", "00000000000000aa"), b"");
+    client.stream.write_all(&bytes[..40]).expect("sent");
+    std::thread::sleep(std::time::Duration::from_millis(200));
+    let mut other = fleet.router.client();
+    other.ask_ready(1).expect("sent");
+    let error = client.read().expect("an error");
+    assert_eq!((error.kind, error.stream), (66, 0));
+    assert_eq!(other.read().expect("an answer").kind, 81);
+}
+
 /// A client that asks once and keeps its connection for good must not keep its place.
 #[test]
 fn a_connection_that_is_idle_for_good_is_closed() {
@@ -389,12 +439,35 @@
     let mut client = fleet.router.client();
     let bytes: Vec<u8> = (1..=60).flat_map(ask).collect();
     client.stream.write_all(&bytes).expect("sent");
+    for stream in 1..=32 {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.stream, answer.code), (stream, FAILED));
+    }
     let error = client.read().expect("an error");
     assert_eq!((error.kind, error.stream), (66, 0));
     assert!(client.read().is_err(), "the connection has ended");
     assert_eq!(left_over(&fleet.a) + left_over(&fleet.b), 0);
 }
 
+/// Without their answers the requests on a connection that is broken off would be lost.
+#[test]
+fn what_is_open_on_a_connection_that_is_broken_off_has_its_final_answer_first() {
+    let fleet = fleet_of(holding(), holding(), echo("origin"));
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, _) = asked_either(&fleet.a, &fleet.b);
+    // One that can't be used and one that can, in the same breath as a frame that can't be read.
+    let mut bytes = request(2, &[("c", "video")], b"");
+    bytes.extend(request(3, &video("00000000000000e3", "00000000000000ab"), b""));
+    bytes.extend([0xff; 9]);
+    client.stream.write_all(&bytes).expect("sent");
+    let frames: Vec<(u32, u8)> =
+        std::iter::from_fn(|| client.read().ok()).map(|f| (f.stream, f.code)).collect();
+    assert_eq!(frames, [(1, FAILED), (2, FAILED), (3, FAILED), (0, FAILED)]);
+    wait(&cache.heard, |heard| *heard == Heard::Closed { connection });
+    assert_eq!(left_over(&fleet.a) + left_over(&fleet.b), 0);
+}
+
 #[test]
 fn two_requests_under_one_number_end_the_connection_also_when_the_first_is_answered() {
     let fleet = fleet();
@@ -536,6 +609,26 @@
     assert!(fleet.router.logged("counters").contains("served=2 "));
 }
 
+/// Whoever waits for a place when all else is answered is taken in and answered before the end.
+#[test]
+fn at_sigterm_whoever_still_waits_for_a_place_is_answered_before_it_ends() {
+    let mut fleet = narrow_fleet(34);
+    let mut client = fleet.router.client();
+    client.ask(1, &video("00000000000000e1", "00000000000000aa"), b"").expect("sent");
+    let (cache, _, connection, id) = asked_either(&fleet.a, &fleet.b);
+    fleet.router.signal(Signal::SIGTERM);
+    assert_eq!(client.read().expect("a frame").kind, 90);
+    let mut late = fleet.router.client();
+    late.ask_ready(1).expect("sent");
+    // It goes on for a second in any case.
+    std::thread::sleep(std::time::Duration::from_millis(1_200));
+    cache.answer(connection, &id, &Answer::data("kept")).expect("answered");
+    assert_eq!(client.read().expect("an answer").body, b"kept");
+    let kinds: Vec<u8> = std::iter::from_fn(|| late.read().ok()).map(|frame| frame.kind).collect();
+    assert_eq!(kinds, [90, 81]);
+    assert_eq!(fleet.router.ended().code(), Some(0));
+}
+
 /// A second journal that has told the same events as the first one.
 fn moved_journal(fleet: &Fleet) -> Journal {
     let known = fleet.journal.known()["entries"].as_array().cloned().unwrap_or_default();
