Reckon what other routers have at a cache by the mean of all caches, less by chance

Cause: crowding() took what this router usually has at a cache for what each of the location's other routers has there.

Change: a router's own mean counts for its part of the routers, the mean of the location's caches, for their sizes, for the rest. Nothing differs for a location with one router. The name of a copy moved to filter.rs.

Test: a_part_keeps_its_cache_when_one_of_many_routers_has_some_more_requests_there, red without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::filter::TwoGenerations;
+use crate::filter::{name_of, TwoGenerations};
 use crate::health::HealthRule;
 use crate::interface::*;
 use crate::measure::{Gate, GateRule, Mean};
@@ -29,7 +29,6 @@
 const SALT_OWNER: u64 = 0x6f77_6e65;
 const SALT_PARENT: u64 = 0x7061_7265;
 const SALT_RAMP: u64 = 0x7261_6d70;
-const SALT_PART: u64 = 0x7061_7274;
 const SALT_DEAL: u64 = 0x6465_616c;
 
 /// Where the list tells no sizes: the transfers that a cache is taken to send at once until its answers
@@ -184,10 +183,6 @@
     mix(object, id ^ SALT_PARENT)
 }
 
-fn name_of(request: &Request, purge: u64) -> u64 {
-    mix(mix(request.object.0, SALT_PART.wrapping_add(u64::from(request.part))), purge)
-}
-
 impl Brain {
     pub fn new(set: Settings, seed: u64) -> Self {
         Self {
@@ -320,7 +315,7 @@
     /// forget, does not speak for copies from before it.
     fn item(&self, request: &Request) -> u64 {
         let purge = self.purges.last(request.object, request.group).map_or(0, f64::to_bits);
-        name_of(request, purge)
+        name_of(request.object.0, request.part, purge)
     }
 
     /// The oldest copy that will do. A copy counts from when the origin gave it out, so that limiting
@@ -562,7 +557,7 @@
         let item = self.item(request);
         // By rendezvous hash, in proportion to what they can send. Not by the filter's name: routers are told of
         // a purge with stamps that differ by a millisecond, and would part for as long as it is remembered.
-        let part = name_of(request, 0);
+        let part = name_of(request.object.0, request.part, 0);
         let far = |id: &CacheId| -fraction(mix(part, id.0 ^ SALT_DEAL)).ln() / self.size(*id);
         several.sort_by(|a, b| far(a).total_cmp(&far(b)));
         let shows = |id: &CacheId| self.servers[id].filter.contains(item);
@@ -685,11 +680,13 @@
         self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / self.size(id))
     }
 
-    /// How full a cache's link is, with what the location's other routers usually have there.
+    /// How full a cache's link is, with what the location's other routers usually have there: by what this one
+    /// has, for its part of them, and else by the mean. What one of many sees alone is mostly chance.
     fn crowding(&self, id: CacheId) -> f64 {
         self.servers.get(&id).map_or(0.0, |s| {
-            let others = f64::from(self.set.routers_for(&s.member) - 1);
-            (f64::from(s.in_flight) + others * s.usual.mean) / self.size(id)
+            let routers = f64::from(self.set.routers_for(&s.member));
+            let usual = s.usual.mean / routers + (1.0 - 1.0 / routers) * self.link.even * self.size(id);
+            (f64::from(s.in_flight) + (routers - 1.0) * usual) / self.size(id)
         })
     }
 
@@ -996,6 +993,11 @@
             server.pass(now, USUAL);
         }
         self.link.usual.pass(now, self.link.filling, USUAL);
+        let own = self.servers.values().filter(|s| self.set.is_own(&s.member));
+        let ready = own.filter(|s| s.member.phase == Phase::Ready);
+        let (usual, size): (Vec<f64>, Vec<f64>) =
+            ready.map(|s| (s.usual.mean, self.size(s.member.id))).unzip();
+        self.link.even = usual.iter().sum::<f64>() / size.iter().sum::<f64>().max(0.01);
         self.find_silent();
         // What is overdue for its client is late before it ends.
         let overdue = |a: &&mut Attempt| (a.fills || a.renews) && !a.late && now - a.sent > a.aim;
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -2,6 +2,16 @@
 
 use fastbloom::BloomFilter;
 
+use crate::ring::mix;
+
+/// Keeps names of parts apart from other hashes of an object.
+const SALT_PART: u64 = 0x7061_7274;
+
+/// The name of one part's copies from after that purge; 0 for none.
+pub fn name_of(object: u64, part: u32, purge: u64) -> u64 {
+    mix(mix(object, SALT_PART.wrapping_add(u64::from(part))), purge)
+}
+
 /// Two Bloom filters; [`rotate`](Self::rotate) drops the older one and starts a new one.
 #[derive(Debug, Clone)]
 pub struct TwoGenerations {
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,12 +69,14 @@
     }
 }
 
-/// What is known of the location's link for fills.
+/// What is known of the location's link for fills, and of its caches together.
 #[derive(Debug, Default)]
 pub struct Link {
     /// Work of this router's fills that are under way, and how much that usually is.
     pub filling: Ms,
     pub usual: Level,
+    /// This router's usual requests in flight at the location's caches, for their sizes.
+    pub even: f64,
 }
 
 /// One attempt that is out.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -100,6 +100,30 @@
     }
 }
 
+/// One router of many sees little of a cache. If it took that for what each of the others sees, chance would send
+/// parts to other caches, and each router's to another one.
+#[test]
+fn a_part_keeps_its_cache_when_one_of_many_routers_has_some_more_requests_there() {
+    let many = Settings { routers_by_zone: vec![0, 0, 0, 8], siblings: Siblings::Off, ..settings() };
+    let mut world = World::new(many);
+    let parts = |part: u32| Request { part, size_kb: 1000.0, ..world.request(SAFE, 7) };
+    let requests: Vec<Request> = (1..40).map(parts).collect();
+    let mut dealt = Vec::new();
+    for request in requests {
+        let sent = world.submit(Request { id: world.request(SAFE, 7).id, ..request }).expect("an attempt");
+        world.end_after(sent, Status::Ok, Some(Note::Filled), 100.0);
+        dealt.extend((sent.cache == CACHES[0]).then_some(request));
+    }
+    let (last, some) = dealt[..6].split_last().expect("six parts");
+    for request in some {
+        let sent = world.submit(Request { id: world.request(SAFE, 7).id, ..*request }).expect("an attempt");
+        assert_eq!(sent.cache, CACHES[0]);
+    }
+    world.pass(2_000.0);
+    let sent = world.submit(Request { id: world.request(SAFE, 7).id, ..*last }).expect("an attempt");
+    assert_eq!(sent.cache, CACHES[0]);
+}
+
 /// With many routers each has few requests in flight: the overflow must not wait for a number of them.
 #[test]
 fn an_owner_is_far_busier_by_a_routers_part_of_its_link() {
