--- a/src/brain.rs
+++ b/src/brain.rs
@@ -555,8 +555,8 @@
         };
         let mut several = holders[..several.min(holders.len())].to_vec();
         let item = self.item(request);
-        // By rendezvous hash, in proportion to what they can send. Not by the filter's name: routers are told of
-        // a purge with stamps that differ by a millisecond, and would part for as long as it is remembered.
+        // By rendezvous hash, in proportion to what they can send; also after a purge, whose stamp is not the
+        // same at all routers.
         let part = name_of(request.object.0, request.part, 0);
         let far = |id: &CacheId| -fraction(mix(part, id.0 ^ SALT_DEAL)).ln() / self.size(*id);
         several.sort_by(|a, b| far(a).total_cmp(&far(b)));
@@ -680,8 +680,8 @@
         self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight) / self.size(id))
     }
 
-    /// How full a cache's link is, with what the location's other routers usually have there: by what this one
-    /// has, for its part of them, and else by the mean. What one of many sees alone is mostly chance.
+    /// How full a cache's link is, with what the location's other routers usually have there: by what this
+    /// one has, for its part of them, and else by the mean. What one of many sees alone is mostly chance.
     fn crowding(&self, id: CacheId) -> f64 {
         self.servers.get(&id).map_or(0.0, |s| {
             let routers = f64::from(self.set.routers_for(&s.member));
