Test that all clients are answered in their turn where descriptors run out

The last of the places where a connection could be closed with no answer: accept fails before there is one (clients.rs accept), and newcomers wait. It held already; a router with 20 descriptors answers 24 clients.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -102,6 +102,13 @@
     fleet_by(echo("a"), echo("b"), echo("origin"), 1024, Some(operator))
 }
 
+/// A fleet whose router is given fewer descriptors than its configuration says.
+pub fn short_fleet(descriptors: u32) -> Fleet {
+    let mut fleet = fleet();
+    fleet.router = Router::start(&fleet.journal, 1024, None, Some(descriptors));
+    fleet
+}
+
 fn fleet_with(a: Cache, b: Cache, origin: Cache, sockets: usize) -> Fleet {
     fleet_by(a, b, origin, sockets, None)
 }
@@ -116,12 +123,12 @@
     ];
     let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
     let journal = Journal::start("127.0.0.1:0", known).expect("the journal listens");
-    let router = Router::start(&journal, sockets, operator);
+    let router = Router::start(&journal, sockets, operator, None);
     Fleet { a, b, parent, origin, journal, router }
 }
 
 impl Router {
-    fn start(journal: &Journal, sockets: usize, operator: Option<&str>) -> Self {
+    fn start(journal: &Journal, sockets: usize, operator: Option<&str>, descriptors: Option<u32>) -> Self {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
         config["listen"] = json!("127.0.0.1:0");
@@ -132,7 +139,15 @@
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("linnethook-{}-{n}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).expect("a configuration is written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_linnethook"));
+        let program = env!("CARGO_BIN_EXE_linnethook");
+        let mut command = match descriptors {
+            None => Command::new(program),
+            Some(most) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", &format!("ulimit -n {most} && exec {program}")]);
+                shell
+            }
+        };
         if let Some(text) = operator {
             let file = path.with_extension("star");
             std::fs::write(&file, text).expect("an operator file is written");
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -330,6 +330,20 @@
     assert_eq!(other.read().expect("an answer").kind, 81, "its turn comes");
 }
 
+/// Whoever can't be accepted waits; nobody is accepted only to be closed.
+#[test]
+fn where_descriptors_run_out_all_clients_are_answered_in_their_turn() {
+    let fleet = short_fleet(20);
+    let mut clients: Vec<Client> = (0..24).map(|_| fleet.router.client()).collect();
+    for client in &mut clients {
+        client.ask_ready(1).expect("sent");
+    }
+    assert!(fleet.router.logged("accept: ").contains("os error 24"));
+    for client in &mut clients {
+        assert_eq!(client.read().expect("an answer").kind, 81);
+    }
+}
+
 #[test]
 fn half_a_message_that_gives_way_for_another_client_is_told() {
     let (fleet, mut client) = one_place();
