Learn what goes to a tier within the change where a router has no past

A router that starts shortly before or within a change of the hierarchy refused a quarter to two fifths of its requests until the change was over, with nothing wrong anywhere.

Cause: Budget::begin_change set the ceiling by the rate of that moment; Rate::per_second divides by at least a fifth of its span, so a budget that was a moment old gave a fraction of what went there, or the least.

Change: what goes to a tier counts as known after learn (5 s, hierarchy(learn = ...)). Until then a change sets no ceiling, a part does not rise, and what comes back late stays the one limit; then the ceiling is set by what was learned. A tier that nothing reached before the change gets no ceiling at all: it had the same fault.

The stand-in's clients release what they ask of a router that has just gone.

--- a/crates/hierarchy/src/budget.rs
+++ b/crates/hierarchy/src/budget.rs
@@ -2,7 +2,8 @@
 //!
 //! A budget follows what its target bears: it is cut while what went there comes back late, and comes back in
 //! proportion to itself. While the shape changes it is also held near what went there before (slow start), so that
-//! a change alone can't send a flood. Must never hold a figure of one deployment.
+//! a change alone can't send a flood. Who does not know yet what went there before learns that first, and meanwhile
+//! only what comes back late is a limit. Must never hold a figure of one deployment.
 
 use linnethook::interface::Ms;
 use linnethook::measure::{Allowance, Gate, GateRule};
@@ -28,6 +29,8 @@
     pub burst: f64,
     /// Fills a second that may go in any case.
     pub least: f64,
+    /// For how long something has to go there before that is known as what goes there.
+    pub learn: Ms,
 }
 
 impl Default for BudgetRule {
@@ -43,6 +46,7 @@
             headroom: 1.15,
             burst: 1.0,
             least: 2.0,
+            learn: 5_000.0,
         }
     }
 }
@@ -66,6 +70,11 @@
         self.sum * (-(now - self.at).max(0.0) / span).exp()
     }
 
+    /// How long ago the first event was.
+    pub fn age(&self, now: Ms) -> Ms {
+        self.since.map_or(0.0, |since| now - since)
+    }
+
     /// Per second; right from the start on, before a whole span has passed.
     pub fn per_second(&self, now: Ms, span: Ms) -> f64 {
         let Some(since) = self.since else { return 0.0 };
@@ -90,6 +99,8 @@
     gate: Gate,
     gate_at: Ms,
     ceiling: Option<Ceiling>,
+    /// The shape changes, and what went there before is not known yet.
+    learning: bool,
     allowance: Allowance,
 }
 
@@ -98,7 +109,7 @@
         let mut allowance = Allowance::empty(now);
         allowance.spend(now, 0.0, 0.0, 0.0);
         let gate = Gate::new(f64::INFINITY);
-        Self { rule, rate: Rate::default(), gate, gate_at: now, ceiling: None, allowance }
+        Self { rule, rate: Rate::default(), gate, gate_at: now, ceiling: None, learning: false, allowance }
     }
 
     /// Fills a second that go there.
@@ -184,6 +195,9 @@
         if self.ceiling.as_ref().is_some_and(open) {
             self.ceiling = None;
         }
+        if self.learning && self.is_known(now) {
+            self.hold(now);
+        }
         if before.is_infinite() && self.limit(now).is_finite() {
             self.allowance = Allowance::empty(now);
         }
@@ -191,18 +205,35 @@
 
     /// The shape begins to change: no more than before, and some headroom, until it is over.
     pub fn begin_change(&mut self, now: Ms) {
+        let known = self.is_known(now);
         match &mut self.ceiling {
             // A further change in the course of one must not raise the ceiling by what this one let through.
             Some(ceiling) => ceiling.over = None,
-            None => {
-                let limit = (self.rate(now) * self.rule.headroom).max(self.rule.least);
-                self.ceiling = Some(Ceiling { limit, over: None });
-                self.allowance = Allowance::empty(now);
-            }
+            None if known => self.hold(now),
+            // A ceiling by what went there in a moment would refuse what it bears.
+            None => self.learning = true,
         }
     }
 
+    /// Whether something went there for long enough to tell what goes there.
+    fn is_known(&self, now: Ms) -> bool {
+        self.rate.age(now) >= self.rule.learn
+    }
+
+    fn hold(&mut self, now: Ms) {
+        let limit = (self.rate(now) * self.rule.headroom).max(self.rule.least);
+        self.ceiling = Some(Ceiling { limit, over: None });
+        self.learning = false;
+        self.allowance = Allowance::empty(now);
+    }
+
+    /// Whether the shape changes and it is not known yet what went there before.
+    pub fn is_learning(&self) -> bool {
+        self.learning
+    }
+
     pub fn end_change(&mut self, now: Ms) {
+        self.learning = false;
         if let Some(ceiling) = self.ceiling.as_mut().filter(|ceiling| ceiling.over.is_none()) {
             ceiling.over = Some(now);
         }
@@ -257,6 +288,28 @@
         assert!(after == 100 && !budget.is_changing(), "{after}");
     }
 
+    /// Without a past: nothing that the target bears is refused, and once it is known what goes there that is the limit.
+    #[test]
+    fn a_change_right_after_the_start_is_held_by_what_is_learned_within_it() {
+        let mut budget = Budget::new(0.0, BudgetRule::default());
+        assert_eq!(offer(&mut budget, 0.0, 1, 50, false), 50);
+        budget.begin_change(1_000.0);
+        assert!(budget.is_learning() && !budget.is_tight(1_000.0));
+        assert_eq!(offer(&mut budget, 1_000.0, 3, 50, false), 50, "none of it is too much");
+        offer(&mut budget, 4_000.0, 2, 50, false);
+        assert!(!budget.is_learning() && budget.is_changing());
+        let flood = offer(&mut budget, 6_000.0, 5, 500, false);
+        assert!((50..=70).contains(&flood), "{flood}");
+        let mut over = Budget::new(0.0, BudgetRule::default());
+        over.begin_change(0.0);
+        over.end_change(100.0);
+        offer(&mut over, 200.0, 10, 50, false);
+        assert!(
+            !over.is_learning() && over.limit(11_000.0).is_infinite(),
+            "it was over before that was known"
+        );
+    }
+
     #[test]
     fn a_target_that_is_late_gets_less_and_more_again_when_it_is_well() {
         let mut budget = Budget::new(0.0, BudgetRule::default());
--- a/crates/hierarchy/src/hierarchy.rs
+++ b/crates/hierarchy/src/hierarchy.rs
@@ -632,7 +632,8 @@
         }
         self.held_back.expire(now);
         self.see_ways_back(now);
-        let short = self.is_short(now);
+        // Nor does a part rise while it is not known yet what is usual: what rises meanwhile would count as that.
+        let short = self.is_short(now) || self.shield.is_learning();
         let listed = &self.listed;
         let ready = |id: NodeId| listed.get(&id).is_none_or(|listed| listed.phase == Phase::Ready);
         let entered = self.stages.tick(now, short, ready);
@@ -650,21 +651,26 @@
         (self.let_go(now, released), entered)
     }
 
-    /// Holds the budgets of all tiers above the sources that children go over to.
+    /// Holds the budgets of all tiers above the sources that children go over to. A tier that nothing reached before
+    /// the change has no past that could be its measure: the stages alone hold it back.
     fn hold_tiers_above(&mut self, now: Ms) {
         let fresh: BTreeSet<NodeId> = self.stages.iter().map(|(id, _)| id.to).collect();
-        let mut above: Vec<NodeId> = fresh.iter().copied().collect();
-        let mut seen = fresh.clone();
-        while let Some(id) = above.pop() {
-            for source in self.history.shape().sources(id) {
-                if seen.insert(source.node) {
-                    above.push(source.node);
-                    if !fresh.contains(&source.node) {
-                        self.shield.begin_change(now, source.node);
-                    }
-                }
-            }
+        let settled = self.children.values().flat_map(|child| &child.settled).map(|source| source.node);
+        let before = self.and_above(settled.collect());
+        for id in self.and_above(fresh.clone()).difference(&fresh).filter(|id| before.contains(id)) {
+            self.shield.begin_change(now, *id);
+        }
+    }
+
+    /// Some nodes, and all that they may fill from.
+    fn and_above(&self, nodes: BTreeSet<NodeId>) -> BTreeSet<NodeId> {
+        let mut open: Vec<NodeId> = nodes.iter().copied().collect();
+        let mut all = nodes;
+        while let Some(id) = open.pop() {
+            let further = self.history.shape().sources(id).map(|source| source.node);
+            open.extend(further.filter(|id| all.insert(*id)));
         }
+        all
     }
 
     /// A change has a way back while something of the old list could be used.
--- a/crates/hierarchy/src/shield.rs
+++ b/crates/hierarchy/src/shield.rs
@@ -453,6 +453,11 @@
         self.budgets.values().any(|budget| budget.is_tight(now))
     }
 
+    /// Whether what went to a tier above what changes is still being learned.
+    pub fn is_learning(&self) -> bool {
+        self.budgets.values().any(Budget::is_learning)
+    }
+
     /// No change is under way any more.
     pub fn end_change(&mut self, now: Ms) {
         self.budgets.values_mut().for_each(|budget| budget.end_change(now));
--- a/crates/operator/src/knobs.rs
+++ b/crates/operator/src/knobs.rs
@@ -159,6 +159,14 @@
         shield.budget.least,
         "what may go to a tier in any case"
     ),
+    knob!(
+        "learn",
+        "seconds",
+        (0.1, 600.0),
+        SECONDS,
+        shield.budget.learn,
+        "how long something has to go to a tier before that is known as what goes there"
+    ),
     knob!(
         "lease",
         "seconds",
--- /dev/null
+++ b/crates/standins/src/bin/starts.rs
@@ -0,0 +1,98 @@
+//! What reaches the origin when routers are killed and start again within a change of the hierarchy: none of three,
+//! one of them, or all at once; with nodes that ask the old parent beside the new one, and with such as don't.
+//!
+//! `starts [ROUTER_PROGRAM]`; without a program the one beside this is run. Some three minutes.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use linnethook_standins::checker::{judge, Rules};
+use linnethook_standins::fleet::{operator_file, reroute, router_program, Fleet};
+use linnethook_standins::load::{Load, Running};
+use linnethook_standins::node::{Kind, Makeup};
+use linnethook_standins::record::now;
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+const ROUTERS: [&str; 3] = ["n0", "n1", "n2"];
+const OBJECTS: u64 = 4_000;
+/// Seconds before the change, from it to the kill, and from that to the end.
+const TIMES: [u64; 3] = [12, 4, 14];
+
+fn makeup(kind: Kind) -> Makeup {
+    let copies = match kind {
+        Kind::Cache => OBJECTS / 40,
+        Kind::Parent => OBJECTS * 2 / 5,
+        Kind::Origin => 1,
+    };
+    Makeup { copies: copies as usize, ..Makeup::new(kind) }
+}
+
+fn play(program: &Path, extended: bool, killed: usize) -> Result<(), Failure> {
+    let mut fleet = Fleet::two_hubs(program, 3, makeup)?;
+    let extended_word = if extended { "True" } else { "False" };
+    let settings = format!("extended = {extended_word}, announce = 1, warm = 8, settle = 4");
+    let operator = operator_file(3, "south", &settings);
+    for router in ROUTERS {
+        fleet.start_router(router, Some(&operator), |_| {})?;
+    }
+    let start = |fleet: &Fleet, router: &str, seed: u64| -> std::io::Result<Running> {
+        let load = Load { seed, rate: 100.0, objects: OBJECTS, skew: 0.7, ..Load::default() };
+        fleet.load(router, &load)
+    };
+    let mut loads = Vec::new();
+    for (router, seed) in ROUTERS.iter().zip(1..) {
+        loads.push(start(&fleet, router, seed)?);
+    }
+    let since = now();
+    thread::sleep(Duration::from_secs(TIMES[0]));
+    let lists = ["cache-0", "cache-1", "cache-2"].map(|cache| (cache, &["centre", "origin"][..]));
+    let batch = reroute(9, 1, 2, &[(1, 1)], &lists);
+    for router in ROUTERS {
+        fleet.tell_batch(router, &batch)?;
+    }
+    thread::sleep(Duration::from_secs(TIMES[1]));
+    let rest = loads.split_off(killed);
+    ROUTERS[..killed].iter().for_each(|router| fleet.kill_router(router));
+    loads.into_iter().for_each(|load| drop(load.finish()));
+    for router in &ROUTERS[..killed] {
+        fleet.start_again(router)?;
+    }
+    let mut back = Vec::new();
+    for (router, seed) in ROUTERS[..killed].iter().zip(11..) {
+        back.push(start(&fleet, router, seed)?);
+    }
+    thread::sleep(Duration::from_secs(TIMES[2]));
+    let (mut asked, mut served) = (0, 0);
+    for running in back.into_iter().chain(rest) {
+        // Of those that were not killed, what came after the kill.
+        let from = (((since - running.since) / 1_000.0) as usize + (TIMES[0] + TIMES[1]) as usize)
+            * usize::from(running.since < since + 1_000.0);
+        let ends = running.finish();
+        asked += ends.asked.iter().skip(from).sum::<u32>();
+        served += ends.served.iter().skip(from).sum::<u32>();
+    }
+    let before = TIMES[0] as usize;
+    let origin = fleet.record.by_second("origin", since, TIMES.iter().sum::<u64>() as usize);
+    let steady = origin[before - 6..before].iter().sum::<u32>() / 6;
+    let worst = origin[before + TIMES[1] as usize..].iter().max().copied().unwrap_or(0);
+    let rules = Rules { slack: 150.0, going_over: 70_000.0, ..Rules::default() };
+    println!(
+        "beside: {extended}, killed: {killed} | origin a second: {steady} before, {worst} in the worst after | \
+         served after {served} of {asked} | breaches {}",
+        judge(&fleet.record.lines(), &rules).len()
+    );
+    Ok(())
+}
+
+fn main() -> Result<(), Failure> {
+    let given = std::env::args().nth(1);
+    let program = router_program(given.as_deref().map(Path::new))?;
+    for extended in [true, false] {
+        for killed in [0, 1, 3] {
+            play(&program, extended, killed)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -9,7 +9,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, SourceSpec};
 use linnethook_toy::Journal;
@@ -297,6 +297,37 @@
         Command::new(&self.program).args(words).stdin(Stdio::null()).output()
     }
 
+    /// What a command says of a router, as JSON.
+    pub fn asked(&self, router: &str, words: &[&str]) -> io::Result<Value> {
+        let socket = self.socket(router).display().to_string();
+        let output = self.command(&[words, &["--socket", &socket, "--format", "json"]].concat())?;
+        match output.status.success() {
+            true => Ok(serde_json::from_slice(&output.stdout)?),
+            false => Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned())),
+        }
+    }
+
+    /// Waits until a command says what is wanted; the time is only a bound.
+    pub fn until(
+        &self,
+        router: &str,
+        words: &[&str],
+        what: &str,
+        fits: impl Fn(&Value) -> bool,
+    ) -> io::Result<Value> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let said = self.asked(router, words)?;
+            if fits(&said) {
+                return Ok(said);
+            }
+            if Instant::now() > end {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, format!("{what}: {said}")));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     // ---- What routers are told.
 
     fn routers(&self) -> Vec<String> {
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -128,6 +128,7 @@
             ends: ends.clone(),
             since,
             open: Arc::default(),
+            gone: Arc::default(),
         };
         let client = Client::connect(address)?;
         let reading = Client { stream: client.stream.try_clone()? };
@@ -151,6 +152,8 @@
     ends: Arc<Mutex<Ends>>,
     since: Ms,
     open: Arc<Mutex<Open>>,
+    /// The router has gone: nothing that is asked of it is owed.
+    gone: Arc<AtomicBool>,
 }
 
 /// A client has at most that many requests open; beyond it the next one is not asked at all.
@@ -215,7 +218,12 @@
             harmful: booking,
             router: self.router.clone(),
         });
-        client.ask(stream, &fields, b"")
+        let asked = client.ask(stream, &fields, b"");
+        if self.gone.load(Ordering::Acquire) {
+            self.record.note(What::Released { request });
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        asked
     }
 
     fn read(&self, mut client: Client) {
@@ -248,7 +256,7 @@
                     }
                 }
                 Err(_) => {
-                    // The router has gone: nothing is owed any more.
+                    self.gone.store(true, Ordering::Release);
                     for (request, ..) in self.open.lock().unwrap_or_else(PoisonError::into_inner).values() {
                         self.record.note(What::Released { request: *request });
                     }
