--- /dev/null
+++ b/crates/fellows/src/lib.rs
@@ -0,0 +1,21 @@
+//! Fellow routers of one site: who belongs to the fleet, what each of them acts on, and what is known elsewhere and
+//! not here.
+//!
+//! - [`fact`]: what is passed on: by whom or of what, how new, in which version of its form;
+//! - [`table`]: all facts that are known, the newest of each, with digests by which a gap is found;
+//! - [`hlc`]: the time by which acts of several routers are ordered;
+//! - [`members`]: who is alive, suspected, gone or has left, by the links that both ends tell of;
+//! - [`pace`]: how many bytes may be said;
+//! - [`fellows`]: the whole.
+//!
+//! No part reads a clock, a socket, a file or chance: times are arguments. `docs/fellows.md` weighs the ways.
+
+pub mod fact;
+pub mod fellows;
+pub mod hlc;
+pub mod members;
+pub mod pace;
+pub mod table;
+
+/// Milliseconds.
+pub type Ms = f64;
--- /dev/null
+++ b/crates/fellows/tests/fleet.rs
@@ -0,0 +1,249 @@
+//! Fleets of the shipped core in virtual time: crashes, cuts, restarts, frozen processes and two under one name.
+
+mod net;
+
+use linnethook_fellows::fact::{CacheLine, Key, Purge};
+use linnethook_fellows::fellows::{Action, Note, Part, Rules};
+use linnethook_fellows::members::{Change, Standing};
+use net::{Net, Wire};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn fleet(routers: usize) -> Net {
+    let mut net = Net::new(1, routers, 2, Rules::default(), Wire::default());
+    assert!(net.until(10_000.0, |net| all_see(net, routers - 1)).is_some(), "all know of each other");
+    net
+}
+
+fn alive(net: &Net, n: usize) -> usize {
+    let members = net.nodes[n].core.as_ref().map(|core| core.members());
+    members.map_or(0, |members| members.iter().filter(|(_, m)| m.standing == Standing::Alive).count())
+}
+
+/// Whether each that runs sees so many others alive.
+fn all_see(net: &Net, others: usize) -> bool {
+    (0..net.nodes.len()).filter(|n| net.runs(*n)).all(|n| alive(net, n) == others)
+}
+
+fn standing(net: &Net, n: usize, name: &str) -> Option<Standing> {
+    Some(net.nodes[n].core.as_ref()?.members().get(name)?.standing)
+}
+
+/// Those that run, in two groups without a word between them.
+fn split(net: &mut Net, left: usize) {
+    for (a, b) in net.links() {
+        if (a < left) != (b < left) {
+            net.cut(a, b);
+        }
+    }
+}
+
+fn digests_agree(net: &Net) -> bool {
+    let all = net.nodes.iter().filter(|node| !node.frozen).filter_map(|node| node.core.as_ref());
+    let mut digests = all.map(|core| core.table().digests());
+    let first = digests.next();
+    digests.all(|digest| Some(digest) == first)
+}
+
+#[test]
+fn a_crash_a_cut_and_a_restart_are_seen_by_all_and_nobody_else_is_suspected() {
+    let mut net = fleet(20);
+    net.crash(7);
+    let gone =
+        |net: &Net, what| (0..20).filter(|n| net.runs(*n)).all(|n| standing(net, n, "r7") == Some(what));
+    assert!(net.until(5_000.0, |net| gone(net, Standing::Suspected)).is_some());
+    assert!(net.until(40_000.0, |net| gone(net, Standing::Gone)).is_some());
+    net.start(7);
+    assert!(net.until(5_000.0, |net| all_see(net, 19)).is_some(), "it is back");
+    split(&mut net, 8);
+    assert!(net.until(5_000.0, |net| (0..8).all(|n| alive(net, n) == 7)).is_some());
+    assert!((8..20).all(|n| alive(&net, n) == 11));
+    net.mend_all();
+    assert!(net.until(5_000.0, |net| all_see(net, 19)).is_some());
+    let suspected = |note: &Note| match note {
+        Note::Member { name, change: Change::Now(Standing::Suspected), .. } => Some(name.clone()),
+        _ => None,
+    };
+    // By a router of the larger half: those beyond the cut, and the one that crashed.
+    let names: Vec<String> = net.nodes[12].notes.iter().filter_map(|(_, note)| suspected(note)).collect();
+    assert!(names.iter().all(|name| name[1..].parse::<usize>().is_ok_and(|n| n < 8)), "{names:?}");
+    assert!(net.until(30_000.0, digests_agree).is_some(), "all know the same in the end");
+}
+
+/// Fellows of one that is frozen find its links silent; it comes back by itself.
+#[test]
+fn a_frozen_router_is_suspected_and_comes_back_under_its_start() {
+    let mut net = fleet(6);
+    net.freeze(2);
+    assert!(net.until(5_000.0, |net| standing(net, 0, "r2") == Some(Standing::Suspected)).is_some());
+    net.run(net.now + 8_000.0);
+    net.wake(2);
+    assert!(net.until(5_000.0, |net| all_see(net, 5)).is_some());
+    let frozen = net.nodes[2].notes.iter().any(|(_, note)| matches!(note, Note::Frozen(ms) if *ms > 8_000));
+    assert!(frozen, "it knows that it was");
+    assert_eq!(net.nodes[2].core.as_ref().map(|core| core.part()), Some(Part::Takes));
+}
+
+/// Two processes under one name: the later one is refused, both are told, and the fleet goes on with the earlier one.
+/// The earlier one, frozen while the later one starts, leaves the name to it.
+#[test]
+fn of_two_processes_under_one_name_the_later_one_is_refused_unless_the_earlier_one_slept() {
+    for slept in [false, true] {
+        let mut net = fleet(6);
+        let first = net.nodes[2].start;
+        if slept {
+            net.freeze(2);
+            net.run(net.now + 3_000.0);
+        }
+        // Another node takes the name: all that counts is what is said under it.
+        net.nodes[5].name = "r2".to_string();
+        net.crash(5);
+        net.run(net.now + 100.0);
+        net.nodes[5].start = net.nodes[2].start;
+        net.start(5);
+        let later = net.nodes[5].start;
+        if slept {
+            assert!(net.until(5_000.0, |net| standing(net, 0, "r2") == Some(Standing::Alive)).is_some());
+            net.wake(2);
+        }
+        let (out, holds) = if slept { (2, 5) } else { (5, 2) };
+        let part = |net: &Net, n: usize| net.nodes[n].core.as_ref().map(|core| core.part());
+        let expected = if slept { Part::Yielded(later) } else { Part::Refused(first) };
+        assert!(net.until(5_000.0, |net| part(net, out) == Some(expected)).is_some(), "{slept}");
+        assert_eq!(part(&net, holds), Some(Part::Takes));
+        let told = net.nodes[2].notes.iter().any(|(_, note)| *note == Note::Twin { start: later });
+        assert_eq!(told, !slept, "the earlier one is told of it");
+        let start = if slept { later } else { first };
+        let known =
+            |net: &Net| net.nodes[0].core.as_ref().and_then(|c| c.members().get("r2").map(|m| m.start));
+        assert!(net.until(5_000.0, |net| known(net) == Some(start)).is_some(), "{slept}");
+    }
+}
+
+/// News of the journal that one has reach all, once each, and an older word never comes after a newer one.
+#[test]
+fn news_of_the_journal_reach_all_and_an_older_word_counts_for_nothing() {
+    let mut net = fleet(12);
+    let now = net.now;
+    let line = |ready| CacheLine { ready, gone: false, started: 0.0 };
+    net.core(3).tell_cache(now, "c1", line(false), 7);
+    net.core(9).tell_cache(now, "c1", line(true), 5);
+    let purge = Purge { stamp: 100.0, number: 8 };
+    net.core(3).tell_purge(now, &Key::Object("ab".to_string()), purge);
+    net.run(now + 3_000.0);
+    for (n, node) in net.nodes.iter().enumerate() {
+        let lines = node.done.iter().filter_map(|(_, action)| match action {
+            Action::Cache { number, .. } => Some(*number),
+            _ => None,
+        });
+        let numbers: Vec<u64> = lines.collect();
+        assert!(numbers.is_sorted() && (n == 3 || numbers.last() == Some(&7)), "r{n}: {numbers:?}");
+        let purges = node.done.iter().filter(|(_, action)| matches!(action, Action::Purge { .. })).count();
+        assert_eq!(purges, usize::from(n != 3));
+    }
+    // Cut off for a drain, and back.
+    for other in 0..12 {
+        net.cut(0, other);
+    }
+    let now = net.now;
+    net.core(5).tell_cache(now, "c2", line(false), 9);
+    net.run(now + 3_000.0);
+    let knows =
+        |net: &Net| net.nodes[0].done.iter().any(|(_, a)| matches!(a, Action::Cache { number: 9, .. }));
+    assert!(!knows(&net));
+    net.mend_all();
+    assert!(net.until(3_000.0, knows).is_some());
+}
+
+/// What was lost on the way, by whatever fault, is found by digests and said again, and nothing else.
+#[test]
+fn a_gap_is_found_by_digests_and_only_it_is_sent() {
+    let mut net = fleet(3);
+    let now = net.now;
+    for group in 0..200 {
+        net.core(0).tell_purge(now, &Key::Group(group), Purge { stamp: 5.0, number: 1 });
+    }
+    net.run(now + 20_000.0);
+    assert!(digests_agree(&net));
+    // One forgets some of it.
+    let before = net.nodes[0].core.as_ref().map(|core| core.counts.repaired);
+    for group in [3, 50] {
+        net.core(1).forget(&Key::Group(group));
+    }
+    assert!(!digests_agree(&net));
+    assert!(net.until(30_000.0, digests_agree).is_some());
+    let repaired = net.nodes[0].core.as_ref().map(|core| core.counts.repaired);
+    let sent = repaired.unwrap_or(0) - before.unwrap_or(0);
+    // Two parts of sixteen, from one or two fellows, not all.
+    assert!((2..=80).contains(&sent), "{sent}");
+}
+
+/// Whatever goes wrong, no router says more than its pace.
+#[test]
+fn no_more_is_said_than_the_pace_lets_through() {
+    let mut rules = Rules::default();
+    (rules.pace.rate, rules.pace.saved) = (4_000.0, 1.0);
+    let mut net = Net::new(3, 5, 2, rules, Wire::default());
+    net.run(2_000.0);
+    let before: Vec<u64> =
+        net.nodes.iter().filter_map(|n| n.core.as_ref()).map(|core| core.counts.said_bytes).collect();
+    let now = net.now;
+    for n in 0..2_000 {
+        net.core(0).tell_purge(now, &Key::Object(format!("{n:016x}")), Purge { stamp: 9.0, number: n });
+    }
+    net.run(now + 5_000.0);
+    for (node, before) in net.nodes.iter().zip(before) {
+        let said = node.core.as_ref().map_or(0, |core| core.counts.said_bytes) - before;
+        // Its rate, what was saved up, digests, and one bundle.
+        assert!(said <= 4_000 * 6 + 6_000, "{}: {said}", node.name);
+    }
+}
+
+/// Crashes, cuts, frozen processes and restarts by seed; once all is mended, all know the same of all, nobody is taken
+/// for dead or alive wrongly, and what was told meanwhile is known everywhere.
+#[test]
+fn after_any_faults_all_know_the_same() {
+    for seed in 0..60 {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let routers = chance.random_range(3..12);
+        let wire = Wire { loss: [0.0, 0.1][seed as usize % 2], ..Wire::default() };
+        let mut net = Net::new(seed, routers, 2, Rules::default(), wire);
+        net.run(1_000.0);
+        let links = net.links();
+        let mut number = 0;
+        for _ in 0..40 {
+            let n = chance.random_range(0..routers);
+            match chance.random_range(0..7) {
+                0 if net.runs(n) => net.crash(n),
+                1 if net.nodes[n].core.is_none() => net.start(n),
+                2 if net.runs(n) => net.freeze(n),
+                3 if net.nodes[n].frozen => net.wake(n),
+                4 => {
+                    let (a, b) = links[chance.random_range(0..links.len())];
+                    net.cut(a, b);
+                }
+                5 => net.mend_all(),
+                _ if net.runs(n) => {
+                    number += 1;
+                    let (now, name) = (net.now, format!("c{}", chance.random_range(0..4)));
+                    let line = CacheLine { ready: number % 2 == 0, gone: false, started: 0.0 };
+                    net.core(n).tell_cache(now, &name, line, number);
+                }
+                _ => {}
+            }
+            let pause = chance.random_range(10.0..1_500.0);
+            net.run(net.now + pause);
+        }
+        net.mend_all();
+        for n in 0..routers {
+            if net.nodes[n].frozen {
+                net.wake(n);
+            }
+            if net.nodes[n].core.is_none() {
+                net.start(n);
+            }
+        }
+        let well = |net: &Net| all_see(net, routers - 1) && digests_agree(net);
+        assert!(net.until(60_000.0, well).is_some(), "seed {seed}, {routers} routers");
+    }
+}
--- /dev/null
+++ b/crates/fellows/tests/net/mod.rs
@@ -0,0 +1,344 @@
+//! Routers of a fleet in virtual time: the shipped core at each, and links that carry what it says in order, lose (and
+//! so delay) some of it, are cut, and are found to be silent after a while.
+//!
+//! What is simulated: links, their pulse, and a state that is told whole to whoever connects. One seed, one run.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use linnethook_fellows::fact::Acts;
+use linnethook_fellows::fellows::{Action, Fellows, Note, Rules, Said};
+use linnethook_fellows::Ms;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub struct Node {
+    pub core: Option<Fellows>,
+    pub name: String,
+    pub start: u64,
+    pub frozen: bool,
+    said: BTreeMap<Vec<u8>, Vec<u8>>,
+    pub notes: Vec<(Ms, Note)>,
+    pub done: Vec<(Ms, Action)>,
+    /// Bytes that left it, by the wire.
+    pub bytes: u64,
+    due: Ms,
+    waiting: Vec<(usize, Vec<Said>)>,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Deliver {
+        from: usize,
+        to: usize,
+        starts: (u64, u64),
+        said: Vec<Said>,
+    },
+    Up(usize, usize),
+    /// One end finds that nothing comes any more.
+    Down {
+        at: usize,
+        other: usize,
+        start: u64,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Wire {
+    pub delay: Ms,
+    /// The share of what is said that is lost once and sent again so much later.
+    pub loss: f64,
+    pub again: Ms,
+    /// How long until a silent link is found to be one.
+    pub silent: Ms,
+}
+
+impl Default for Wire {
+    fn default() -> Self {
+        Self { delay: 2.0, loss: 0.0, again: 200.0, silent: 500.0 }
+    }
+}
+
+pub struct Net {
+    pub now: Ms,
+    pub nodes: Vec<Node>,
+    pub wire: Wire,
+    rules: Rules,
+    chance: Pcg64Mcg,
+    links: BTreeSet<(usize, usize)>,
+    /// Links as they are up, with the starts at both ends.
+    up: BTreeMap<(usize, usize), (u64, u64)>,
+    cut: BTreeSet<(usize, usize)>,
+    slow: BTreeMap<usize, Ms>,
+    last: BTreeMap<(usize, usize), Ms>,
+    events: BTreeMap<(u64, u64), Event>,
+    count: u64,
+}
+
+fn pair(a: usize, b: usize) -> (usize, usize) {
+    (a.min(b), a.max(b))
+}
+
+impl Net {
+    /// So many routers, each with links to `dials` others: the next one, so that all hang together, and some by chance.
+    pub fn new(seed: u64, routers: usize, dials: usize, rules: Rules, wire: Wire) -> Self {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let mut links = BTreeSet::new();
+        for n in 0..routers {
+            links.insert(pair(n, (n + 1) % routers));
+            for _ in 1..dials {
+                let other = chance.random_range(0..routers);
+                if other != n {
+                    links.insert(pair(n, other));
+                }
+            }
+        }
+        links.retain(|(a, b)| a != b);
+        let mut net = Self {
+            now: 0.0,
+            nodes: Vec::new(),
+            wire,
+            rules,
+            chance,
+            links,
+            up: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            slow: BTreeMap::new(),
+            last: BTreeMap::new(),
+            events: BTreeMap::new(),
+            count: 0,
+        };
+        for n in 0..routers {
+            net.nodes.push(Node {
+                core: None,
+                name: format!("r{n}"),
+                start: 0,
+                frozen: false,
+                said: BTreeMap::new(),
+                notes: Vec::new(),
+                done: Vec::new(),
+                bytes: 0,
+                due: 0.0,
+                waiting: Vec::new(),
+            });
+        }
+        (0..routers).for_each(|n| net.start(n));
+        net
+    }
+
+    fn plan(&mut self, at: Ms, event: Event) {
+        self.count += 1;
+        self.events.insert(((at * 1_000.0) as u64, self.count), event);
+    }
+
+    fn linked(&self, n: usize) -> Vec<usize> {
+        let ends = self.links.iter().filter(|(a, b)| *a == n || *b == n);
+        ends.map(|(a, b)| if *a == n { *b } else { *a }).collect()
+    }
+
+    /// A router starts, later than all before under its name.
+    pub fn start(&mut self, n: usize) {
+        let (now, rules) = (self.now, self.rules);
+        let node = &mut self.nodes[n];
+        node.start += (now * 1_000.0) as u64 + 1;
+        node.core = Some(Fellows::new(now, rules, &node.name, node.start, Acts::default()));
+        node.said.clear();
+        node.frozen = false;
+        node.due = now;
+        for other in self.linked(n) {
+            self.plan(now + 50.0, Event::Up(n, other));
+        }
+    }
+
+    pub fn crash(&mut self, n: usize) {
+        self.nodes[n].core = None;
+        self.nodes[n].waiting.clear();
+        self.silence(n, 1.0);
+    }
+
+    pub fn freeze(&mut self, n: usize) {
+        self.nodes[n].frozen = true;
+        self.silence(n, self.wire.silent);
+    }
+
+    pub fn wake(&mut self, n: usize) {
+        self.nodes[n].frozen = false;
+        self.nodes[n].due = self.now;
+        for other in self.linked(n) {
+            // Its connections were given up meanwhile.
+            if !self.up.contains_key(&pair(n, other)) {
+                let start = self.nodes[other].start;
+                self.plan(self.now, Event::Down { at: n, other, start });
+                self.plan(self.now + 50.0, Event::Up(n, other));
+            }
+        }
+    }
+
+    fn silence(&mut self, n: usize, after: Ms) {
+        for other in self.linked(n) {
+            self.lose(n, other, after);
+        }
+    }
+
+    fn lose(&mut self, a: usize, b: usize, after: Ms) {
+        if let Some((start_a, start_b)) = self.up.remove(&pair(a, b)) {
+            let (low, high) = pair(a, b);
+            self.plan(self.now + after, Event::Down { at: low, other: high, start: start_b });
+            self.plan(self.now + after, Event::Down { at: high, other: low, start: start_a });
+        }
+    }
+
+    /// The link between two is cut, in one direction or both: either way the session ends.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cut.insert(pair(a, b));
+        self.lose(a, b, self.wire.silent);
+    }
+
+    pub fn mend(&mut self, a: usize, b: usize) {
+        if self.cut.remove(&pair(a, b)) {
+            self.plan(self.now + 50.0, Event::Up(a, b));
+        }
+    }
+
+    pub fn mend_all(&mut self) {
+        let cut: Vec<(usize, usize)> = self.cut.iter().copied().collect();
+        cut.into_iter().for_each(|(a, b)| self.mend(a, b));
+    }
+
+    /// All links of one that takes part are slower by that.
+    pub fn slow(&mut self, n: usize, by: Ms) {
+        self.slow.insert(n, by);
+    }
+
+    pub fn links(&self) -> Vec<(usize, usize)> {
+        self.links.iter().copied().collect()
+    }
+
+    pub fn core(&mut self, n: usize) -> &mut Fellows {
+        self.nodes[n].due = self.now;
+        self.nodes[n].core.as_mut().expect("it runs")
+    }
+
+    fn send(&mut self, from: usize, to: usize, said: Vec<Said>) {
+        let Some((low, high)) = self.up.get(&pair(from, to)).copied() else { return };
+        let starts = if from < to { (low, high) } else { (high, low) };
+        let bytes: usize = said.iter().map(|(key, entry)| key.len() + entry.len() + 4).sum();
+        self.nodes[from].bytes += bytes as u64 + 20;
+        let slow = self.slow.get(&from).copied().unwrap_or(0.0) + self.slow.get(&to).copied().unwrap_or(0.0);
+        let mut at = self.now + self.wire.delay + slow;
+        while self.chance.random::<f64>() < self.wire.loss {
+            at += self.wire.again;
+        }
+        // In order, as on one connection.
+        let last = self.last.entry((from, to)).or_default();
+        at = at.max(*last);
+        *last = at;
+        self.plan(at, Event::Deliver { from, to, starts, said });
+    }
+
+    fn carry_out(&mut self, n: usize) {
+        let now = self.now;
+        while let Some(action) = self.nodes[n].core.as_mut().and_then(Fellows::next_action) {
+            match action {
+                Action::Say(said) => {
+                    self.nodes[n].said.extend(said.iter().cloned());
+                    for other in self.linked(n) {
+                        self.send(n, other, said.clone());
+                    }
+                }
+                Action::Drop(key) => _ = self.nodes[n].said.remove(&key),
+                Action::Direct(name, said) => {
+                    if let Some(to) = self.nodes.iter().position(|node| node.name == name) {
+                        self.send(n, to, said);
+                    }
+                }
+                Action::StandDown => self.silence(n, 1.0),
+                Action::Note(note) => self.nodes[n].notes.push((now, note)),
+                other => self.nodes[n].done.push((now, other)),
+            }
+        }
+        let node = &mut self.nodes[n];
+        node.due = node.core.as_ref().map_or(f64::INFINITY, |core| core.next(now)).max(now + 0.001);
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Up(a, b) => {
+                let runs = |n: usize| self.nodes[n].core.is_some() && !self.nodes[n].frozen;
+                if !runs(a) || !runs(b) || self.cut.contains(&pair(a, b)) || self.up.contains_key(&pair(a, b))
+                {
+                    return;
+                }
+                let (low, high) = pair(a, b);
+                self.up.insert((low, high), (self.nodes[low].start, self.nodes[high].start));
+                for (at, other) in [(a, b), (b, a)] {
+                    let (name, start) = (self.nodes[other].name.clone(), self.nodes[other].start);
+                    self.core(at).link(&name, start, true);
+                    let all: Vec<Said> = self.nodes[at].said.clone().into_iter().collect();
+                    self.send(at, other, all);
+                }
+            }
+            Event::Down { at, other, start } => {
+                let name = self.nodes[other].name.clone();
+                if self.nodes[at].core.is_some() && !self.nodes[at].frozen {
+                    self.core(at).link(&name, start, false);
+                }
+            }
+            Event::Deliver { from, to, starts, said } => {
+                let same = (self.nodes[from].start, self.nodes[to].start) == starts;
+                let up = self.up.contains_key(&pair(from, to));
+                if !same || !up || self.nodes[to].core.is_none() || self.nodes[to].frozen {
+                    return;
+                }
+                let name = self.nodes[from].name.clone();
+                for (key, entry) in said {
+                    self.core(to).heard(now, &name, &key, &entry);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass up to then.
+    pub fn run(&mut self, until: Ms) {
+        loop {
+            let event =
+                self.events.first_key_value().map_or(f64::INFINITY, |((at, _), _)| *at as Ms / 1_000.0);
+            let awake = |(_, node): &(usize, &Node)| node.core.is_some() && !node.frozen;
+            let tick = self.nodes.iter().enumerate().filter(awake);
+            let tick = tick.min_by(|(_, a), (_, b)| a.due.total_cmp(&b.due)).map(|(n, node)| (n, node.due));
+            let due = tick.map_or(f64::INFINITY, |(_, due)| due);
+            if event.min(due) > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(event.min(due));
+            if event <= due {
+                if let Some((_, event)) = self.events.pop_first() {
+                    self.happen(event);
+                }
+            } else if let Some((n, _)) = tick {
+                let now = self.now;
+                self.core(n).tick(now);
+                self.carry_out(n);
+            }
+        }
+    }
+
+    /// Lets time pass until that holds, looked at often; when it did.
+    pub fn until(&mut self, most: Ms, holds: impl Fn(&Self) -> bool) -> Option<Ms> {
+        let end = self.now + most;
+        while self.now < end {
+            if holds(self) {
+                return Some(self.now);
+            }
+            self.run(self.now + 10.0);
+        }
+        None
+    }
+
+    /// Whether that one runs and takes part.
+    pub fn runs(&self, n: usize) -> bool {
+        self.nodes[n].core.is_some() && !self.nodes[n].frozen
+    }
+}
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ledger::{Fate, Token};
-use crate::site::State;
+use crate::site::{About, Fact, State};
 use crate::transfer::Copy;
 
 /// The length counts the kind, the stream and the payload.
@@ -19,8 +19,8 @@
 /// Names and values, as a client's request has them.
 pub type Fields = Vec<(String, String)>;
 
-/// The versions of these frames that this build speaks, from and to.
-pub const VERSIONS: (u16, u16) = (1, 1);
+/// The versions of these frames that this build speaks, from and to. Since 2 there are facts of fellows.
+pub const VERSIONS: (u16, u16) = (1, 2);
 
 /// One word of a link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -56,6 +56,8 @@
     Behind(u64, u64),
     /// No new streams on this connection.
     Leave,
+    /// Facts beside the order of states: for one fellow, that lacks them.
+    Direct(Vec<(About, Fact)>),
 }
 
 /// Who speaks.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -85,6 +85,8 @@
     pub seed: u64,
     /// The sites that connections are kept up to, one entry for each.
     pub dials: Vec<String>,
+    /// Whether routers of the own site are fellows, and may connect.
+    pub fellows: bool,
     pub rules: Rules,
 }
 
@@ -133,6 +135,18 @@
     CallOff(Ticket),
     /// Another site says something that counts here too.
     Heard(About, Fact),
+    /// The first connection with a fellow of that start is up, or the last one is down.
+    Fellow {
+        name: String,
+        start: u64,
+        up: bool,
+    },
+    /// A fellow says something: key and entry.
+    Said {
+        name: String,
+        key: Vec<u8>,
+        entry: Vec<u8>,
+    },
     Note(String),
 }
 
@@ -147,6 +161,8 @@
     pub taken: Taken,
     pub known: Other,
     pub sessions: Vec<Conn>,
+    /// Its name within its site.
+    node: String,
     seen: Ms,
 }
 
@@ -170,6 +186,8 @@
     /// The other gateway, once it has said who it is.
     pub peer: Option<String>,
     dialer: Option<usize>,
+    /// A fellow wants to be told here what is said: on one connection of several.
+    tells: bool,
 }
 
 /// Counts for people.
@@ -207,6 +225,8 @@
     pub(crate) lines: BTreeMap<Conn, Line>,
     pub(crate) peers: BTreeMap<String, Peer>,
     own: Own,
+    /// What is said to fellows; nothing where there are none.
+    fellows: Option<Own>,
     pub(crate) home: Home,
     pub(crate) routes: Routes,
     pub(crate) windows: BTreeMap<Site, Window>,
@@ -224,6 +244,9 @@
 /// By how much the clocks of two sites may differ at the most, in microseconds, as starts are told in.
 const DAY: f64 = 86_400e6;
 
+/// Bytes of what is told to a fellow in one frame.
+const PIECE: usize = 128 << 10;
+
 /// How often the views of other sites are looked over.
 const LOOK: Ms = 50.0;
 
@@ -249,6 +272,7 @@
             lines: BTreeMap::new(),
             peers: BTreeMap::new(),
             own: Own::new(setup.epoch, rules.peers.facts),
+            fellows: setup.fellows.then(|| Own::new(setup.epoch, usize::MAX)),
             home: Home::new(rules.home),
             routes: Routes::new(me, rules.routes),
             sent: Sent::new(setup.epoch, rules.across.attempts),
@@ -313,15 +337,18 @@
         if self.stopping {
             session.say(&Word::Leave);
         }
-        self.lines.insert(conn, Line { session, peer: None, dialer });
+        self.lines.insert(conn, Line { session, peer: None, dialer, tells: false });
         self.actions.push_back(Action::Write(conn));
     }
 
     /// A connection could not be made.
     pub fn dial_failed(&mut self, now: Ms, dialer: usize) {
         let draw = self.chance.random::<f64>();
+        let alone = self.fellows.is_none();
         if let Some(dialer) = self.dialers.get_mut(dialer) {
-            dialer.state = Dialing::At(dialer.retry.down(now, draw));
+            let never = alone && dialer.site == self.names[0];
+            let at = dialer.retry.down(now, draw);
+            dialer.state = Dialing::At(if never { f64::INFINITY } else { at });
         }
     }
 
@@ -345,14 +372,22 @@
         if let Some(n) = line.dialer {
             self.dial_failed(now, n);
         }
-        let mut last = false;
+        let (mut last, mut asks) = (false, None);
+        let me = self.me;
         if let Some(peer) = line.peer.as_ref().and_then(|name| self.peers.get_mut(name)) {
             peer.sessions.retain(|other| *other != conn);
             last = peer.sessions.is_empty();
+            let other = peer.sessions.first().copied().filter(|_| peer.site == me);
+            if last && peer.site == me {
+                let (name, start) = (peer.node.clone(), peer.epoch);
+                self.actions.push_back(Action::Fellow { name, start, up: false });
+            }
             if let Some(window) = self.windows.get_mut(&peer.site).filter(|_| last) {
                 window.reset();
             }
+            asks = other;
         }
+        asks.into_iter().for_each(|other| self.ask_fellow(other));
         if greeted {
             self.counts.downs += 1;
             let peer = line.peer.as_deref().unwrap_or_default();
@@ -428,7 +463,9 @@
             Heard::End(ticket) => return self.ends(now, conn, ticket),
             Heard::Never(ticket, why, come_back) => self.never(now, conn, ticket, why, come_back),
             Heard::State(state) => return self.state_came(now, conn, state),
+            Heard::Behind(epoch, version) if self.is_fellow(conn) => self.tell_fellow(conn, epoch, version),
             Heard::Behind(epoch, version) => self.tell_state(conn, epoch, version),
+            Heard::Direct(facts) => self.fellow_says(conn, facts),
             Heard::Leave => self.look(now),
         }
         Ok(())
@@ -442,14 +479,21 @@
     /// The other side has said who it is.
     fn greet(&mut self, now: Ms, conn: Conn, hello: Hello) -> Result<(), Ended> {
         let site = self.site(&hello.site).ok_or(Ended::Stranger)?;
-        if site == self.me {
+        let fellow = site == self.me;
+        if fellow && (self.fellows.is_none() || hello.epoch == self.epoch && hello.node == self.node) {
             return Err(Ended::Itself);
         }
         // A start that is yet to come would keep out all that follow.
         if hello.epoch as f64 > now * 1_000.0 + DAY {
             return Err(Ended::Epoch);
         }
-        let name = format!("{}/{}", hello.site, hello.node);
+        // Two processes under one name are told apart among fellows: who holds the name is theirs to settle.
+        let start = if fellow { format!("#{}", hello.epoch) } else { String::new() };
+        let name = format!("{}/{}{start}", hello.site, hello.node);
+        if fellow {
+            let idle = |peer: &Peer| peer.site == site && peer.node == hello.node && peer.sessions.is_empty();
+            self.peers.retain(|other, peer| *other == name || !idle(peer));
+        }
         if !self.peers.contains_key(&name) {
             self.make_place(now)?;
         }
@@ -460,6 +504,7 @@
             taken: Taken::new(horizon),
             known: Other::default(),
             sessions: Vec::new(),
+            node: hello.node.clone(),
             seen: now,
         });
         if !peer.taken.hello(hello.epoch) {
@@ -489,6 +534,17 @@
         if first {
             self.actions.push_back(Action::Note(format!("gateway: a connection with {name} is up")));
         }
+        if fellow {
+            let (name, start) = (hello.node, hello.epoch);
+            if first {
+                self.actions.push_back(Action::Fellow { name, start, up: true });
+            }
+            // Only now it is known who it is, and what is known of it.
+            if first {
+                self.ask_fellow(conn);
+            }
+            return Ok(());
+        }
         self.tell_state(conn, hello.known.0, hello.known.1);
         self.look(now);
         self.found(conn, Self::peer_start(&name, hello.epoch));
@@ -524,8 +580,10 @@
         if !self.own.say(now, about, fact) {
             return;
         }
-        let behind = self.lines.iter().filter(|(_, line)| line.peer.is_some());
-        let behind: Vec<(Conn, u64)> = behind.map(|(conn, line)| (*conn, line.session.told)).collect();
+        let told = |(conn, line): (&Conn, &Line)| (*conn, line.session.told);
+        let mut behind: Vec<(Conn, u64)> =
+            self.lines.iter().filter(|(_, line)| line.peer.is_some()).map(told).collect();
+        behind.retain(|(conn, _)| !self.is_fellow(*conn));
         for (conn, told) in behind {
             self.tell_state(conn, self.epoch, told);
         }
@@ -533,16 +591,18 @@
 
     fn state_came(&mut self, now: Ms, conn: Conn, state: State) -> Result<(), Ended> {
         let most = self.rules.peers.facts * 2;
+        let fellow = self.is_fellow(conn);
         let Some(peer) = self.peer_of(conn) else { return Ok(()) };
         match peer.known.hear(now, state, most) {
             News::TooMuch => return Err(Ended::State),
+            News::New(facts) if fellow => self.fellow_says(conn, facts),
             News::New(facts) => {
                 for (about, fact) in facts {
                     match about {
                         About::Cache(_) | About::Object(_) | About::Group(_) => {
                             self.actions.push_back(Action::Heard(about, fact));
                         }
-                        About::Site | About::Operators => {}
+                        About::Site | About::Operators | About::Fellow(_) => {}
                     }
                 }
                 self.look(now);
@@ -558,6 +618,91 @@
         Ok(())
     }
 
+    // ---- Fellows.
+
+    /// Whether requests can go to other sites at all.
+    pub fn crosses(&self) -> bool {
+        self.names.len() > 1
+    }
+
+    fn is_fellow(&self, conn: Conn) -> bool {
+        let name = self.lines.get(&conn).and_then(|line| line.peer.as_ref());
+        name.and_then(|name| self.peers.get(name)).is_some_and(|peer| peer.site == self.me)
+    }
+
+    /// Has a fellow tell on that connection what is not known of it yet, and all that follows.
+    fn ask_fellow(&mut self, conn: Conn) {
+        let (epoch, version) = self.peer_of(conn).map_or((0, 0), |peer| peer.known.known());
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.session.say(&Word::Behind(epoch, version));
+        }
+        self.wants_write(conn);
+    }
+
+    fn fellow_says(&mut self, conn: Conn, facts: Vec<(About, Fact)>) {
+        let fellow = self.is_fellow(conn);
+        let Some(name) = self.peer_of(conn).filter(|_| fellow).map(|peer| peer.node.clone()) else { return };
+        for (about, fact) in facts {
+            if let (About::Fellow(key), Fact::Fellow(entry)) = (about, fact) {
+                self.actions.push_back(Action::Said { name: name.clone(), key, entry });
+            }
+        }
+    }
+
+    /// Something is said to all fellows, and to those that come later.
+    pub fn tell_fellows(&mut self, now: Ms, said: Vec<(Vec<u8>, Vec<u8>)>) {
+        let Some(own) = &mut self.fellows else { return };
+        for (key, entry) in said {
+            own.say(now, About::Fellow(key), Fact::Fellow(entry));
+        }
+        let conns: Vec<Conn> = self.lines.keys().copied().filter(|conn| self.is_fellow(*conn)).collect();
+        for conn in conns {
+            // Who has not said yet what it knows is told once it does.
+            let told = self.lines.get(&conn).filter(|line| line.tells).map(|line| line.session.told);
+            if let Some(told) = told {
+                self.tell_fellow(conn, self.epoch, told);
+            }
+        }
+    }
+
+    /// What fellows that come later need not be told any more.
+    pub fn drop_fellows(&mut self, key: Vec<u8>) {
+        if let Some(own) = &mut self.fellows {
+            own.remove(&About::Fellow(key));
+        }
+    }
+
+    fn tell_fellow(&mut self, conn: Conn, epoch: u64, version: u64) {
+        let (Some(own), Some(line)) = (&self.fellows, self.lines.get_mut(&conn)) else { return };
+        line.tells = true;
+        for piece in own.pieces(epoch, version, PIECE) {
+            line.session.told = piece.version;
+            line.session.say(&Word::State(piece));
+        }
+        self.wants_write(conn);
+    }
+
+    /// Something is said to one fellow alone.
+    pub fn tell_fellow_alone(&mut self, name: &str, said: Vec<(Vec<u8>, Vec<u8>)>) {
+        let peer = self.peers.values().filter(|peer| peer.site == self.me && peer.node == name);
+        let Some(conn) = peer.filter_map(|peer| peer.sessions.first()).next().copied() else { return };
+        let fact = |(key, entry)| (About::Fellow(key), Fact::Fellow(entry));
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.session.say(&Word::Direct(said.into_iter().map(fact).collect()));
+        }
+        self.wants_write(conn);
+    }
+
+    /// No links with fellows any more, neither dialled nor taken in.
+    pub fn leave_fellows(&mut self, now: Ms) {
+        self.fellows = None;
+        let conns: Vec<Conn> = self.lines.keys().copied().filter(|conn| self.is_fellow(*conn)).collect();
+        conns.into_iter().for_each(|conn| self.close(now, conn, Ended::Stopped));
+        let own = &self.names[0];
+        let waits = |dialer: &&mut Dialer| dialer.site == *own && matches!(dialer.state, Dialing::At(_));
+        self.dialers.iter_mut().filter(waits).for_each(|dialer| dialer.state = Dialing::At(f64::INFINITY));
+    }
+
     /// Whether another site says of a cache that it takes no new work.
     pub fn bars(&self, cache: &str) -> bool {
         self.peers.values().any(|peer| peer.known.bars(cache))
--- a/crates/gateway/src/serving.rs
+++ b/crates/gateway/src/serving.rs
@@ -80,7 +80,11 @@
         // All that the other side was told up to then has come here.
         let proven = line.session.pulse.proven();
         let stale = fresh > 0.0 && proven.is_none_or(|at| now - at > fresh);
-        let why = if self.stopping || self.home.is_drained() {
+        // Fellows serve their own requests: none crosses between them.
+        let fellow = self.peers.get(&peer).is_some_and(|peer| peer.site == self.me);
+        let why = if fellow {
+            Some(Turned::Unusable)
+        } else if self.stopping || self.home.is_drained() {
             Some(Turned::Drained)
         } else if stale {
             Some(Turned::Stale)
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -11,7 +11,7 @@
 use crate::codec::{put, put_data, Begins, Decoder, Frame, Hello, Malformed, Open, Turned, Word, VERSIONS};
 use crate::ledger::{Fate, Ticket, Token};
 use crate::pulse::{Feel, Pulse, PulseRule};
-use crate::site::State;
+use crate::site::{About, Fact, State};
 use crate::streams::{Bounds, Breach, Priority, Receiving, Sending};
 
 /// The bounds of a session.
@@ -104,6 +104,7 @@
     State(State),
     Behind(u64, u64),
     Leave,
+    Direct(Vec<(About, Fact)>),
 }
 
 /// A stream that this side has opened.
@@ -406,6 +407,7 @@
             Word::Told(token, fate) => heard.push(Heard::Told(token, fate)),
             Word::State(state) => heard.push(Heard::State(state)),
             Word::Behind(epoch, version) => heard.push(Heard::Behind(epoch, version)),
+            Word::Direct(facts) => heard.push(Heard::Direct(facts)),
             Word::Leave => {
                 self.leaving = true;
                 heard.push(Heard::Leave);
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -23,6 +23,8 @@
     Load { used: f64, caches: u32, origin: bool },
     /// It is to be left alone, by its operators.
     Drained(bool),
+    /// What fellow routers of one site pass on, as they write it.
+    Fellow(Vec<u8>),
 }
 
 impl Fact {
@@ -40,6 +42,21 @@
     Group(u32),
     Site,
     Operators,
+    /// By the key that fellows have for it.
+    Fellow(Vec<u8>),
+}
+
+impl About {
+    /// About how many bytes it takes, with its fact.
+    fn bytes(&self, fact: &Fact) -> usize {
+        let name = match self {
+            Self::Cache(name) | Self::Object(name) => name.len(),
+            Self::Fellow(key) => key.len(),
+            Self::Group(_) | Self::Site | Self::Operators => 0,
+        };
+        let said = if let Fact::Fellow(entry) = fact { entry.len() } else { 0 };
+        name + said + 24
+    }
 }
 
 /// What one side tells the other.
@@ -118,6 +135,38 @@
         }
     }
 
+    /// What need not be told any more; nobody who has heard of it has to hear that.
+    pub fn remove(&mut self, about: &About) {
+        self.facts.remove(about);
+    }
+
+    /// The same as `since`, in pieces of about so many bytes at the most: each on top of the one before.
+    pub fn pieces(&self, epoch: u64, version: u64, bytes: usize) -> Vec<State> {
+        let whole = self.since(epoch, version);
+        let mut said: Vec<(u64, (About, Fact))> = Vec::with_capacity(whole.facts.len());
+        for (about, fact) in whole.facts {
+            let version = self.facts.get(&about).map_or(whole.version, |(version, ..)| *version);
+            said.push((version, (about, fact)));
+        }
+        let mut pieces = Vec::new();
+        let (mut since, mut length) = (whole.since, 0);
+        let mut facts = Vec::new();
+        let mut last = whole.since;
+        for (version, (about, fact)) in said {
+            let more = about.bytes(&fact);
+            if length + more > bytes && !facts.is_empty() {
+                let piece = std::mem::take(&mut facts);
+                pieces.push(State { epoch: self.epoch, since, version: last, facts: piece });
+                (since, length) = (last, 0);
+            }
+            length += more;
+            last = version;
+            facts.push((about, fact));
+        }
+        pieces.push(State { epoch: self.epoch, since, version: whole.version, facts });
+        pieces
+    }
+
     /// What has changed since a version that the other side has; all there is where that is not of this start.
     pub fn since(&self, epoch: u64, version: u64) -> State {
         let known = epoch == self.epoch && version <= self.version && version >= self.oldest;
@@ -195,6 +244,11 @@
         }
         (self.epoch, self.version) = (state.epoch, state.version);
         for (about, fact) in state.facts {
+            // Fellows know by themselves what of theirs is new.
+            if matches!(about, About::Fellow(_)) {
+                new.push((about, fact));
+                continue;
+            }
             // Of two purges the later one holds, whatever the order.
             let later = match (self.facts.get(&about), &fact) {
                 (Some((_, Fact::Purged { stamp: known })), Fact::Purged { stamp }) => stamp > known,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -23,6 +23,7 @@
         epoch: 7,
         seed: 1,
         dials: Vec::new(),
+        fellows: false,
         rules,
     };
     Gateway::new(0.0, setup)
--- a/crates/hierarchy/src/named.rs
+++ b/crates/hierarchy/src/named.rs
@@ -156,6 +156,51 @@
         }
     }
 
+    fn node_spec(&self, node: &Node, sources: &[Source]) -> NodeSpec {
+        NodeSpec {
+            name: self.of(node.id),
+            role: node.role,
+            site: self.site(node.site),
+            tier: node.tier,
+            capacity: node.capacity,
+            retiring: node.retiring,
+            sources: self.source_specs(sources),
+        }
+    }
+
+    fn change_spec(&self, change: &Change) -> ChangeSpec {
+        match change {
+            Change::Add { node, sources } => ChangeSpec::Add(self.node_spec(node, sources)),
+            Change::Remove { node } => ChangeSpec::Remove { node: self.of(*node) },
+            Change::Move { node, site, sources } => ChangeSpec::Move {
+                node: self.of(*node),
+                site: self.site(*site),
+                sources: self.source_specs(sources),
+            },
+            Change::Replace { old, new } => {
+                ChangeSpec::Replace { old: self.of(*old), new: self.node_spec(new, &[]) }
+            }
+            Change::Rerank { node, sources } => {
+                ChangeSpec::Rerank { node: self.of(*node), sources: self.source_specs(sources) }
+            }
+            Change::Retire { node, retiring } => {
+                ChangeSpec::Retire { node: self.of(*node), retiring: *retiring }
+            }
+        }
+    }
+
+    /// Writes a batch.
+    pub fn spec(&self, batch: &Batch) -> BatchSpec {
+        BatchSpec {
+            author: batch.serial.author.0,
+            number: batch.serial.number,
+            stamp: batch.stamp,
+            basis: batch.basis.iter().map(|(author, number)| (author.0, *number)).collect(),
+            at: batch.at,
+            changes: batch.changes.iter().map(|change| self.change_spec(change)).collect(),
+        }
+    }
+
     fn source_specs(&self, sources: &[Source]) -> Vec<SourceSpec> {
         sources.iter().map(|s| SourceSpec { name: self.of(s.node), rank: s.rank }).collect()
     }
--- a/crates/model/src/world/sites.rs
+++ b/crates/model/src/world/sites.rs
@@ -94,6 +94,7 @@
                 epoch: 1,
                 seed: self.plan.seed ^ router as u64,
                 dials: if site == 0 { vec![NAMES[1].to_string()] } else { Vec::new() },
+                fellows: false,
                 rules,
             };
             self.sites.gateways.push(Gateway::new(0.0, setup));
@@ -258,7 +259,7 @@
                         self.tell(now, router, &Told::Gone(RequestId(number)));
                     }
                 }
-                Action::Heard(..) | Action::Note(_) => {}
+                Action::Heard(..) | Action::Fellow { .. } | Action::Said { .. } | Action::Note(_) => {}
             }
         }
         let next = micros(self.sites.gateways[router].next(ms(now))).max(now + 1_000);
--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -8,6 +8,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
+use linnethook_fellows::fellows::Rules as FellowRules;
 use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Rules;
@@ -15,6 +16,7 @@
 use nix::unistd::alarm;
 use serde::{Deserialize, Serialize};
 
+use crate::knobs::fellows::FELLOWS;
 use crate::knobs::gateway::GATEWAY;
 use crate::knobs::HIERARCHY;
 use crate::script::{GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, WatchPart};
@@ -48,6 +50,7 @@
     knobs: Vec<f64>,
     sites: Vec<SiteSpec>,
     links: Vec<LinkSpec>,
+    fellows: Option<Vec<f64>>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,12 +75,13 @@
             nodes,
         });
         let log = operator.log.map(|log| (log.json, log.lines_per_second));
-        let gateway = operator.gateway.map(|Gateway { part, sites, links }| SentGateway {
+        let gateway = operator.gateway.map(|Gateway { part, sites, links, fellows }| SentGateway {
             site: part.site,
             listen: part.listen,
             knobs: GATEWAY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
             sites,
             links,
+            fellows: fellows.map(|rules| FELLOWS.iter().map(|knob| (knob.get)(&rules)).collect()),
         });
         Self { control: operator.control, log, watch: operator.watch, hierarchy, gateway }
     }
@@ -100,7 +104,14 @@
                 (knob.set)(&mut rules, *value);
             }
             let part = GatewayPart { site: sent.site, listen: sent.listen, rules };
-            Gateway { part, sites: sent.sites, links: sent.links }
+            let fellows = sent.fellows.map(|values| {
+                let mut rules = FellowRules::default();
+                for (knob, value) in FELLOWS.iter().zip(&values) {
+                    (knob.set)(&mut rules, *value);
+                }
+                rules
+            });
+            Gateway { part, sites: sent.sites, links: sent.links, fellows }
         });
         Self { control: sent.control, log, watch: sent.watch, hierarchy, gateway }
     }
--- a/crates/operator/src/knobs.rs
+++ b/crates/operator/src/knobs.rs
@@ -64,6 +64,7 @@
 
 const SECONDS: f64 = 1_000.0;
 
+pub mod fellows;
 pub mod gateway;
 
 /// What `hierarchy(...)` sets beside its switches.
@@ -195,6 +196,7 @@
     fn every_default_is_in_its_range_and_every_setting_goes_where_it_is_read() {
         check(HIERARCHY);
         check(gateway::GATEWAY);
+        check(fellows::FELLOWS);
     }
 
     fn check<T: Default>(table: &[Knob<T>]) {
--- /dev/null
+++ b/crates/operator/src/knobs/fellows.rs
@@ -0,0 +1,51 @@
+//! Owns the table of `fellows(...)`.
+
+use linnethook_fellows::fellows::Rules;
+
+use super::{Knob, SECONDS};
+
+/// What `fellows(...)` sets.
+pub const FELLOWS: &[Knob<Rules>] = &[
+    knob!(
+        "suspect",
+        "seconds",
+        (0.1, 600.0),
+        SECONDS,
+        members.suspect,
+        "out of reach for so long, a router is suspected"
+    ),
+    knob!("gone", "seconds", (1.0, 86_400.0), SECONDS, members.gone, "and gone"),
+    knob!("forget", "seconds", (1.0, 604_800.0), SECONDS, members.forget, "and forgotten"),
+    knob!("rate", "bytes a second", (1_024.0, 1e8), 1.0, pace.rate, "what is said to all fellows together"),
+    knob!("saved", "seconds", (0.1, 60.0), 1.0, pace.saved, "so many seconds' bytes may be saved up"),
+    knob!("every", "seconds", (0.01, 10.0), SECONDS, every, "what has changed is said so often at the most"),
+    knob!(whole "bundle", "bytes", (1_024.0, 131_072.0), usize, bundle, "of it in one go"),
+    knob!("compare", "seconds", (0.1, 3_600.0), SECONDS, compare, "how often tables are compared by digests"),
+    knob!(
+        "purges",
+        "seconds",
+        (10.0, 86_400.0),
+        SECONDS,
+        purges,
+        "how long purges are passed on, and caches that are back or gone"
+    ),
+    knob!(
+        "frozen",
+        "seconds",
+        (0.1, 600.0),
+        SECONDS,
+        frozen,
+        "a process that did nothing for so long was frozen"
+    ),
+    knob!(
+        "yields",
+        "seconds",
+        (0.0, 600.0),
+        SECONDS,
+        yields,
+        "and for so long leaves its name to one that started later"
+    ),
+    knob!(whole "facts", "", (64.0, 1e6), usize, kept.facts, "facts that are kept"),
+    knob!(whole "fact_bytes", "bytes", (65_536.0, 1e9), usize, kept.bytes, "bytes of all of them"),
+    knob!(whole "speaks", "", (1.0, 2.0), u16, speaks, "the version in which this router tells of itself; an older one while not all read the newest"),
+];
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -14,6 +14,7 @@
 
 use std::fmt;
 
+use linnethook_fellows::fellows::Rules as FellowRules;
 use linnethook_hierarchy::named::{self, ChangeSpec, NodeSpec};
 
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,8 @@
     pub part: GatewayPart,
     pub sites: Vec<SiteSpec>,
     pub links: Vec<LinkSpec>,
+    /// What holds among routers of the own site, if they are fellows.
+    pub fellows: Option<FellowRules>,
 }
 
 /// The hierarchy as the file has it.
@@ -116,7 +119,7 @@
             }
         };
         let control = parts.control.map(|(_, path)| path);
-        let gateway = gateway(parts.gateway, parts.sites, parts.links);
+        let gateway = gateway(parts.gateway, parts.sites, parts.links, parts.fellows);
         let gateway = gateway.map_err(|(at, what)| wrong(Some(at), what))?;
         let (log, watch) = (parts.log.map(|(_, log)| log), parts.watch.map(|(_, watch)| watch));
         Ok(Self { control, log, watch, hierarchy, gateway })
@@ -128,16 +131,18 @@
     part: Option<(At, GatewayPart)>,
     sites: Vec<(At, SiteSpec)>,
     links: Vec<(At, LinkSpec)>,
+    fellows: Option<(At, FellowRules)>,
 ) -> Result<Option<Gateway>, (At, String)> {
     let stray = sites.first().map(|(at, _)| (*at, "site()")).or(links.first().map(|(at, _)| (*at, "link()")));
+    let stray = stray.or(fellows.as_ref().map(|(at, _)| (*at, "fellows()")));
     let Some((at, part)) = part else {
         return match stray {
             Some((at, function)) => Err((at, format!("{function}: expected a gateway() beside it"))),
             None => Ok(None),
         };
     };
-    if sites.is_empty() {
-        return Err((at, "gateway(): expected at least one other site()".to_string()));
+    if sites.is_empty() && fellows.is_none() {
+        return Err((at, "gateway(): expected at least one other site(), or fellows()".to_string()));
     }
     let mut names = vec![part.site.as_str()];
     let mut classes = Vec::new();
@@ -153,9 +158,14 @@
             classes.push(class);
         }
     }
-    if let Some((at, link)) = links.iter().find(|(_, l)| !sites.iter().any(|(_, site)| site.name == l.to)) {
+    let own = |link: &LinkSpec| link.to == part.site;
+    let known = |link: &LinkSpec| sites.iter().any(|(_, site)| site.name == link.to);
+    if let Some((at, link)) = links.iter().find(|(_, link)| !known(link) && !own(link)) {
         return Err((*at, format!("link(): there is no site({:?})", link.to)));
     }
+    if let Some((at, _)) = links.iter().find(|(_, link)| own(link) && fellows.is_none()) {
+        return Err((*at, "link(): to the own site, expected fellows() beside it".to_string()));
+    }
     if part.listen.is_none() && links.is_empty() {
         return Err((at, "gateway(): expected listen, or at least one link()".to_string()));
     }
@@ -164,7 +174,8 @@
     }
     let strip = |(_, site): (At, SiteSpec)| site;
     let links = links.into_iter().map(|(_, link)| link).collect();
-    Ok(Some(Gateway { part, sites: sites.into_iter().map(strip).collect(), links }))
+    let fellows = fellows.map(|(_, rules)| rules);
+    Ok(Some(Gateway { part, sites: sites.into_iter().map(strip).collect(), links, fellows }))
 }
 
 /// Reads a file of changes, as `linnethook hierarchy plan` and `apply` take them.
@@ -180,7 +191,9 @@
 
 /// The reference of the tables: each setting with its function, default, range and unit, one a line.
 pub fn reference() -> String {
-    lines("hierarchy", knobs::HIERARCHY) + &lines("gateway", knobs::gateway::GATEWAY)
+    lines("hierarchy", knobs::HIERARCHY)
+        + &lines("gateway", knobs::gateway::GATEWAY)
+        + &lines("fellows", knobs::fellows::FELLOWS)
 }
 
 fn lines<T: Default>(function: &str, table: &[knobs::Knob<T>]) -> String {
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linnethook_fellows::fellows::Rules as FellowRules;
 use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec, SourceSpec};
 use linnethook_hierarchy::{Role, Rules};
@@ -21,6 +22,7 @@
 use starlark::values::Value;
 
 use crate::arguments::Arguments;
+use crate::knobs::fellows::FELLOWS;
 use crate::knobs::gateway::GATEWAY;
 use crate::knobs::HIERARCHY;
 use crate::{Bounds, Wrong};
@@ -44,6 +46,7 @@
     pub gateway: Option<(At, GatewayPart)>,
     pub sites: Vec<(At, SiteSpec)>,
     pub links: Vec<(At, LinkSpec)>,
+    pub fellows: Option<(At, FellowRules)>,
     pub changes: Vec<ChangeSpec>,
 }
 
@@ -287,6 +290,26 @@
         collect(|parts| once(&mut parts.gateway, at, "gateway()", GatewayPart { site, listen, rules }))
     }
 
+    /// Makes routers of the own site fellows: they tell each other what they act on.
+    fn fellows<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("fellows()", given);
+        let mut rules = FellowRules::default();
+        arguments.knobs(FELLOWS, &mut rules)?;
+        arguments.end()?;
+        let members = rules.members;
+        if members.suspect > members.gone {
+            return Err(anyhow::anyhow!("fellows(): expected suspect up to gone"));
+        }
+        if rules.frozen > members.suspect {
+            return Err(anyhow::anyhow!("fellows(): expected frozen up to suspect"));
+        }
+        let at = at(eval);
+        collect(|parts| once(&mut parts.fellows, at, "fellows()", rules))
+    }
+
     /// Another site.
     fn site<'v>(
         name: Value<'v>,
@@ -304,7 +327,7 @@
         })
     }
 
-    /// Connections to a gateway of another site.
+    /// Connections to a gateway of another site, or to a fellow of the own one.
     fn link<'v>(
         to: Value<'v>,
         #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -10,13 +10,14 @@
 use std::time::Duration;
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use linnethook_fellows::fellows::{Line, Part};
 use linnethook_gateway::gateway::{RouteLine, Status};
 use linnethook_hierarchy::named::{BatchSpec, NodeSpec, PlanSpec, SourceSpec};
 use linnethook_operator::script::Kind;
 use linnethook_operator::{apart, reference};
 use serde::Serialize;
 
-use crate::control::{Answer, Question, Shown};
+use crate::control::{Answer, FleetShown, Question, Shown};
 
 /// A front for caches of large objects behind thin links.
 #[derive(Debug, Parser)]
@@ -56,6 +57,13 @@
         #[command(flatten)]
         at: At,
     },
+    /// Show the fellow routers that a running router knows, and what each acts on
+    Fleet {
+        #[command(subcommand)]
+        verb: FleetVerb,
+        #[command(flatten)]
+        at: At,
+    },
     /// Print the settings of the operator file with their defaults and ranges
     Settings,
     /// Print completions for a shell
@@ -109,6 +117,21 @@
     Undrain { site: String },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum FleetVerb {
+    /// Show who is there, and where what they act on differs
+    Show,
+    /// Show it again each time that something has changed
+    Watch {
+        /// Seconds between two looks
+        #[arg(long, default_value_t = 1.0)]
+        every: f64,
+        /// Looks after which it ends; 0 is never
+        #[arg(long, default_value_t = 0)]
+        looks: u64,
+    },
+}
+
 /// Why a command did not end well.
 #[derive(Debug)]
 pub enum Failed {
@@ -151,7 +174,8 @@
             let control = operator.control.unwrap_or("none".to_string());
             let gateway = operator.gateway.map_or(String::new(), |gateway| {
                 let (sites, links) = (gateway.sites.len(), gateway.links.len());
-                format!("; gateway of {}: {sites} other sites, {links} links", gateway.part.site)
+                let fellows = if gateway.fellows.is_some() { ", with fellows" } else { "" };
+                format!("; gateway of {}: {sites} other sites, {links} links{fellows}", gateway.part.site)
             });
             let watch = if operator.watch.is_some() { "; another shape is watched" } else { "" };
             let file = file.display();
@@ -179,6 +203,7 @@
         }
         Command::Hierarchy { verb, at } => hierarchy(verb, at),
         Command::Gateway { verb, at } => gateway(verb, at),
+        Command::Fleet { verb, at } => fleet(verb, at),
     }
 }
 
@@ -243,6 +268,95 @@
     }
 }
 
+fn fleet(verb: &FleetVerb, at: &At) -> Result<String, Failed> {
+    let [socket] = &at.socket[..] else {
+        return Err(Failed::Input(
+            "one --socket (or LB_CONTROL) is needed: where is the router?".to_string(),
+        ));
+    };
+    let look = || match ask(socket, &Question::Fleet)? {
+        Answer::Fleet(shown) if at.format == Format::Json => Ok(as_json(&shown)),
+        Answer::Fleet(shown) => Ok(fleet_text(&shown)),
+        other => Err(unexpected(socket, other)),
+    };
+    let FleetVerb::Watch { every, looks } = verb else { return look() };
+    let pause = Duration::try_from_secs_f64(every.max(0.05)).unwrap_or(Duration::from_secs(1));
+    let mut last = String::new();
+    for n in 1.. {
+        let shown = look()?;
+        if shown != last {
+            let written = writeln!(std::io::stdout(), "{shown}").and_then(|()| std::io::stdout().flush());
+            if written.is_err() {
+                break;
+            }
+            last = shown;
+        }
+        if n == *looks {
+            break;
+        }
+        std::thread::sleep(pause);
+    }
+    Ok(String::new())
+}
+
+/// A router's line: what differs from the router that was asked stands in capitals.
+fn fellow_text(line: &Line, me: &Line) -> String {
+    let (acts, own) = (&line.acts, &me.acts);
+    let mut differs = Vec::new();
+    let mut look = |what: &str, same: bool| differs.extend((!same).then(|| what.to_string()));
+    look("BUILD", acts.build == own.build);
+    look("SETTINGS", acts.settings == own.settings);
+    look("OPERATOR FILE", acts.operator == own.operator);
+    look("HIERARCHY", acts.shape == own.shape);
+    look("JOURNAL", acts.journal == own.journal);
+    let differs =
+        if differs.is_empty() { String::new() } else { format!("; differs: {}", differs.join(", ")) };
+    let standing = format!("{:?}", line.standing).to_lowercase();
+    format!(
+        "{} {standing}, {} links, build {}, hierarchy {} ({:08x}), journal {}, {} drains, {} purges, start {}{differs}\n",
+        line.name,
+        line.links,
+        acts.build,
+        acts.shape.0,
+        acts.shape.1 >> 32,
+        acts.journal,
+        acts.drains,
+        acts.purges,
+        line.start
+    )
+}
+
+fn fleet_text(shown: &FleetShown) -> String {
+    let fellows = &shown.fellows;
+    let mut out = fellow_text(&fellows.me, &fellows.me);
+    match fellows.part {
+        Part::Takes => {}
+        Part::Refused(holder) => out += &format!("TAKES NO PART: the start {holder} holds the name\n"),
+        Part::Yielded(holder) => {
+            out += &format!("TAKES NO PART: it was frozen, and the start {holder} holds the name\n");
+        }
+    }
+    for line in &fellows.others {
+        out += &fellow_text(line, &fellows.me);
+    }
+    for (cache, number) in &shown.barred {
+        out += &format!("{cache} is drained by the journal's number {number}, by the word of fellows\n");
+    }
+    let counts = serde_json::to_value(fellows.counts).unwrap_or_default();
+    let counts = counts.as_object().into_iter().flatten().map(|(name, count)| format!("{name}={count}"));
+    let counts: Vec<String> = counts.collect();
+    out + &format!(
+        "{} facts, {} bytes, {} waiting; heard from fellows first: {} drains, {} purges, {} batches; {}\n",
+        fellows.facts,
+        fellows.bytes,
+        fellows.pending,
+        shown.drains,
+        shown.purges,
+        shown.batches,
+        counts.join(" ")
+    )
+}
+
 fn yes(is: bool, what: &str, not: &str) -> String {
     if is { what } else { not }.to_string()
 }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -56,6 +56,12 @@
         Ok(Self { file, told, seed, limits })
     }
 
+    /// Tells at a glance whether two routers were given the same settings.
+    pub fn settings_digest(&self) -> u64 {
+        // Objects are written in the order of their names.
+        xxhash_rust::xxh3::xxh3_64(self.file.settings.to_string().as_bytes())
+    }
+
     /// The settings as they would be with these changes.
     pub fn with(&self, changes: &serde_json::Value) -> Result<Told, Failure> {
         let settings = linnethook_settings::changed(&self.file.settings, changes);
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -34,6 +34,7 @@
     Gateway,
     Routes,
     Drain { site: String, drained: bool },
+    Fleet,
 }
 
 /// A going over to a new source, as it is shown.
@@ -56,6 +57,18 @@
     pub limit: Option<f64>,
 }
 
+/// The fleet as a router sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetShown {
+    pub fellows: linnethook_fellows::fellows::Shown,
+    /// Caches that only fellows call drained so far, with the journal's numbers.
+    pub barred: Vec<(String, u64)>,
+    /// Drains, purges and batches that were heard from fellows first.
+    pub drains: u64,
+    pub purges: u64,
+    pub batches: u64,
+}
+
 /// The hierarchy as a router has it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Shown {
@@ -80,6 +93,7 @@
     Applied(BatchSpec),
     Gateway(Box<Status>),
     Routes(Vec<RouteLine>),
+    Fleet(Box<FleetShown>),
     Done(String),
     /// It can't be done, and nothing was changed.
     No(String),
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -68,6 +68,11 @@
         self.state = Stage::Resting(now);
     }
 
+    /// The last number taken.
+    pub fn number(&self) -> u64 {
+        self.pos
+    }
+
     /// When `tick` is due.
     pub fn next(&self) -> Ms {
         match self.state {
--- a/crates/router/src/links/beyond.rs
+++ b/crates/router/src/links/beyond.rs
@@ -83,6 +83,7 @@
             epoch: (now * 1_000.0) as u64,
             seed,
             dials: dials.iter().map(|(site, _)| site.clone()).collect(),
+            fellows: settings.fellows.is_some(),
             rules: settings.part.rules,
         };
         if let Some(address) = settings.part.listen {
@@ -105,6 +106,11 @@
         })
     }
 
+    /// Whether requests can go to other sites.
+    pub fn crosses(&self) -> bool {
+        self.gateway.crosses()
+    }
+
     /// What the gateway is to know of a request.
     pub fn wanted(&self, traveller: &Traveller, parcel: &Parcel) -> Wanted {
         let wish = &traveller.wish;
--- a/crates/router/src/links/wiring.rs
+++ b/crates/router/src/links/wiring.rs
@@ -109,6 +109,8 @@
                     self.carry_out(orders, Brought::Nothing);
                 }
                 Errand::Heard(about, fact) => self.heard_of(about, fact),
+                Errand::Fellow { name, start, up } => self.fellow(&name, start, up),
+                Errand::Said { name, key, entry } => self.fellow_said(&name, &key, &entry),
                 Errand::Note(line) => log_line!("{line}"),
             }
         }
@@ -187,8 +189,9 @@
         let (aim, write) = self.decider.wanted(&wish);
         let bytes = wish.size_kb * 1000.0;
         let asked = Asked { object: wish.object, part: wish.part, write, bytes, aim, since: now };
-        let harmful = self.beyond.is_some() && self.decider.does_harm(&wish);
-        let traveller = self.beyond.is_some().then(|| {
+        let crosses = self.crosses();
+        let harmful = crosses && self.decider.does_harm(&wish);
+        let traveller = crosses.then(|| {
             let deadline = now + wish.budget;
             Box::new(Traveller { wish, harmful, write, aim, deadline, passed })
         });
@@ -221,7 +224,12 @@
         }
     }
 
-    fn purged(&mut self, expire: Expire) {
+    /// Whether requests can go to other sites.
+    pub(crate) fn crosses(&self) -> bool {
+        self.beyond.as_ref().is_some_and(|beyond| beyond.crosses())
+    }
+
+    pub(crate) fn purged(&mut self, expire: Expire) {
         if let Some(news) = expire.news() {
             let orders = self.decider.report(self.clock.now(), news);
             self.carry_out(orders, Brought::Nothing);
@@ -240,6 +248,7 @@
             beyond.gateway.tick(now);
         }
         self.carry_beyond();
+        self.tick_fleet();
     }
 
     pub fn link_is_ready(&mut self, conn: Conn, readiness: Readiness) {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,6 +9,7 @@
 mod control;
 mod counters;
 mod decider;
+mod fleet;
 mod frames;
 mod journal;
 mod links;
@@ -40,6 +41,7 @@
 use control::Control;
 use counters::Counters;
 use decider::{Decider, End, Final, Ms, News, Order, Ticket, Wish};
+use fleet::Fleet;
 use frames::Code;
 use journal::Journal;
 use links::beyond::{Beyond, Traveller};
@@ -139,6 +141,7 @@
     upstream: Option<Upstream>,
     control: Option<Control<Self>>,
     beyond: Option<Beyond<Self>>,
+    fleet: Option<Fleet>,
     /// The evaluation of the operator file that is under way.
     evaluation: Option<Evaluation>,
     handle: LoopHandle<'static, Self>,
@@ -162,6 +165,7 @@
         let watch = operator.as_ref().and_then(|(_, operator)| operator.watch.as_ref());
         let told = |watch| Ok::<_, Failure>((config.with(&steer::changes(watch))?, watch.every * 1000.0));
         let watched = watch.map(told).transpose()?;
+        let settings = operator.as_ref().map_or(0, |_| config.settings_digest());
         let known = config.file.known;
         let mut router = Self {
             clock: Clock::new(),
@@ -177,6 +181,7 @@
             upstream: None,
             control: None,
             beyond: None,
+            fleet: None,
             evaluation: None,
             handle: handle.clone(),
             wake: None,
@@ -189,10 +194,11 @@
             router.watch = Some((every, router.clock.now() + every));
         }
         if let Some((file, operator)) = operator {
-            router.switch_on(&config.file.name, config.seed, &operator)?;
+            router.switch_on(&config.file.name, config.seed, settings, &operator)?;
             router.operator = Some(file);
         }
         router.learn(known.entries);
+        router.tick_fleet();
         // Clients come only once the list is known.
         let address = router.clients.listen(config.file.listen)?;
         log_line!("{} listens on {address}", config.file.name);
@@ -210,7 +216,11 @@
                 }
                 self.tell_feeds();
             }
+            self.fleet_hears(&entry);
             if let Some(mut hosts) = entry.hosts {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.hosts(now, &mut hosts, entry.pos);
+                }
                 if let Some(beyond) = &mut self.beyond {
                     let decider = &self.decider;
                     beyond.hosts(now, &mut hosts, |target| decider.is_own(&target.host()));
@@ -281,7 +291,7 @@
 
     /// The answer of this site's decisions to a request.
     fn answer(&mut self, ticket: Ticket, answer: Final, brought: Brought) {
-        if self.beyond.is_some() {
+        if self.crosses() {
             self.ended_here(ticket, answer);
             if matches!(answer, Final::Refused { .. }) && self.goes_beyond(ticket) {
                 return self.carry_beyond();
@@ -352,7 +362,7 @@
                     }
                     let crowded = self.requests.len() >= self.limits.open;
                     let Taken { wish, parcel, .. } = *taken;
-                    if self.beyond.is_some() {
+                    if self.crosses() {
                         let held = self.held(now, asker, wish, parcel, Vec::new());
                         self.requests.insert(ticket, held);
                         if crowded {
@@ -377,7 +387,7 @@
                     self.counters.given_up += 1;
                     self.requests.remove(ticket);
                     self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
-                    if let Some(beyond) = &mut self.beyond {
+                    if let Some(beyond) = self.beyond.as_mut().filter(|beyond| beyond.crosses()) {
                         beyond.gateway.gone(now, ticket);
                         self.carry_beyond();
                     }
@@ -497,7 +507,8 @@
             let connects = beyond.links.next().unwrap_or(f64::INFINITY);
             beyond.gateway.next(now).min(connects)
         });
-        let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control, beyond];
+        let fleet = self.fleet.as_ref().map(|fleet| fleet.next(now));
+        let next = [self.wake, self.caches.next(), journal, clients, stop, upstream, control, beyond, fleet];
         let next = next.into_iter().flatten().reduce(Ms::min).unwrap_or(now + 1000.0);
         Duration::from_secs_f64((next - now).clamp(0.0, 1000.0) / 1000.0)
     }
@@ -513,6 +524,7 @@
             self.run = Run::Stopping(self.clock.now());
             let mut said = Vec::new();
             self.clients.stop(self.clock.now(), &mut said);
+            self.leave_fleet();
             if let Some(beyond) = &mut self.beyond {
                 beyond.gateway.stop();
                 self.carry_beyond();
@@ -568,9 +580,10 @@
         let links = self.beyond.as_ref().map_or(String::new(), |beyond| {
             format!(" links={} links_accepted={}", beyond.links.len(), beyond.links.accepted)
         });
+        let fleet = self.fleet.as_ref().map_or(String::new(), |fleet| format!(" {fleet}"));
         let watched = self.decider.watched().map_or(String::new(), |watched| format!(" {watched}"));
         log_line!(always "{counters} held_clients={clients} held_caches={peers} held_connections={connections} \
-            open={open} out={out} buffers={buffers}{links}{watched}");
+            open={open} out={out} buffers={buffers}{links}{fleet}{watched}");
     }
 
     /// Whether all that was taken is answered, and nothing more is expected.
@@ -578,7 +591,7 @@
         let Run::Stopping(since) = self.run else { return false };
         let passed = self.clock.now() - since;
         // What is at another site is owed by the gateway and not by the decider.
-        let across = self.beyond.is_some() && self.requests.len() > 0;
+        let across = self.crosses() && self.requests.len() > 0;
         let answered = self.decider.owed() == 0 && !across && self.clients.settled();
         passed >= self.limits.stop_most || (passed >= self.limits.stop_least && answered)
     }
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -20,6 +20,7 @@
 use crate::config::Failure;
 use crate::control::{Answer, BudgetLine, Control, MoveLine, Question, Shown};
 use crate::decider::{Ms, News};
+use crate::fleet::{self, Fleet};
 use crate::links::beyond::Beyond;
 use crate::log::log_line;
 use crate::told::Hosts;
@@ -54,15 +55,25 @@
 
 impl Router {
     /// Begins with what the operator file has.
-    pub fn switch_on(&mut self, name: &str, seed: u64, operator: &Operator) -> Result<(), Failure> {
+    pub fn switch_on(
+        &mut self,
+        name: &str,
+        seed: u64,
+        settings: u64,
+        operator: &Operator,
+    ) -> Result<(), Failure> {
         let now = self.clock.now();
         if let Some(hierarchy) = &operator.hierarchy {
             self.upstream = Some(Upstream::new(now, name, hierarchy)?);
         }
         if let Some(gateway) = &operator.gateway {
             let beyond = Beyond::new(now, name, seed, gateway, self.limits, self.handle.clone())?;
+            self.caches.tells_copies = beyond.crosses();
             self.beyond = Some(beyond);
-            self.caches.tells_copies = true;
+            if let Some(rules) = gateway.fellows {
+                self.fleet = Some(Fleet::new(now, name, rules, settings, fleet::digest(operator)));
+                self.upstream.iter_mut().for_each(Upstream::tells_fellows);
+            }
         }
         if let Some(path) = &operator.control {
             let control = Control::listen(self.limits, &self.pool, self.handle.clone(), Path::new(path));
@@ -159,8 +170,17 @@
     /// Takes over what of the operator file may change while the router runs: the nodes of the hierarchy.
     fn take_over(&mut self, file: &Path, operator: &Operator) {
         let now = self.clock.now();
+        let fellows = operator.gateway.as_ref().and_then(|gateway| gateway.fellows);
+        if let (Some(fleet), Some(rules)) = (&mut self.fleet, fellows) {
+            fleet.set(rules, fleet::digest(operator));
+            log_line!(always "{}: read again, the settings of fellows(...) hold", file.display());
+        }
+        let taken = self.fleet.is_some() && fellows.is_some();
         let (Some(upstream), Some(hierarchy)) = (&mut self.upstream, &operator.hierarchy) else {
-            return log_line!(always "{}: read again; nothing in it can change while this runs", file.display());
+            if !taken {
+                log_line!(always "{}: read again; nothing in it can change while this runs", file.display());
+            }
+            return;
         };
         match upstream.reload(now, &hierarchy.nodes) {
             Ok(changes) => {
@@ -174,6 +194,7 @@
     pub fn reply(&mut self, question: Question) -> Answer {
         match question {
             Question::Gateway | Question::Routes | Question::Drain { .. } => self.reply_beyond(question),
+            Question::Fleet => self.reply_fleet(),
             question => self.reply_upstream(question),
         }
     }
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -77,8 +77,13 @@
     come_back: HashMap<Ticket, Ms>,
     /// When `tick` has something to do next.
     due: Ms,
+    /// Batches that were taken here and that fellows are to hear of, if there are any.
+    news: Option<Vec<BatchSpec>>,
 }
 
+/// Batches that wait to be passed on.
+const NEWS: usize = 1_024;
+
 /// One name for both numbers: the shield knows attempts, not requests.
 fn ticket(attempt: Attempt) -> u64 {
     attempt.ticket << 8 | u64::from(attempt.number)
@@ -115,6 +120,7 @@
             out: HashMap::new(),
             come_back: HashMap::new(),
             due: now,
+            news: None,
         };
         if !settings.nodes.is_empty() {
             let changes = upstream.names.difference(upstream.hierarchy.shape(), &settings.nodes);
@@ -130,6 +136,11 @@
     fn take(&mut self, now: Ms, batch: linnethook_hierarchy::Batch) -> Result<(), String> {
         let serial = batch.serial;
         self.due = now;
+        // What the operator file says each router reads by itself.
+        if let Some(news) = self.news.as_mut().filter(|news| serial.author != self.file && news.len() < NEWS)
+        {
+            news.push(self.names.spec(&batch));
+        }
         match self.hierarchy.hear(now, batch) {
             Heard::Taken(_) => match self.hierarchy.history().verdict(serial) {
                 Some(Err(refusal)) => Err(refusal.to_string()),
@@ -163,6 +174,34 @@
         taken
     }
 
+    /// A batch that a fellow has passed on; what is wrong with it, unless it only waits for others.
+    pub fn hear_of(&mut self, now: Ms, spec: &BatchSpec) -> Result<(), String> {
+        let batch = self.names.batch(spec);
+        let serial = batch.serial;
+        let heard = self.take(now, batch);
+        self.names.retain(self.hierarchy.shape());
+        let waits = |(waiting, _): (Serial, Serial)| waiting == serial;
+        if heard.is_err() && self.hierarchy.history().waiting().any(waits) {
+            return Ok(());
+        }
+        heard
+    }
+
+    /// Batches are to be passed on to fellows from now on.
+    pub fn tells_fellows(&mut self) {
+        self.news.get_or_insert_default();
+    }
+
+    /// Batches to be passed on.
+    pub fn news(&mut self) -> Vec<BatchSpec> {
+        self.news.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// The version and the digest of the shape.
+    pub fn acts_on(&self) -> (u64, u64) {
+        (self.hierarchy.version(), self.hierarchy.shape().digest())
+    }
+
     /// What changes would do now.
     pub fn plan(&mut self, now: Ms, changes: &[ChangeSpec]) -> Result<PlanSpec, String> {
         let read = self.names.changes(changes);
--- a/crates/standins/src/bin/link-speed.rs
+++ b/crates/standins/src/bin/link-speed.rs
@@ -28,6 +28,7 @@
         epoch: 1,
         seed: 1,
         dials: if dials { vec![other.to_string()] } else { Vec::new() },
+        fellows: false,
         rules,
     };
     let mut gateway = Gateway::new(now(), setup);
--- /dev/null
+++ b/crates/standins/src/bin/process-faults.rs
@@ -0,0 +1,113 @@
+//! Plays scripts of overlapping faults between processes, each from its seed: routers of the built program that are
+//! fellows, killed, frozen, cut off, slowed down and started again under load.
+//!
+//! `process-faults FROM..TO [--jobs K] [--steps N] [ROUTER_PROGRAM]`; a line for each seed that fails, with its script,
+//! and one for all of them. `process-faults SEED` plays one and prints its script. Ends with 1 where any has failed.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::thread;
+
+use linnethook_standins::fleet::router_program;
+use linnethook_standins::rig::{script, Plan, Played, Rig, Script};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+struct Wanted {
+    seeds: std::ops::Range<u64>,
+    jobs: usize,
+    steps: usize,
+    program: Option<PathBuf>,
+}
+
+fn wanted() -> Result<Wanted, Failure> {
+    let mut wanted = Wanted { seeds: 0..20, jobs: 4, steps: 14, program: None };
+    let mut words = std::env::args().skip(1);
+    let mut seen = false;
+    while let Some(word) = words.next() {
+        let mut number =
+            || words.next().ok_or("a number is missing")?.parse::<usize>().map_err(Failure::from);
+        match word.as_str() {
+            "--jobs" => wanted.jobs = number()?.max(1),
+            "--steps" => wanted.steps = number()?,
+            word if !seen => {
+                seen = true;
+                wanted.seeds = match word.split_once("..") {
+                    Some((from, to)) => from.parse()?..to.parse()?,
+                    None => {
+                        let seed: u64 = word.parse()?;
+                        seed..seed + 1
+                    }
+                };
+            }
+            word => wanted.program = Some(PathBuf::from(word)),
+        }
+    }
+    Ok(wanted)
+}
+
+fn play(program: &PathBuf, seed: u64, steps: usize) -> (Script, Result<Played, String>) {
+    let routers = 3 + seed as usize % 5;
+    let plan = Plan { routers, ..Plan::default() };
+    let script = script(seed, routers, plan.caches, steps);
+    let played =
+        Rig::start(program, plan).map_err(|wrong| wrong.to_string()).and_then(|mut rig| rig.play(&script));
+    (script, played)
+}
+
+fn main() -> Result<ExitCode, Failure> {
+    let Wanted { seeds, jobs, steps, program } = wanted()?;
+    let program = router_program(program.as_deref())?;
+    let alone = seeds.end - seeds.start == 1;
+    let next = AtomicU64::new(seeds.start);
+    let all = Mutex::new(Vec::new());
+    let failed = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for _ in 0..jobs {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end {
+                    return;
+                }
+                let (script, played) = play(&program, seed, steps);
+                match played {
+                    Ok(played) => {
+                        if alone {
+                            println!("{script:#?}\n{played:?}");
+                        }
+                        if let Ok(mut all) = all.lock() {
+                            all.push(played);
+                        }
+                    }
+                    Err(why) => {
+                        failed.fetch_add(1, Ordering::Relaxed);
+                        println!("seed {seed}: {why}\n{script:?}");
+                    }
+                }
+            });
+        }
+    });
+    let all = all.into_inner().unwrap_or_default();
+    let sum = |what: fn(&Played) -> u64| all.iter().map(what).sum::<u64>();
+    let mut times: Vec<_> = all.iter().map(|played| played.settled_in).collect();
+    times.sort_unstable();
+    let at = |part: usize| times.get(times.len().saturating_sub(1) * part / 100).copied().unwrap_or_default();
+    let failed = failed.into_inner();
+    println!(
+        "{} scripts, {failed} failed; {} requests, {} served, {} refused, {} failed; {} drains and {} batches heard from \
+         fellows first; of one mind after the last fault: median {:.2?}, 99% {:.2?}, last {:.2?}",
+        all.len() as u64 + failed,
+        sum(|played| u64::from(played.asked)),
+        sum(|played| u64::from(played.served)),
+        sum(|played| u64::from(played.refused)),
+        sum(|played| u64::from(played.failed)),
+        sum(|played| played.drains),
+        sum(|played| played.batches),
+        at(50),
+        at(99),
+        at(100)
+    );
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/standins/src/checker.rs
+++ b/crates/standins/src/checker.rs
@@ -75,6 +75,44 @@
     breaches
 }
 
+/// A record as it is to be judged where processes stood still: what a router was told meanwhile counts from when it
+/// went on, and what it owed by then is owed so much later.
+pub fn with_pauses(lines: &[Line], grace: Ms) -> Vec<Line> {
+    let mut spans = Vec::<(&str, Ms, Ms)>::new();
+    for line in lines {
+        match &line.what {
+            What::Paused { router } => spans.push((router, line.at, f64::INFINITY)),
+            What::Woken { router } => {
+                let open = spans.iter_mut().find(|(paused, _, to)| paused == router && to.is_infinite());
+                open.into_iter().for_each(|(.., to)| *to = line.at);
+            }
+            _ => {}
+        }
+    }
+    let until = |router: &str, at: Ms| {
+        let inside = |(paused, from, to): &&(&str, Ms, Ms)| *paused == router && (*from..=*to).contains(&at);
+        spans.iter().find(inside).map_or(at, |(.., to)| *to)
+    };
+    let moved = |line: &Line| {
+        let mut line = line.clone();
+        match &mut line.what {
+            What::Listed { router, .. } | What::Purged { router, .. } => line.at = until(router, line.at),
+            What::Requested { router, deadline, .. } => {
+                let at = until(router, *deadline);
+                let late = spans.iter().any(|(paused, from, to)| {
+                    paused == router && line.at <= *to && *deadline >= *from && *deadline < *to + grace
+                });
+                *deadline = if late { at.max(*deadline) + grace } else { *deadline };
+            }
+            _ => {}
+        }
+        line
+    };
+    let mut moved: Vec<Line> = lines.iter().map(moved).collect();
+    moved.sort_by(|a, b| a.at.total_cmp(&b.at));
+    moved
+}
+
 const SERVED: u8 = 1;
 const REFUSED: u8 = 2;
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -256,6 +256,13 @@
         Ok(())
     }
 
+    /// Sends a signal to a router's process.
+    pub fn signal(&self, router: &str, signal: Signal) -> io::Result<()> {
+        let id = self.process_id(router).ok_or(io::ErrorKind::NotFound)?;
+        kill(Pid::from_raw(i32::try_from(id).map_err(io::Error::other)?), signal)?;
+        Ok(())
+    }
+
     pub fn address(&self, router: &str) -> Option<SocketAddr> {
         self.routers.get(router)?.process.as_ref().map(|process| process.address)
     }
@@ -393,6 +400,19 @@
         self.nodes.values().for_each(|listed| listed.node.purge(object, stamp));
     }
 
+    /// Tells one router alone of a purge.
+    pub fn tell_purge(&self, router: &str, object: &str, stamp: f64) {
+        let what =
+            What::Purged { router: router.to_string(), object: Some(object.to_string()), group: None, stamp };
+        self.record.note(what);
+        self.routers[router].journal.tell(json!({"expire": {"name": object, "stamp": stamp}}));
+    }
+
+    /// All nodes drop what they hold of an object from before.
+    pub fn drop_copies(&self, object: &str, stamp: f64) {
+        self.nodes.values().for_each(|listed| listed.node.purge(object, stamp));
+    }
+
     /// Puts a batch into a router's journal.
     pub fn tell_batch(&self, router: &str, batch: &BatchSpec) -> io::Result<()> {
         self.routers[router].journal.tell(json!({"shape": serde_json::to_value(batch)?}));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`fleet`]: a whole small fleet with its journal services and routers as processes;
 //! - [`load`]: clients that ask in an open loop;
 //! - [`middle`]: a link between two gateways on sockets, with its weather, and both sites around it;
+//! - [`rig`]: routers that are fellows as processes, with links, faults and scripts between them;
 //! - [`twosites`]: two gateways and the link between them, in virtual time.
 //!
 //! They stand on loopback, on ports that the system gives, and are no yardstick for speed.
@@ -18,5 +19,6 @@
 pub mod middle;
 pub mod node;
 pub mod record;
+pub mod rig;
 pub mod server;
 pub mod twosites;
--- a/crates/standins/src/middle.rs
+++ b/crates/standins/src/middle.rs
@@ -25,6 +25,15 @@
     pub rate: f64,
     /// After so many more bytes all connections are reset.
     pub cut_after: Option<usize>,
+    /// What comes next is lost, or comes twice: once, and on the connection on which it comes.
+    pub spoils: Option<Spoils>,
+}
+
+/// What befalls the bytes of a connection that no wire would do to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spoils {
+    Lost,
+    Repeated,
 }
 
 /// What passed, in each direction: towards the server first.
@@ -245,6 +254,11 @@
                 }
             };
             watch.saw(&chunk, state);
+            match lock(state).weather[direction].spoils.take() {
+                Some(Spoils::Lost) => chunk.clear(),
+                Some(Spoils::Repeated) => chunk.extend_from_within(..),
+                None => {}
+            }
             if weather.rate > 0.0 {
                 free = free.max(at) + Duration::from_secs_f64(chunk.len() as f64 / weather.rate);
             }
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -109,6 +109,13 @@
         token: Option<(u64, u64)>,
         passed: Vec<String>,
     },
+    /// A router's process stands still, or goes on.
+    Paused {
+        router: String,
+    },
+    Woken {
+        router: String,
+    },
     /// The proof that an attempt with that token never ran passed the link.
     Proven {
         token: (u64, u64),
--- /dev/null
+++ b/crates/standins/src/rig.rs
@@ -0,0 +1,603 @@
+//! Owns a rig of processes: routers of the built program that are fellows, a link in the middle of each two that are
+//! joined, journals that may be silent, load, and faults between them by hand or by a script from a seed.
+//!
+//! A seed is always the same script; when what happens within it is the system's. The record is what crossed the
+//! sockets, and is judged by the checker.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+
+use crate::checker::{judge, with_pauses, Breach, Rule, Rules};
+use crate::fleet::Fleet;
+use crate::load::{Ends, Load, Running};
+use crate::middle::{Ends as Sides, Middle, Spoils, Weather, BACK, THERE};
+use crate::node::Makeup;
+use crate::record::{Phase, What};
+
+/// How a rig is made.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub routers: usize,
+    /// Which router dials which; all that are lower numbered, if none are given.
+    pub links: Option<Vec<(usize, usize)>>,
+    pub caches: usize,
+    /// Inside of `hierarchy(...)`, `gateway(...)` and `fellows(...)`.
+    pub hierarchy: String,
+    pub gateway: String,
+    pub fellows: String,
+    /// Requests a second at each router, and how many objects there are.
+    pub rate: f64,
+    pub objects: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            routers: 3,
+            links: None,
+            caches: 3,
+            hierarchy: "extended = True, announce = 0.3, warm = 2, settle = 1, rest = 0.5, retire = 3, \
+                        least = 20, held = 3"
+                .to_string(),
+            gateway: "retry_most = 0.2".to_string(),
+            fellows: "suspect = 0.5, frozen = 0.5, compare = 0.5".to_string(),
+            rate: 30.0,
+            objects: 400,
+        }
+    }
+}
+
+const SITE: &str = "shop";
+
+pub struct Rig {
+    pub fleet: Fleet,
+    pub plan: Plan,
+    middles: BTreeMap<(usize, usize), Middle>,
+    loads: BTreeMap<usize, Running>,
+    /// Loads that have ended, one after another.
+    pub ends: Vec<Ends>,
+    seeds: u64,
+    /// What the one journal has told, and how far it has told it to each router.
+    events: Vec<Event>,
+    heard: Vec<usize>,
+}
+
+/// An event of the journal.
+#[derive(Debug, Clone)]
+enum Event {
+    Node(String, Phase),
+    Purge(String, f64),
+}
+
+pub fn name(n: usize) -> String {
+    format!("r{n}")
+}
+
+/// An operator file with fellows.
+fn operator(plan: &Plan, links: &[(usize, std::net::SocketAddr)]) -> String {
+    let comma = |text: &str| if text.is_empty() { String::new() } else { format!(", {text}") };
+    let caches = plan.caches;
+    let mut text = format!(
+        "control(path = \"SOCKET\")\nlog(lines_per_second = 500)\nhierarchy({})\n\
+         node(\"origin\", role = \"origin\", site = \"hub\", capacity = 20)\n\
+         for hub in [\"south\", \"centre\"]:\n    \
+         node(hub, role = \"parent\", site = hub, capacity = 30, sources = [\"origin\"])\n\
+         for n in range({caches}):\n    \
+         node(\"cache-%d\" % n, site = \"{SITE}\", capacity = 8, sources = [(\"south\", 0), (\"origin\", 9)])\n\
+         gateway(site = \"{SITE}\", listen = \"127.0.0.1:0\"{})\nfellows({})\n",
+        plan.hierarchy,
+        comma(&plan.gateway),
+        plan.fellows
+    );
+    for (_, address) in links {
+        text += &format!("link(\"{SITE}\", connect = \"{address}\")\n");
+    }
+    text
+}
+
+impl Rig {
+    /// Starts all, and waits until all know of each other.
+    pub fn start(program: impl Into<PathBuf>, plan: Plan) -> io::Result<Self> {
+        Self::start_with(program, plan, |_, text| text)
+    }
+
+    /// The same; `change` has the last word on each router's operator file.
+    pub fn start_with(
+        program: impl Into<PathBuf>,
+        plan: Plan,
+        change: impl Fn(usize, String) -> String,
+    ) -> io::Result<Self> {
+        let mut fleet = Fleet::two_hubs(program, plan.caches, Makeup::new)?;
+        let caches: Vec<String> = (0..plan.caches).map(|n| format!("cache-{n}")).collect();
+        let mut lists: Vec<(&str, &[&str])> = vec![("south", &["origin"]), ("centre", &["origin"])];
+        lists.extend(caches.iter().map(|cache| (cache.as_str(), &["south", "origin"][..])));
+        fleet.note_shape(1, &lists);
+        let all = || (0..plan.routers).flat_map(|a| (0..a).map(move |b| (a, b))).collect();
+        let links: Vec<(usize, usize)> = plan.links.clone().unwrap_or_else(all);
+        let mut middles = BTreeMap::new();
+        for link in links {
+            let sites = [name(link.0), name(link.1)];
+            middles.insert(link, Middle::start(Sides { sites, record: fleet.record.clone() })?);
+        }
+        let mut rig = Self {
+            fleet,
+            plan,
+            middles,
+            loads: BTreeMap::new(),
+            ends: Vec::new(),
+            seeds: 0,
+            events: Vec::new(),
+            heard: Vec::new(),
+        };
+        rig.heard = vec![0; rig.plan.routers];
+        for n in 0..rig.plan.routers {
+            let dials: Vec<_> = rig.dials(n).map(|(to, middle)| (to, middle.address)).collect();
+            let text = change(n, operator(&rig.plan, &dials));
+            rig.fleet.start_router(&name(n), Some(&text), |_| {})?;
+            rig.lead(n)?;
+        }
+        let others = rig.plan.routers - 1;
+        for n in 0..rig.plan.routers {
+            rig.until(n, "all know of each other", |shown| alive(shown) == others)?;
+        }
+        Ok(rig)
+    }
+
+    fn dials(&self, n: usize) -> impl Iterator<Item = (usize, &Middle)> {
+        self.middles.iter().filter(move |((from, _), _)| *from == n).map(|((_, to), middle)| (*to, middle))
+    }
+
+    /// Links to a router that has just started lead to where it listens now.
+    fn lead(&self, n: usize) -> io::Result<()> {
+        let address = self.fleet.links(&name(n)).ok_or(io::ErrorKind::NotFound)?;
+        let here = self.middles.iter().filter(|((_, to), _)| *to == n);
+        here.for_each(|(_, middle)| middle.lead_to(address));
+        Ok(())
+    }
+
+    /// The link between two, and the direction in it that leads from the first to the second.
+    pub fn middle(&self, from: usize, to: usize) -> Option<(&Middle, usize)> {
+        let there = self.middles.get(&(from, to)).map(|middle| (middle, THERE));
+        there.or_else(|| self.middles.get(&(to, from)).map(|middle| (middle, BACK)))
+    }
+
+    pub fn links(&self) -> Vec<(usize, usize)> {
+        self.middles.keys().copied().collect()
+    }
+
+    /// A second process under a router's name, with links of its own to the others.
+    pub fn start_twin(&mut self, of: usize) -> io::Result<String> {
+        let key = format!("{}-twin", name(of));
+        let others: Vec<usize> = (0..self.plan.routers).filter(|n| *n != of).collect();
+        let addresses = others.iter().filter_map(|n| Some((*n, self.fleet.links(&name(*n))?)));
+        let text = operator(&self.plan, &addresses.collect::<Vec<_>>());
+        self.fleet.start_router(&key, Some(&text), |config| config["name"] = json!(name(of)))?;
+        Ok(key)
+    }
+
+    // ---- Load.
+
+    /// Clients of a router, until it is killed or the load ends.
+    pub fn load(&mut self, n: usize) -> io::Result<()> {
+        self.seeds += 1;
+        let Plan { rate, objects, .. } = self.plan;
+        let load = Load { seed: self.seeds, rate, objects, bookings: 0.1, ..Load::default() };
+        let running = self.fleet.load(&name(n), &load)?;
+        self.loads.insert(n, running);
+        Ok(())
+    }
+
+    pub fn load_all(&mut self) -> io::Result<()> {
+        (0..self.plan.routers).try_for_each(|n| self.load(n))
+    }
+
+    fn end_load(&mut self, n: usize) {
+        if let Some(running) = self.loads.remove(&n) {
+            self.ends.push(running.finish());
+        }
+    }
+
+    /// No new requests; what is out is answered.
+    pub fn end_loads(&mut self) {
+        let all: Vec<usize> = self.loads.keys().copied().collect();
+        all.into_iter().for_each(|n| self.end_load(n));
+    }
+
+    // ---- Faults.
+
+    pub fn kill(&mut self, n: usize) {
+        self.fleet.kill_router(&name(n));
+        self.end_load(n);
+    }
+
+    /// Asks a router to end, and waits for it.
+    pub fn stop(&mut self, n: usize) -> io::Result<()> {
+        self.fleet.stop_router(&name(n))?;
+        self.end_load(n);
+        Ok(())
+    }
+
+    /// Starts a router's process again, with what its own journal has.
+    pub fn start_again(&mut self, n: usize) -> io::Result<()> {
+        self.fleet.start_again(&name(n))?;
+        self.lead(n)
+    }
+
+    pub fn freeze(&self, n: usize) -> io::Result<()> {
+        self.fleet.record.note(What::Paused { router: name(n) });
+        self.fleet.signal(&name(n), Signal::SIGSTOP)
+    }
+
+    pub fn wake(&self, n: usize) -> io::Result<()> {
+        self.fleet.signal(&name(n), Signal::SIGCONT)?;
+        self.fleet.record.note(What::Woken { router: name(n) });
+        Ok(())
+    }
+
+    pub fn is_up(&self, n: usize) -> bool {
+        self.fleet.process_id(&name(n)).is_some()
+    }
+
+    fn weather(&self, from: usize, to: usize, weather: Weather) {
+        if let Some((middle, direction)) = self.middle(from, to) {
+            middle.weather(direction, weather);
+        }
+    }
+
+    /// Nothing passes from the one to the other any more; what comes back does.
+    pub fn one_way(&self, from: usize, to: usize) {
+        self.weather(from, to, Weather { silent: true, ..Weather::default() });
+    }
+
+    pub fn cut(&self, a: usize, b: usize) {
+        if let Some((middle, _)) = self.middle(a, b) {
+            middle.cut();
+        }
+    }
+
+    /// Bytes a second in each direction.
+    pub fn slow(&self, a: usize, b: usize, rate: f64) {
+        let weather = Weather { rate, ..Weather::default() };
+        self.weather(a, b, weather);
+        self.weather(b, a, weather);
+    }
+
+    pub fn delay(&self, a: usize, b: usize, delay: Duration) {
+        let weather = Weather { delay, ..Weather::default() };
+        self.weather(a, b, weather);
+        self.weather(b, a, weather);
+    }
+
+    /// What is said next from the one to the other is lost, or comes twice, on a connection that stays up.
+    pub fn spoil(&self, from: usize, to: usize, spoils: Spoils) {
+        self.weather(from, to, Weather { spoils: Some(spoils), ..Weather::default() });
+    }
+
+    pub fn mend(&self, a: usize, b: usize) {
+        if let Some((middle, _)) = self.middle(a, b) {
+            middle.mend();
+        }
+    }
+
+    pub fn mend_all(&self) {
+        self.middles.values().for_each(Middle::mend);
+    }
+
+    /// Cuts a router off from all fellows.
+    pub fn cut_off(&self, n: usize) {
+        self.middles.iter().filter(|((a, b), _)| *a == n || *b == n).for_each(|(_, middle)| middle.cut());
+    }
+
+    /// Cuts all links between those below `left` and the others.
+    pub fn split(&self, left: usize) {
+        let across = self.middles.iter().filter(|((a, b), _)| (*a < left) != (*b < left));
+        across.for_each(|(_, middle)| middle.cut());
+    }
+
+    // ---- What is told and what is seen.
+
+    /// The journal tells of a node. It is silent for all but these routers; who hears of it hears first of all that
+    /// was silent before.
+    pub fn tell(&mut self, node: &str, phase: Phase, routers: &[usize]) -> io::Result<()> {
+        self.events.push(Event::Node(node.to_string(), phase));
+        self.catch_up(routers)
+    }
+
+    /// The same with a purge; nodes drop their copies at once.
+    pub fn purge(&mut self, object: &str, routers: &[usize]) -> io::Result<()> {
+        let stamp = crate::record::now().floor();
+        self.events.push(Event::Purge(object.to_string(), stamp));
+        self.catch_up(routers)?;
+        self.fleet.drop_copies(object, stamp);
+        Ok(())
+    }
+
+    /// The journals of these routers tell all that they were silent about.
+    pub fn catch_up(&mut self, routers: &[usize]) -> io::Result<()> {
+        let all = self.events.len();
+        routers.iter().try_for_each(|n| self.hear(*n, all))
+    }
+
+    /// A router's journal tells it what it was silent about, up to so many events of all.
+    pub fn hear(&mut self, n: usize, upto: usize) -> io::Result<()> {
+        for event in &self.events[self.heard[n].min(upto)..upto] {
+            match event {
+                Event::Node(node, phase) => self.fleet.tell_one(&name(n), node, *phase)?,
+                Event::Purge(object, stamp) => self.fleet.tell_purge(&name(n), object, *stamp),
+            }
+        }
+        self.heard[n] = self.heard[n].max(upto);
+        Ok(())
+    }
+
+    /// How a router sees the fleet.
+    pub fn shown(&self, n: usize) -> io::Result<Value> {
+        self.fleet.asked(&name(n), &["fleet", "show"])
+    }
+
+    pub fn until(&self, n: usize, what: &str, fits: impl Fn(&Value) -> bool) -> io::Result<Value> {
+        self.fleet.until(&name(n), &["fleet", "show"], &format!("r{n}: {what}"), fits)
+    }
+
+    /// All routers that run.
+    pub fn up(&self) -> Vec<usize> {
+        (0..self.plan.routers).filter(|n| self.is_up(*n)).collect()
+    }
+
+    /// Waits until all that run see each other alive and act on the same hierarchy and the same journal's number.
+    pub fn settle(&self) -> io::Result<()> {
+        let up = self.up();
+        let digest = self.fleet.asked(&name(up[0]), &["hierarchy", "show"])?["digest"].clone();
+        for n in &up {
+            self.until(*n, "all are alive", |shown| alive(shown) == up.len() - 1)?;
+        }
+        let end = Instant::now() + Duration::from_secs(20);
+        loop {
+            let mut digests = Vec::new();
+            for n in &up {
+                digests.push(self.fleet.asked(&name(*n), &["hierarchy", "show"])?["digest"].clone());
+            }
+            if digests.windows(2).all(|pair| pair[0] == pair[1]) {
+                return Ok(());
+            }
+            if Instant::now() > end {
+                let why = format!("hierarchies differ: {digests:?}, at first {digest}");
+                return Err(io::Error::new(io::ErrorKind::TimedOut, why));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Has changes of the hierarchy take effect at a router, as an operator does.
+    pub fn apply(&self, n: usize, changes: &str) -> io::Result<Value> {
+        let file = self.fleet.write_file(&format!("changes-{n}.star"), changes)?;
+        self.fleet.asked(&name(n), &["hierarchy", "apply", &file.display().to_string()])
+    }
+
+    /// The rules that were broken, but for those that are not asked for.
+    pub fn breaches(&self, but: &[Rule]) -> Vec<Breach> {
+        let rules = Rules { slack: 150.0, going_over: 7_000.0, ..Rules::default() };
+        let lines = with_pauses(&self.fleet.record.lines(), 500.0);
+        let mut breaches = judge(&lines, &rules);
+        breaches.retain(|breach| !but.contains(&breach.rule));
+        breaches
+    }
+
+    /// No rule is broken.
+    pub fn check(&self, but: &[Rule]) -> Result<(), String> {
+        let breaches = self.breaches(but);
+        let first: String = breaches.iter().take(8).map(|breach| format!("{breach}\n")).collect();
+        let twice = self.fleet.node("origin").ran_twice();
+        match breaches.is_empty() && twice.is_empty() {
+            true => Ok(()),
+            false => Err(format!("{} breaches, {} ran twice\n{first}", breaches.len(), twice.len())),
+        }
+    }
+}
+
+/// Fellows that a router takes for alive.
+pub fn alive(shown: &Value) -> usize {
+    let others = shown["fellows"]["others"].as_array();
+    others.map_or(0, |others| others.iter().filter(|line| line["standing"] == "Alive").count())
+}
+
+/// A fellow's line, as a router has it.
+pub fn line<'a>(shown: &'a Value, name: &str) -> Option<&'a Value> {
+    shown["fellows"]["others"].as_array()?.iter().find(|line| line["name"] == name)
+}
+
+// ---- Scripts.
+
+/// One fault, or its end, or something that is told meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Step {
+    Kill(usize),
+    StartAgain(usize),
+    Freeze(usize),
+    Wake(usize),
+    Cut(usize, usize),
+    OneWay(usize, usize),
+    Slow(usize, usize),
+    Delay(usize, usize),
+    Lose(usize, usize),
+    Repeat(usize, usize),
+    Mend(usize, usize),
+    /// A router's operator has a cache fill by another parent.
+    Batch(usize, usize),
+    /// The journals of the lower or the higher half tell that a cache drains, or that it is back.
+    Drain(usize, bool),
+    Back(usize),
+}
+
+/// A script: pauses in milliseconds and what comes after each.
+pub type Script = Vec<(u64, Step)>;
+
+/// The script of a seed: some kinds of faults are left out by each, so that rare mixes come up.
+pub fn script(seed: u64, routers: usize, caches: usize, steps: usize) -> Script {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let kinds: Vec<usize> = (0..11).filter(|_| chance.random::<f64>() < 0.6).collect();
+    let mut down = vec![false; routers];
+    let mut frozen = vec![false; routers];
+    let mut drained = None;
+    let mut script = Script::new();
+    for _ in 0..steps {
+        let pause = chance.random_range(30..400);
+        let (a, mut b) = (chance.random_range(0..routers), chance.random_range(0..routers));
+        if a == b {
+            b = (a + 1) % routers;
+        }
+        let kind = if kinds.is_empty() { 4 } else { kinds[chance.random_range(0..kinds.len())] };
+        let step = match kind {
+            0 if down[a] => Step::StartAgain(a),
+            0 if !frozen[a] && down.iter().filter(|down| **down).count() + 1 < routers => Step::Kill(a),
+            1 if frozen[a] => Step::Wake(a),
+            1 if !down[a] => Step::Freeze(a),
+            2 => Step::Cut(a, b),
+            3 => Step::OneWay(a, b),
+            4 => Step::Mend(a, b),
+            5 => Step::Slow(a, b),
+            6 => Step::Delay(a, b),
+            7 => Step::Lose(a, b),
+            8 => Step::Repeat(a, b),
+            9 if !down[a] && !frozen[a] => Step::Batch(a, chance.random_range(0..caches)),
+            10 => match drained.take() {
+                Some(cache) => Step::Back(cache),
+                None => {
+                    let cache = chance.random_range(0..caches);
+                    drained = Some(cache);
+                    Step::Drain(cache, chance.random())
+                }
+            },
+            _ => continue,
+        };
+        match step {
+            Step::Kill(n) => down[n] = true,
+            Step::StartAgain(n) => down[n] = false,
+            Step::Freeze(n) => frozen[n] = true,
+            Step::Wake(n) => frozen[n] = false,
+            _ => {}
+        }
+        script.push((pause, step));
+    }
+    script
+}
+
+/// What a script came to.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Played {
+    pub asked: u32,
+    pub served: u32,
+    pub refused: u32,
+    pub failed: u32,
+    /// Drains and batches that were heard from fellows first, at all routers.
+    pub drains: u64,
+    pub batches: u64,
+    /// From the end of the faults until all were of one mind.
+    pub settled_in: Duration,
+}
+
+impl Rig {
+    fn step(&mut self, step: Step, drained: &mut Option<usize>) -> io::Result<()> {
+        let spoil = |rig: &Self, a, b, spoils| rig.spoil(a, b, spoils);
+        match step {
+            Step::Kill(n) => self.kill(n),
+            Step::StartAgain(n) => {
+                self.start_again(n)?;
+                self.load(n)?;
+            }
+            Step::Freeze(n) => self.freeze(n)?,
+            Step::Wake(n) => self.wake(n)?,
+            Step::Cut(a, b) => self.cut(a, b),
+            Step::OneWay(a, b) => self.one_way(a, b),
+            Step::Slow(a, b) => self.slow(a, b, 2_000.0),
+            Step::Delay(a, b) => self.delay(a, b, Duration::from_millis(150)),
+            Step::Lose(a, b) => spoil(self, a, b, Spoils::Lost),
+            Step::Repeat(a, b) => spoil(self, a, b, Spoils::Repeated),
+            Step::Mend(a, b) => self.mend(a, b),
+            Step::Batch(n, cache) => {
+                let changes =
+                    format!("rerank(\"cache-{cache}\", sources = [(\"centre\", 0), (\"origin\", 9)])\n");
+                // One that overtakes another may be refused: that is for the hierarchy to say.
+                let _ = self.apply(n, &changes);
+            }
+            Step::Drain(cache, high) => {
+                let half = self.plan.routers / 2;
+                let told: Vec<usize> = (0..self.plan.routers).filter(|n| (*n >= half) == high).collect();
+                self.tell(&format!("cache-{cache}"), Phase::Draining, &told)?;
+                *drained = Some(cache);
+            }
+            Step::Back(cache) => {
+                let all: Vec<usize> = (0..self.plan.routers).collect();
+                self.tell(&format!("cache-{cache}"), Phase::Ready, &all)?;
+                *drained = None;
+            }
+        }
+        Ok(())
+    }
+
+    /// Plays a script under load, ends all its faults, and waits until all are of one mind. A cache that is drained
+    /// then by some journals only must have been left alone by all.
+    pub fn play(&mut self, script: &Script) -> Result<Played, String> {
+        let told = |wrong: io::Error| wrong.to_string();
+        self.load_all().map_err(told)?;
+        let mut drained = None;
+        for (pause, step) in script {
+            thread::sleep(Duration::from_millis(*pause));
+            self.step(*step, &mut drained).map_err(|wrong| format!("{step:?}: {wrong}"))?;
+        }
+        self.mend_all();
+        for n in 0..self.plan.routers {
+            match self.is_up(n) {
+                true => self.wake(n).map_err(told)?,
+                false => {
+                    self.start_again(n).map_err(told)?;
+                    self.load(n).map_err(told)?;
+                }
+            }
+        }
+        let begun = Instant::now();
+        self.settle().map_err(told)?;
+        let settled_in = begun.elapsed();
+        if let Some(cache) = drained {
+            let cache = format!("cache-{cache}");
+            let silent: Vec<usize> =
+                (0..self.plan.routers).filter(|n| self.heard[*n] < self.events.len()).collect();
+            for n in silent {
+                let by_fellows = |shown: &Value| {
+                    let barred = shown["barred"].as_array();
+                    barred.is_some_and(|all| all.iter().any(|line| line[0] == cache.as_str()))
+                };
+                self.until(n, "the drain is heard from fellows", by_fellows).map_err(told)?;
+                // From now on it counts as told.
+                let (router, node, phase) = (name(n), cache.clone(), Phase::Draining);
+                self.fleet.record.note(What::Listed { router, node, phase });
+            }
+        }
+        thread::sleep(Duration::from_millis(700));
+        let mut played = Played { settled_in, ..Played::default() };
+        for n in 0..self.plan.routers {
+            let shown = self.shown(n).map_err(told)?;
+            played.drains += shown["drains"].as_u64().unwrap_or(0);
+            played.batches += shown["batches"].as_u64().unwrap_or(0);
+        }
+        self.end_loads();
+        for ends in &self.ends {
+            let sum = |list: &[u32]| list.iter().sum::<u32>();
+            played.asked += sum(&ends.asked);
+            played.served += sum(&ends.served);
+            played.refused += sum(&ends.refused);
+            played.failed += sum(&ends.failed);
+        }
+        // Halves that change the hierarchy apart from each other have versions that no record can tell apart.
+        self.check(&[Rule::NoStrangeEdge])?;
+        Ok(played)
+    }
+}
--- a/crates/standins/src/twosites.rs
+++ b/crates/standins/src/twosites.rs
@@ -253,6 +253,7 @@
             seed: self.play.seed * 10 + n as u64,
             // The north dials.
             dials: if n == 0 { vec![NAMES[1].to_string()] } else { Vec::new() },
+            fellows: false,
             rules: self.play.rules,
         };
         let mut gateway = Gateway::new(self.now, setup);
@@ -409,7 +410,7 @@
                 Action::CallOff(ticket) => {
                     self.sides[n].askers.remove(&ticket);
                 }
-                Action::Heard(..) => {}
+                Action::Heard(..) | Action::Fellow { .. } | Action::Said { .. } => {}
                 Action::Note(text) => {
                     self.out.notes += 1;
                     if text.contains("it was the last one") {
