--- a/crates/audit/src/copies.rs
+++ b/crates/audit/src/copies.rs
@@ -23,6 +23,8 @@
     links: VecDeque<Link>,
     bytes: usize,
     head: (u64, Hash),
+    /// The first link that there is to be had.
+    begin: u64,
     /// Links that contradict what is kept: the first few.
     forks: Vec<Link>,
 }
@@ -30,16 +32,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct Copies {
     most: usize,
+    bytes: usize,
     all: BTreeMap<(String, u64), Copy>,
 }
 
-/// Starts of which copies are kept, contradicting links of each.
+/// Starts of which copies are kept, bytes of all of them, contradicting links of each.
 const STARTS: usize = 4_096;
+const BYTES: usize = 32 << 20;
 const FORKS: usize = 4;
 
 impl Copies {
+    /// So many bytes of each account.
     pub fn new(bytes: usize) -> Self {
-        Self { most: bytes, all: BTreeMap::new() }
+        Self { most: bytes, bytes: 0, all: BTreeMap::new() }
     }
 
     pub fn set(&mut self, bytes: usize) {
@@ -49,10 +54,11 @@
     /// Takes in a link. The oldest of an account makes room.
     pub fn take(&mut self, link: Link) -> Taken {
         let key = (link.name.clone(), link.start);
-        if !self.all.contains_key(&key) && self.all.len() >= STARTS {
+        if !self.all.contains_key(&key) && self.all.len() >= STARTS || self.bytes > BYTES {
             // The oldest start of all makes room.
             let oldest = self.all.keys().min_by_key(|(_, start)| *start).cloned();
-            oldest.into_iter().for_each(|oldest| _ = self.all.remove(&oldest));
+            let dropped = oldest.and_then(|oldest| self.all.remove(&oldest));
+            self.bytes -= dropped.map_or(0, |copy| copy.bytes);
         }
         let copy = self.all.entry(key).or_default();
         let (number, hash) = copy.head;
@@ -65,27 +71,31 @@
                 None => Taken::Known,
             };
         }
-        // Whoever begins to keep an account late begins where the owner's own memory begins.
         let begins = copy.links.is_empty();
-        if link.number > number + 1 && !begins {
+        // Whoever begins to keep an account late begins where the owner's own memory begins: `begin` says where.
+        if link.number > number + 1 && !(begins && link.number == copy.begin) {
             return Taken::Missing(number + 1);
         }
-        if begins && link.number > 1 && !copy.forks.is_empty() {
-            return Taken::Forked;
-        }
         if !begins && link.before != hash {
             return copy.fork(link);
         }
         copy.head = (link.number, link.hash());
         copy.bytes += link.bytes();
+        self.bytes += link.bytes();
         copy.links.push_back(link);
         while copy.bytes > self.most && copy.links.len() > 1 {
-            let oldest = copy.links.pop_front();
-            copy.bytes -= oldest.map_or(0, |link| link.bytes());
+            let oldest = copy.links.pop_front().map_or(0, |link| link.bytes());
+            copy.bytes -= oldest;
+            self.bytes -= oldest;
         }
         Taken::New
     }
 
+    /// An account's owner has nothing before that link any more.
+    pub fn begins(&mut self, name: &str, start: u64, number: u64) {
+        self.all.entry((name.to_string(), start)).or_default().begin = number;
+    }
+
     /// The next number that is wanted of an account.
     pub fn next(&self, name: &str, start: u64) -> u64 {
         self.all.get(&(name.to_string(), start)).map_or(1, |copy| copy.head.0 + 1)
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -181,3 +181,18 @@
         postcard::from_bytes(bytes).ok()
     }
 }
+
+/// What a file of accounts begins with.
+const MAGIC: &[u8] = b"lhaudit1";
+
+/// Links as they stand in a file.
+pub fn to_file(links: &[Link]) -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend(postcard::to_stdvec(links).unwrap_or_default());
+    bytes
+}
+
+/// The links of a file; `None` for one that can't be read.
+pub fn of_file(bytes: &[u8]) -> Option<Vec<Link>> {
+    postcard::from_bytes(bytes.strip_prefix(MAGIC)?).ok()
+}
--- a/crates/fellows/src/fact.rs
+++ b/crates/fellows/src/fact.rs
@@ -22,6 +22,8 @@
     Group(u32),
     /// A batch of the hierarchy, by author and number.
     Batch(u16, u64),
+    /// The version below which nobody is to act, by people.
+    Floor,
 }
 
 impl Key {
@@ -165,6 +167,14 @@
     pub start: u64,
 }
 
+/// The floor that people have set; 0 where they have taken it back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Floor {
+    pub version: u64,
+    /// The router at which it was set.
+    pub by: String,
+}
+
 /// Stamps are ordered by their microseconds.
 pub fn micros(stamp: Ms) -> u64 {
     (stamp.max(0.0) * 1_000.0) as u64
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -8,10 +8,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fact::{micros, Acts, CacheLine, Entry, Holder, Key, Purge, Statement, NEWEST};
+use crate::fact::{micros, Acts, CacheLine, Entry, Floor, Holder, Key, Purge, Statement, NEWEST};
 use crate::hlc::{Hlc, Stamp};
 use crate::members::{Change, MemberRule, Members, Standing};
 use crate::pace::{Pace, PaceRule};
+use crate::straggler::settled;
 use crate::table::{Digests, Kept, Table, Taken, PARTS};
 use crate::Ms;
 
@@ -136,6 +137,8 @@
     pub repaired: u64,
     pub twins: u64,
     pub frozen: u64,
+    /// Facts of stragglers, which did not count.
+    pub shut_out: u64,
 }
 
 /// Two digests of a fellow's table and of the own one, as they were compared last.
@@ -160,6 +163,10 @@
     compared: BTreeMap<String, Compared>,
     /// Starts that do not count, by name.
     void: BTreeSet<(String, u64)>,
+    /// The floor that holds, and since when fellows have been below it.
+    held: u64,
+    bound: Ms,
+    late: BTreeMap<String, Ms>,
     part: Part,
     woke: Option<Ms>,
     ticked: Ms,
@@ -181,7 +188,7 @@
 
 fn urgency(key: &[u8]) -> u8 {
     match Key::decode(key) {
-        Some(Key::Twins(_)) => 0,
+        Some(Key::Twins(_) | Key::Floor) => 0,
         Some(Key::Cache(_) | Key::Object(_) | Key::Group(_)) => 1,
         Some(Key::Router(_)) => 2,
         Some(Key::Batch(..)) => 3,
@@ -205,6 +212,9 @@
             dirty: true,
             compared: BTreeMap::new(),
             void: BTreeSet::new(),
+            held: 0,
+            bound: f64::INFINITY,
+            late: BTreeMap::new(),
             part: Part::Takes,
             woke: None,
             ticked: now,
@@ -265,14 +275,16 @@
         self.dirty = true;
     }
 
-    /// Something that is known here by itself: by the own journal or by people.
-    pub fn tell(&mut self, now: Ms, key: &Key, entry: Entry) {
+    /// Something that is known here by itself: by the own journal or by people. Whether it is new.
+    pub fn tell(&mut self, now: Ms, key: &Key, entry: Entry) -> bool {
         let key = key.encode();
-        match self.table.take(now, &key, entry) {
+        let taken = self.table.take(now, &key, entry);
+        match taken {
             Taken::New => _ = self.pending.insert((urgency(&key), key)),
             Taken::Old => {}
             Taken::Full => self.counts.full += 1,
         }
+        taken == Taken::New
     }
 
     /// A line of the list of caches, by the own journal.
@@ -285,9 +297,9 @@
         self.tell(now, key, Entry::new((micros(purge.stamp), purge.number), 1, &purge));
     }
 
-    pub fn tell_batch(&mut self, now: Ms, author: u16, number: u64, stamp: u64, body: Vec<u8>) {
+    pub fn tell_batch(&mut self, now: Ms, author: u16, number: u64, stamp: u64, body: Vec<u8>) -> bool {
         let entry = Entry { order: (stamp, 0), version: 1, body };
-        self.tell(now, &Key::Batch(author, number), entry);
+        self.tell(now, &Key::Batch(author, number), entry)
     }
 
     /// What was known of something is known no more here: as after a fault that lost it.
@@ -295,6 +307,52 @@
         self.table.remove(&key.encode())
     }
 
+    // ---- What is settled.
+
+    /// People set the floor, or take it back with 0.
+    pub fn set_floor(&mut self, now: Ms, version: u64) {
+        let at = self.clock.stamp(now);
+        let floor = Floor { version, by: self.name.clone() };
+        self.tell(now, &Key::Floor, Entry::new((at.ms, u64::from(at.count)), 1, &floor));
+    }
+
+    /// The floor that people have set.
+    pub fn set_by_people(&self) -> Option<Floor> {
+        self.table.get(&Key::Floor.encode())?.read()
+    }
+
+    /// The version below which nobody is to act: by people, or by a majority of the roll of voters, if there is one.
+    pub fn floor(&self, voters: &[String]) -> u64 {
+        let version = |name: &String| match *name == self.name {
+            true => Some(self.acts.shape.0),
+            false => Some(self.members.get(name)?.statement.acts.shape.0),
+        };
+        let versions: Vec<Option<u64>> = voters.iter().map(version).collect();
+        settled(&versions).max(self.set_by_people().map_or(0, |floor| floor.version))
+    }
+
+    /// The floor that holds is so high; those that stay below it for longer than that are stragglers.
+    pub fn hold(&mut self, now: Ms, floor: u64, bound: Ms) {
+        self.bound = bound;
+        if self.held != floor {
+            self.held = floor;
+            self.late.clear();
+        }
+        let behind = self.members.iter().filter(|(_, member)| member.statement.acts.shape.0 < floor);
+        let behind: BTreeSet<String> = behind.map(|(name, _)| name.clone()).collect();
+        self.late.retain(|name, _| behind.contains(name));
+        behind.into_iter().for_each(|name| _ = self.late.entry(name).or_insert(now));
+    }
+
+    pub fn is_straggler(&self, now: Ms, name: &str) -> bool {
+        self.late.get(name).is_some_and(|since| now - since >= self.bound)
+    }
+
+    /// Whether any fellow is within reach.
+    pub fn hears_somebody(&self) -> bool {
+        self.members.iter().any(|(_, member)| member.standing == Standing::Alive)
+    }
+
     /// What there is to be known of something, whoever told it.
     pub fn cache(&self, name: &str) -> Option<(CacheLine, u64)> {
         let entry = self.table.get(&Key::Cache(name.to_string()).encode())?;
@@ -350,6 +408,8 @@
         match Key::decode(key) {
             Some(Key::Router(name)) => self.router(now, key, &name, entry),
             Some(Key::Twins(name)) => self.twins(now, key, &name, entry),
+            // What a straggler says of the world does not count, until it has caught up; then it is told again.
+            Some(kind) if kind != Key::Floor && self.is_straggler(now, from) => self.counts.shut_out += 1,
             Some(kind) => {
                 if self.take(now, key, entry.clone()) {
                     self.counts_here(kind, &entry);
@@ -379,6 +439,7 @@
             Key::Cache(name) => entry.read().map(|line| Action::Cache { name, line, number: entry.order.0 }),
             Key::Object(_) | Key::Group(_) => entry.read().map(|purge| Action::Purge { key, purge }),
             Key::Batch(..) => Some(Action::Batch(entry.body.clone())),
+            Key::Floor => return,
             Key::Router(_) | Key::Twins(_) => None,
         };
         match action {
@@ -632,11 +693,13 @@
 
     pub fn shown(&self, now: Ms) -> Shown {
         let line = |name: &String, start: u64, standing: Standing, since: Ms, acts: &Acts, links: usize| {
-            Line { name: name.clone(), start, standing, since, acts: acts.clone(), links }
+            let (name, acts, straggler) = (name.clone(), acts.clone(), false);
+            Line { name, start, standing, since, acts, links, straggler }
         };
         let others = self.members.iter().map(|(name, member)| {
             let Statement { acts, links, .. } = &member.statement;
-            line(name, member.start, member.standing, now - member.since, acts, links.len())
+            let shown = line(name, member.start, member.standing, now - member.since, acts, links.len());
+            Line { straggler: self.is_straggler(now, name), ..shown }
         });
         let links = self.members.links().count();
         Shown {
@@ -646,6 +709,7 @@
             facts: self.table.len(),
             bytes: self.table.bytes(),
             pending: self.pending.len() + self.direct.len(),
+            floor: self.held,
             counts: self.counts,
         }
     }
@@ -661,6 +725,8 @@
     pub since: Ms,
     pub acts: Acts,
     pub links: usize,
+    /// It has been below the floor for too long: what it says does not count.
+    pub straggler: bool,
 }
 
 /// The fleet as one router sees it.
@@ -672,5 +738,7 @@
     pub facts: usize,
     pub bytes: usize,
     pub pending: usize,
+    /// The version below which nobody is to act.
+    pub floor: u64,
     pub counts: Counts,
 }
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -2,6 +2,7 @@
 //! not here.
 //!
 //! - [`fact`]: what is passed on: by whom or of what, how new, in which version of its form;
+//! - [`straggler`]: who is behind what the fleet has settled, or knows too little, and what follows;
 //! - [`table`]: all facts that are known, the newest of each, with digests by which a gap is found;
 //! - [`hlc`]: the time by which acts of several routers are ordered;
 //! - [`members`]: who is alive, suspected, gone or has left, by the links that both ends tell of;
@@ -15,6 +16,7 @@
 pub mod hlc;
 pub mod members;
 pub mod pace;
+pub mod straggler;
 pub mod table;
 
 /// Milliseconds.
--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -8,7 +8,6 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
-use linnethook_fellows::fellows::Rules as FellowRules;
 use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Rules;
@@ -16,11 +15,15 @@
 use nix::unistd::alarm;
 use serde::{Deserialize, Serialize};
 
+use crate::knobs::audit::straggler::STRAGGLER;
+use crate::knobs::audit::AUDIT;
 use crate::knobs::fellows::FELLOWS;
 use crate::knobs::gateway::GATEWAY;
-use crate::knobs::HIERARCHY;
-use crate::script::{GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, WatchPart};
-use crate::{changes, Bounds, Gateway, Hierarchy, Operator, Wrong};
+use crate::knobs::{Knob, HIERARCHY};
+use crate::script::{
+    AuditPart, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, StragglerPart, WatchPart,
+};
+use crate::{changes, Bounds, Fellows, Gateway, Hierarchy, Operator, Wrong};
 
 /// The first argument that makes the program do nothing but evaluate.
 pub const VERB: &str = "evaluate";
@@ -50,7 +53,27 @@
     knobs: Vec<f64>,
     sites: Vec<SiteSpec>,
     links: Vec<LinkSpec>,
-    fellows: Option<Vec<f64>>,
+    fellows: Option<SentFellows>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SentFellows {
+    /// Each in the order of its table.
+    knobs: Vec<f64>,
+    audit: Option<(Option<String>, Vec<f64>)>,
+    straggler: Option<(Vec<String>, Vec<f64>)>,
+}
+
+fn values<T>(table: &[Knob<T>], of: &T) -> Vec<f64> {
+    table.iter().map(|knob| (knob.get)(of)).collect()
+}
+
+fn put<T: Default>(table: &[Knob<T>], values: &[f64]) -> T {
+    let mut into = T::default();
+    for (knob, value) in table.iter().zip(values) {
+        (knob.set)(&mut into, *value);
+    }
+    into
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -81,7 +104,11 @@
             knobs: GATEWAY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
             sites,
             links,
-            fellows: fellows.map(|rules| FELLOWS.iter().map(|knob| (knob.get)(&rules)).collect()),
+            fellows: fellows.map(|Fellows { rules, audit, straggler }| SentFellows {
+                knobs: values(FELLOWS, &rules),
+                audit: audit.map(|part| (part.folder, values(AUDIT, &part.rules))),
+                straggler: straggler.map(|part| (part.voters, values(STRAGGLER, &part.rule))),
+            }),
         });
         Self { control: operator.control, log, watch: operator.watch, hierarchy, gateway }
     }
@@ -104,12 +131,11 @@
                 (knob.set)(&mut rules, *value);
             }
             let part = GatewayPart { site: sent.site, listen: sent.listen, rules };
-            let fellows = sent.fellows.map(|values| {
-                let mut rules = FellowRules::default();
-                for (knob, value) in FELLOWS.iter().zip(&values) {
-                    (knob.set)(&mut rules, *value);
-                }
-                rules
+            let fellows = sent.fellows.map(|sent| Fellows {
+                rules: put(FELLOWS, &sent.knobs),
+                audit: sent.audit.map(|(folder, knobs)| AuditPart { folder, rules: put(AUDIT, &knobs) }),
+                straggler: (sent.straggler)
+                    .map(|(voters, knobs)| StragglerPart { voters, rule: put(STRAGGLER, &knobs) }),
             });
             Gateway { part, sites: sent.sites, links: sent.links, fellows }
         });
--- a/crates/operator/src/knobs.rs
+++ b/crates/operator/src/knobs.rs
@@ -64,6 +64,7 @@
 
 const SECONDS: f64 = 1_000.0;
 
+pub mod audit;
 pub mod fellows;
 pub mod gateway;
 
@@ -197,6 +198,8 @@
         check(HIERARCHY);
         check(gateway::GATEWAY);
         check(fellows::FELLOWS);
+        check(audit::AUDIT);
+        check(audit::straggler::STRAGGLER);
     }
 
     fn check<T: Default>(table: &[Knob<T>]) {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,7 +19,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use script::{evaluate, At, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, WatchPart};
+use script::{
+    evaluate, At, AuditPart, GatewayPart, HierarchyPart, Kind, LinkSpec, Log, SiteSpec, StragglerPart,
+    WatchPart,
+};
 
 /// How far an evaluation may go.
 #[derive(Debug, Clone, Copy)]
@@ -78,7 +81,15 @@
     pub sites: Vec<SiteSpec>,
     pub links: Vec<LinkSpec>,
     /// What holds among routers of the own site, if they are fellows.
-    pub fellows: Option<FellowRules>,
+    pub fellows: Option<Fellows>,
+}
+
+/// Fellow routers as the file has them.
+#[derive(Debug, Clone)]
+pub struct Fellows {
+    pub rules: FellowRules,
+    pub audit: Option<AuditPart>,
+    pub straggler: Option<StragglerPart>,
 }
 
 /// The hierarchy as the file has it.
@@ -119,19 +130,39 @@
             }
         };
         let control = parts.control.map(|(_, path)| path);
-        let gateway = gateway(parts.gateway, parts.sites, parts.links, parts.fellows);
+        let fellows = fellows(parts.fellows, parts.audit, parts.straggler);
+        let fellows = fellows.map_err(|(at, what)| wrong(Some(at), what))?;
+        let gateway = gateway(parts.gateway, parts.sites, parts.links, fellows);
         let gateway = gateway.map_err(|(at, what)| wrong(Some(at), what))?;
         let (log, watch) = (parts.log.map(|(_, log)| log), parts.watch.map(|(_, watch)| watch));
         Ok(Self { control, log, watch, hierarchy, gateway })
     }
 }
 
+/// Fellows with what stands on them.
+fn fellows(
+    rules: Option<(At, FellowRules)>,
+    audit: Option<(At, AuditPart)>,
+    straggler: Option<(At, StragglerPart)>,
+) -> Result<Option<(At, Fellows)>, (At, String)> {
+    let stray = audit.as_ref().map(|(at, _)| (*at, "audit()"));
+    let stray = stray.or(straggler.as_ref().map(|(at, _)| (*at, "straggler()")));
+    match (rules, stray) {
+        (None, Some((at, function))) => Err((at, format!("{function}: expected fellows() beside it"))),
+        (None, None) => Ok(None),
+        (Some((at, rules)), _) => {
+            let (audit, straggler) = (audit.map(|(_, part)| part), straggler.map(|(_, part)| part));
+            Ok(Some((at, Fellows { rules, audit, straggler })))
+        }
+    }
+}
+
 /// A gateway with its sites and links, each checked against the others.
 fn gateway(
     part: Option<(At, GatewayPart)>,
     sites: Vec<(At, SiteSpec)>,
     links: Vec<(At, LinkSpec)>,
-    fellows: Option<(At, FellowRules)>,
+    fellows: Option<(At, Fellows)>,
 ) -> Result<Option<Gateway>, (At, String)> {
     let stray = sites.first().map(|(at, _)| (*at, "site()")).or(links.first().map(|(at, _)| (*at, "link()")));
     let stray = stray.or(fellows.as_ref().map(|(at, _)| (*at, "fellows()")));
@@ -174,7 +205,7 @@
     }
     let strip = |(_, site): (At, SiteSpec)| site;
     let links = links.into_iter().map(|(_, link)| link).collect();
-    let fellows = fellows.map(|(_, rules)| rules);
+    let fellows = fellows.map(|(_, fellows)| fellows);
     Ok(Some(Gateway { part, sites: sites.into_iter().map(strip).collect(), links, fellows }))
 }
 
@@ -194,6 +225,8 @@
     lines("hierarchy", knobs::HIERARCHY)
         + &lines("gateway", knobs::gateway::GATEWAY)
         + &lines("fellows", knobs::fellows::FELLOWS)
+        + &lines("audit", knobs::audit::AUDIT)
+        + &lines("straggler", knobs::audit::straggler::STRAGGLER)
 }
 
 fn lines<T: Default>(function: &str, table: &[knobs::Knob<T>]) -> String {
--- a/crates/operator/src/script.rs
+++ b/crates/operator/src/script.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use linnethook_audit::account::Rules as AuditRules;
 use linnethook_fellows::fellows::Rules as FellowRules;
+use linnethook_fellows::straggler::StragglerRule;
 use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec, SourceSpec};
 use linnethook_hierarchy::{Role, Rules};
@@ -22,6 +24,8 @@
 use starlark::values::Value;
 
 use crate::arguments::Arguments;
+use crate::knobs::audit::straggler::STRAGGLER;
+use crate::knobs::audit::AUDIT;
 use crate::knobs::fellows::FELLOWS;
 use crate::knobs::gateway::GATEWAY;
 use crate::knobs::HIERARCHY;
@@ -47,6 +51,8 @@
     pub sites: Vec<(At, SiteSpec)>,
     pub links: Vec<(At, LinkSpec)>,
     pub fellows: Option<(At, FellowRules)>,
+    pub audit: Option<(At, AuditPart)>,
+    pub straggler: Option<(At, StragglerPart)>,
     pub changes: Vec<ChangeSpec>,
 }
 
@@ -86,6 +92,21 @@
     pub rules: GatewayRules,
 }
 
+/// The account of what routers do.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AuditPart {
+    pub folder: Option<String>,
+    pub rules: AuditRules,
+}
+
+/// What becomes of routers that are behind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StragglerPart {
+    /// The roll whose majority settles a version; without one only people set a floor.
+    pub voters: Vec<String>,
+    pub rule: StragglerRule,
+}
+
 /// Another site.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SiteSpec {
@@ -310,6 +331,41 @@
         collect(|parts| once(&mut parts.fellows, at, "fellows()", rules))
     }
 
+    /// Keeps an account of what this router does, on which versions.
+    fn audit<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("audit()", given);
+        let folder = arguments.text("folder")?;
+        if let Some(folder) = folder.as_ref().filter(|folder| !folder.starts_with('/')) {
+            return Err(anyhow::anyhow!("audit(): folder: expected an absolute path, got {folder:?}"));
+        }
+        let mut rules = AuditRules::default();
+        arguments.knobs(AUDIT, &mut rules)?;
+        arguments.end()?;
+        let at = at(eval);
+        collect(|parts| once(&mut parts.audit, at, "audit()", AuditPart { folder, rules }))
+    }
+
+    /// Shuts out routers that are behind what the fleet has settled.
+    fn straggler<'v>(
+        #[starlark(kwargs)] given: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        let mut arguments = Arguments::new("straggler()", given);
+        let voters = arguments.names("voters")?;
+        let mut rule = StragglerRule::default();
+        arguments.knobs(STRAGGLER, &mut rule)?;
+        arguments.end()?;
+        let twice = voters.iter().enumerate().find(|(n, voter)| voters[..*n].contains(voter));
+        if let Some((_, voter)) = twice {
+            return Err(anyhow::anyhow!("straggler(): voters: {voter:?} stands there twice"));
+        }
+        let at = at(eval);
+        collect(|parts| once(&mut parts.straggler, at, "straggler()", StragglerPart { voters, rule }))
+    }
+
     /// Another site.
     fn site<'v>(
         name: Value<'v>,
--- /dev/null
+++ b/crates/router/src/audit.rs
@@ -0,0 +1,237 @@
+//! Owns the commands that read accounts: they ask routers for all that these keep, or read files, and judge by that
+//! alone.
+//!
+//! Must never ask a router to judge, nor say more than the accounts prove.
+
+use std::path::{Path, PathBuf};
+
+use clap::Subcommand;
+use linnethook_audit::judge::{Accounts, Finding, Line, Trace};
+use linnethook_audit::record::{of_file, to_file, Act, Link};
+use linnethook_fellows::hlc::Stamp;
+use serde_json::json;
+
+use crate::cli::{as_json, ask, At, Failed, Format};
+use crate::control::{Answer, Question};
+
+#[derive(Debug, Subcommand)]
+pub enum Verb {
+    /// Who acted on a version: a number or digest of the hierarchy, journal:N, build:X, settings:X, operator:X
+    Who { version: String },
+    /// What each acted on at a time, in seconds or milliseconds of Unix time
+    At { time: f64 },
+    /// All attempts of a request that must not run twice
+    Request { id: String },
+    /// When each router first acted on a version, and who acted on another one afterwards
+    Settled { version: String },
+    /// Who heeded the drain or purge of a number of the journal, and when
+    Heeded { number: u64 },
+    /// Routers that filled by two shapes of the hierarchy at once
+    Shapes,
+    /// Write all that the routers keep to a file
+    Export { file: PathBuf },
+    /// Whether the accounts hold together, and what is missing; exit code 1 where anything is
+    Verify,
+}
+
+fn read(file: &Path) -> Result<Vec<Link>, Failed> {
+    let wrong = |what: String| Failed::Input(format!("{}: {what}", file.display()));
+    let bytes = std::fs::read(file).map_err(|why| wrong(why.to_string()))?;
+    of_file(&bytes).ok_or_else(|| wrong("this is no file of accounts, or it is cut short".to_string()))
+}
+
+/// Carries a command out; from files, or from the routers at these sockets.
+pub fn carry_out(verb: &Verb, from: &[PathBuf], at: &At) -> Result<String, Failed> {
+    if from.is_empty() && at.socket.is_empty() {
+        return Err(Failed::Input(
+            "--socket (or LB_CONTROL) or --from is needed: whose accounts?".to_string(),
+        ));
+    }
+    let mut links = Vec::new();
+    for file in from {
+        links.extend(read(file)?);
+    }
+    for socket in at.socket.iter().filter(|_| from.is_empty()) {
+        match ask(socket, &Question::Accounts)? {
+            Answer::Accounts(all) => links.extend(all),
+            Answer::No(why) => return Err(Failed::Other(format!("{}: {why}", socket.display()))),
+            _ => {
+                return Err(Failed::Other(format!("{}: another answer than was asked for", socket.display())))
+            }
+        }
+    }
+    if let Verb::Export { file } = verb {
+        std::fs::write(file, to_file(&links))
+            .map_err(|why| Failed::Other(format!("{}: {why}", file.display())))?;
+        return Ok(format!("{}: {} records\n", file.display(), links.len()));
+    }
+    let accounts = Accounts::new(links);
+    let said = judged(verb, &accounts);
+    let text = if at.format == Format::Json { as_json(&said.0) } else { said.1 };
+    match verb {
+        Verb::Verify if !accounts.findings.is_empty() => Err(Failed::Other(text.trim_end().to_string())),
+        _ => Ok(text),
+    }
+}
+
+/// What a command says, for programs and for people.
+fn judged(verb: &Verb, accounts: &Accounts) -> (serde_json::Value, String) {
+    match verb {
+        Verb::Who { version } => lines(accounts, accounts.who(version).collect()),
+        Verb::At { time } => {
+            // What can't be milliseconds of our time is seconds.
+            let time = if *time < 1e11 { time * 1_000.0 } else { *time };
+            lines(accounts, accounts.at(time).collect())
+        }
+        Verb::Request { id } => {
+            let traces = accounts.request(id);
+            let text = traces.iter().map(trace).collect::<String>() + &gaps(accounts);
+            (json!({ "attempts": traces, "missing": accounts.findings }), text)
+        }
+        Verb::Settled { version } => {
+            let all = accounts.settled(version);
+            let digest = accounts.who(version).next().map(|line| line.span.acts_on.shape.1);
+            let since = all.last().map(|(.., at, _)| *at).unwrap_or_default();
+            let behind = digest.map(|digest| accounts.behind(digest, since)).unwrap_or_default();
+            let first = all.first().map_or(0, |(.., at, _)| at.ms);
+            let line = |(name, start, at, clock): &(String, u64, Stamp, f64)| {
+                format!(
+                    "{name} (start {start}) from {at}, {} ms after the first; by its clock {clock:.0}\n",
+                    at.ms - first
+                )
+            };
+            let mut text: String = all.iter().map(line).collect();
+            let later = behind.iter().map(|line| {
+                let span = &line.span;
+                format!(
+                    "{} acted on version {} from {} to {}\n",
+                    line.name, span.acts_on.shape.0, span.from, span.to
+                )
+            });
+            text.extend(later);
+            (
+                json!({ "settled": all, "behind": behind, "missing": accounts.findings }),
+                text + &gaps(accounts),
+            )
+        }
+        Verb::Heeded { number } => {
+            let all = accounts.heeded(*number);
+            let line = |(name, start, at, fellows): &(String, u64, Stamp, bool)| {
+                let by = if *fellows { "by the word of fellows" } else { "by its journal" };
+                format!("{name} (start {start}) at {at}, {by}\n")
+            };
+            let text = all.iter().map(line).collect::<String>() + &gaps(accounts);
+            (json!({ "heeded": all, "missing": accounts.findings }), text)
+        }
+        Verb::Shapes => {
+            let all = accounts.two_shapes();
+            let line = |(a, b, from, to): &(String, String, Stamp, Stamp)| {
+                format!("{a} and {b} filled by two shapes between {from} and {to}\n")
+            };
+            let text = all.iter().map(line).collect::<String>() + &gaps(accounts);
+            (json!({ "two_shapes": all, "missing": accounts.findings }), text)
+        }
+        Verb::Verify | Verb::Export { .. } => {
+            let count = accounts.starts().count();
+            let text = match accounts.findings.is_empty() {
+                true => format!("{count} accounts, whole\n"),
+                false => accounts.findings.iter().map(finding).collect(),
+            };
+            (json!({ "accounts": count, "findings": accounts.findings }), text)
+        }
+    }
+}
+
+fn lines(accounts: &Accounts, lines: Vec<Line>) -> (serde_json::Value, String) {
+    let text = lines.iter().map(line).collect::<String>() + &gaps(accounts);
+    (json!({ "spans": lines, "missing": accounts.findings }), text)
+}
+
+fn line(line: &Line) -> String {
+    let span = &line.span;
+    let name = |id: &u64| {
+        let known = span.names.iter().find(|(known, _)| known == id);
+        known.map_or_else(|| format!("#{id:016x}"), |(_, name)| name.clone())
+    };
+    let act = |act: &Act| match act {
+        Act::Attempt { to } => format!("attempts to {}", name(to)),
+        Act::Fill { child, source } => format!("fills {} from {}", name(child), name(source)),
+        Act::Booking { to } => format!("bookings to {}", name(to)),
+        Act::Refused => "refusals".to_string(),
+        Act::Failed => "failures".to_string(),
+        Act::Stage { to, stage } => {
+            let stages = ["planned", "announced", "warming", "settled", "rolled back"];
+            format!("to {}: {}", name(to), stages.get(usize::from(*stage)).unwrap_or(&"?"))
+        }
+        Act::Drain { cache, number, fellows } => {
+            format!("{} drained ({number}{})", name(cache), if *fellows { ", fellows" } else { "" })
+        }
+        Act::Back { cache, number, fellows } => {
+            format!("{} back ({number}{})", name(cache), if *fellows { ", fellows" } else { "" })
+        }
+        Act::Purge { number, fellows } => {
+            format!("purge ({number}{})", if *fellows { ", fellows" } else { "" })
+        }
+        Act::Batch { author, number, fellows } => {
+            format!("batch {author}/{number}{}", if *fellows { " (fellows)" } else { "" })
+        }
+        Act::ShutOut => "not done, shut out".to_string(),
+    };
+    let acts: Vec<String> =
+        span.counts.iter().map(|(kind, tally)| format!("{} {}", tally.count, act(kind))).collect();
+    let acts = if acts.is_empty() { "nothing".to_string() } else { acts.join(", ") };
+    format!(
+        "{} (start {}) {} to {}, by its clock {:.0} to {:.0}: hierarchy {} ({:016x}), journal {}, build {}: {acts}\n",
+        line.name,
+        line.start,
+        span.from,
+        span.to,
+        span.clock.0,
+        span.clock.1,
+        span.acts_on.shape.0,
+        span.acts_on.shape.1,
+        span.acts_on.journal,
+        span.acts_on.build
+    )
+}
+
+fn trace(trace: &Trace) -> String {
+    let (mut sent, mut ended) = ("attempt not known".to_string(), "end not known".to_string());
+    if let Some(attempt) = &trace.attempt {
+        let to = trace.to.clone().unwrap_or_else(|| format!("#{:016x}", attempt.to));
+        sent = format!("attempt {} to {to} at {}", attempt.number, attempt.at);
+    }
+    if let Some(end) = &trace.end {
+        ended = format!("{} at {}", end.how, end.at);
+    }
+    let Trace { name, start, shape, journal, .. } = trace;
+    format!("{name} (start {start}), hierarchy {shape}, journal {journal}: {sent}; {ended}\n")
+}
+
+fn stamp(stamp: &Option<Stamp>) -> String {
+    stamp.map_or("an unknown time".to_string(), |stamp| stamp.to_string())
+}
+
+fn finding(finding: &Finding) -> String {
+    match finding {
+        Finding::Gap { name, start, after, from, to } => format!(
+            "{name} (start {start}): MISSING after record {after}, from {} to {}\n",
+            stamp(from),
+            stamp(to)
+        ),
+        Finding::Fork { name, start, number } => {
+            format!("{name} (start {start}): TWO ACCOUNTS from record {number} on\n")
+        }
+        Finding::Broken { name, start, number } => {
+            format!("{name} (start {start}): record {number} DOES NOT FOLLOW from the one before it\n")
+        }
+        Finding::Unreadable { name, start, number } => {
+            format!("{name} (start {start}): record {number} can't be read by this build\n")
+        }
+    }
+}
+
+/// What is missing beside an answer: there might be more to it.
+fn gaps(accounts: &Accounts) -> String {
+    accounts.findings.iter().map(finding).collect()
+}
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -11,12 +11,14 @@
 
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use linnethook_fellows::fellows::{Line, Part};
+use linnethook_fellows::straggler::State;
 use linnethook_gateway::gateway::{RouteLine, Status};
 use linnethook_hierarchy::named::{BatchSpec, NodeSpec, PlanSpec, SourceSpec};
 use linnethook_operator::script::Kind;
 use linnethook_operator::{apart, reference};
 use serde::Serialize;
 
+use crate::audit;
 use crate::control::{Answer, FleetShown, Question, Shown};
 
 /// A front for caches of large objects behind thin links.
@@ -64,6 +66,16 @@
         #[command(flatten)]
         at: At,
     },
+    /// Read the accounts of what routers did, on which versions
+    Audit {
+        #[command(subcommand)]
+        verb: audit::Verb,
+        /// Files of accounts, written by `audit export`, instead of sockets
+        #[arg(long, global = true, value_name = "FILE", value_delimiter = ',')]
+        from: Vec<PathBuf>,
+        #[command(flatten)]
+        at: At,
+    },
     /// Print the settings of the operator file with their defaults and ranges
     Settings,
     /// Print completions for a shell
@@ -77,12 +89,12 @@
 
 #[derive(Debug, Clone, clap::Args)]
 pub struct At {
-    /// The control socket of a router; several for `apply`, which gives all the same batch
+    /// The control socket of a router; several for `apply`, which gives all the same batch, and for `audit`
     #[arg(long, global = true, env = "LB_CONTROL", value_name = "PATH", value_delimiter = ',')]
-    socket: Vec<PathBuf>,
+    pub socket: Vec<PathBuf>,
     /// How the answer is printed
     #[arg(long, global = true, value_enum, default_value = "text")]
-    format: Format,
+    pub format: Format,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -130,6 +142,22 @@
         #[arg(long, default_value_t = 0)]
         looks: u64,
     },
+    /// Set the version of the hierarchy below which nobody is to act, or take it back
+    Floor {
+        #[command(subcommand)]
+        verb: FloorVerb,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+pub enum FloorVerb {
+    /// Nobody is to act on a version below this one
+    Set {
+        #[arg(value_parser = clap::value_parser!(u64).range(1..))]
+        version: u64,
+    },
+    /// Take it back
+    Clear,
 }
 
 /// Why a command did not end well.
@@ -204,6 +232,7 @@
         Command::Hierarchy { verb, at } => hierarchy(verb, at),
         Command::Gateway { verb, at } => gateway(verb, at),
         Command::Fleet { verb, at } => fleet(verb, at),
+        Command::Audit { verb, from, at } => audit::carry_out(verb, from, at),
     }
 }
 
@@ -279,7 +308,18 @@
         Answer::Fleet(shown) => Ok(fleet_text(&shown)),
         other => Err(unexpected(socket, other)),
     };
-    let FleetVerb::Watch { every, looks } = verb else { return look() };
+    let (every, looks) = match verb {
+        FleetVerb::Show => return look(),
+        FleetVerb::Floor { verb } => {
+            let version = if let FloorVerb::Set { version } = verb { *version } else { 0 };
+            return match ask(socket, &Question::Floor(version))? {
+                Answer::Done(what) if at.format == Format::Json => Ok(as_json(&what)),
+                Answer::Done(what) => Ok(format!("{what}\n")),
+                other => Err(unexpected(socket, other)),
+            };
+        }
+        FleetVerb::Watch { every, looks } => (every, looks),
+    };
     let pause = Duration::try_from_secs_f64(every.max(0.05)).unwrap_or(Duration::from_secs(1));
     let mut last = String::new();
     for n in 1.. {
@@ -309,11 +349,12 @@
     look("OPERATOR FILE", acts.operator == own.operator);
     look("HIERARCHY", acts.shape == own.shape);
     look("JOURNAL", acts.journal == own.journal);
+    let straggler = if line.straggler { ", A STRAGGLER: what it says does not count" } else { "" };
     let differs =
         if differs.is_empty() { String::new() } else { format!("; differs: {}", differs.join(", ")) };
     let standing = format!("{:?}", line.standing).to_lowercase();
     format!(
-        "{} {standing}, {} links, build {}, hierarchy {} ({:08x}), journal {}, {} drains, {} purges, start {}{differs}\n",
+        "{} {standing}, {} links, build {}, hierarchy {} ({:08x}), journal {}, {} drains, {} purges, start {}{straggler}{differs}\n",
         line.name,
         line.links,
         acts.build,
@@ -336,12 +377,32 @@
             out += &format!("TAKES NO PART: it was frozen, and the start {holder} holds the name\n");
         }
     }
+    match shown.state {
+        None | Some(State::Well) => {}
+        Some(State::Late(_)) => out += "LATE: it is below the floor, and has time to catch up\n",
+        Some(State::Out(why)) => {
+            out += &format!(
+                "SHUT OUT ({}): {} were not done\n",
+                format!("{why:?}").to_lowercase(),
+                shown.shut_out
+            )
+        }
+        Some(State::Returning(_)) => out += "coming back\n",
+    }
+    if fellows.floor > 0 {
+        let by = shown.set_by.as_ref().filter(|(version, _)| *version == fellows.floor);
+        let by = by.map_or("settled by the voters".to_string(), |(_, by)| format!("set by people at {by}"));
+        out += &format!("nobody is to act on a hierarchy below {}, {by}\n", fellows.floor);
+    }
     for line in &fellows.others {
         out += &fellow_text(line, &fellows.me);
     }
     for (cache, number) in &shown.barred {
         out += &format!("{cache} is drained by the journal's number {number}, by the word of fellows\n");
     }
+    if let Some((links, accounts, copies, bytes, unsaved)) = shown.account {
+        out += &format!("account: {links} records; of others {accounts} accounts, {copies} records, {bytes} bytes; {unsaved} did not get to the disk\n");
+    }
     let counts = serde_json::to_value(fellows.counts).unwrap_or_default();
     let counts = counts.as_object().into_iter().flatten().map(|(name, count)| format!("{name}={count}"));
     let counts: Vec<String> = counts.collect();
@@ -429,7 +490,7 @@
 const LONGEST: usize = 64 << 20;
 
 /// Asks a router by its control socket.
-fn ask(socket: &Path, question: &Question) -> Result<Answer, Failed> {
+pub fn ask(socket: &Path, question: &Question) -> Result<Answer, Failed> {
     let failed = |what: &dyn std::fmt::Display| Failed::Other(format!("{}: {what}", socket.display()));
     let mut stream = UnixStream::connect(socket).map_err(|wrong| failed(&wrong))?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(|wrong| failed(&wrong))?;
@@ -448,7 +509,7 @@
     postcard::from_bytes(&answer).map_err(|wrong| failed(&wrong))
 }
 
-fn as_json<T: Serialize>(value: &T) -> String {
+pub fn as_json<T: Serialize>(value: &T) -> String {
     serde_json::to_string_pretty(value).map(|text| text + "\n").unwrap_or_default()
 }
 
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -12,6 +12,8 @@
 
 use calloop::generic::{Generic, NoIoDrop};
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use linnethook_audit::record::Link;
+use linnethook_fellows::straggler::State;
 use linnethook_gateway::gateway::{RouteLine, Status};
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, NodeSpec, PlanSpec};
 use serde::{Deserialize, Serialize};
@@ -30,11 +32,20 @@
     Plan(Vec<ChangeSpec>),
     Apply(Vec<ChangeSpec>),
     Hear(BatchSpec),
-    RollBack { author: u16, number: u64 },
+    RollBack {
+        author: u16,
+        number: u64,
+    },
     Gateway,
     Routes,
-    Drain { site: String, drained: bool },
+    Drain {
+        site: String,
+        drained: bool,
+    },
     Fleet,
+    /// The version below which nobody is to act; 0 takes it back.
+    Floor(u64),
+    Accounts,
 }
 
 /// A going over to a new source, as it is shown.
@@ -67,6 +78,13 @@
     pub drains: u64,
     pub purges: u64,
     pub batches: u64,
+    /// The floor that people have set, and at which router.
+    pub set_by: Option<(u64, String)>,
+    /// Whether this router is behind, and what was not done for it.
+    pub state: Option<State>,
+    pub shut_out: u64,
+    /// Records of the own account; accounts, records and bytes of others; records that did not get to the disk.
+    pub account: Option<(u64, u64, u64, u64, u64)>,
 }
 
 /// The hierarchy as a router has it.
@@ -94,6 +112,7 @@
     Gateway(Box<Status>),
     Routes(Vec<RouteLine>),
     Fleet(Box<FleetShown>),
+    Accounts(Vec<Link>),
     Done(String),
     /// It can't be done, and nothing was changed.
     No(String),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -3,18 +3,23 @@
 //! Drains, purges and batches that fellows know first count here too, by the journal's numbers. Must never take a
 //! fellow's word over the own journal's where that is as new, nor make a cache usable that the own journal bars.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::path::Path;
 
+use linnethook_audit::record::{Act, Booking, BookingEnd};
 use linnethook_fellows::fact::{Acts, CacheLine, Key, Purge};
-use linnethook_fellows::fellows::{Action, Fellows, Note, Rules};
+use linnethook_fellows::fellows::{Action, Fellows as Core, Note};
 use linnethook_fellows::members::Change;
+use linnethook_fellows::straggler::{Seen, State, Straggler, Why};
 use linnethook_hierarchy::named::BatchSpec;
-use linnethook_operator::Operator;
+use linnethook_operator::{Fellows, Operator};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::account::{Auditor, Words};
+use crate::caches::Ordered;
 use crate::control::{Answer, FleetShown};
-use crate::decider::Ms;
+use crate::decider::{End, Final, Ms, Place};
 use crate::log::log_line;
 use crate::told::{Entry, Expire, Hosts, Target};
 use crate::Router;
@@ -23,7 +28,7 @@
 const LOOK: Ms = 200.0;
 
 pub struct Fleet {
-    core: Fellows,
+    core: Core,
     acts: Acts,
     looked: Ms,
     /// The caches of the own list, as the journal has them.
@@ -33,6 +38,18 @@
     drains: u64,
     purges: u64,
     batches: u64,
+    audit: Option<Auditor>,
+    straggler: Option<Behind>,
+}
+
+/// Whether this router is behind.
+struct Behind {
+    voters: Vec<String>,
+    core: Straggler,
+    /// Since when no fellow is within reach.
+    alone: Option<Ms>,
+    /// Requests and fills that were not done for it.
+    shut_out: u64,
 }
 
 /// Tells at a glance whether two routers were given the same operator file: all but where each of them listens and
@@ -40,19 +57,31 @@
 pub fn digest(operator: &Operator) -> u64 {
     let hierarchy = operator.hierarchy.as_ref().map(|hierarchy| (&hierarchy.part, &hierarchy.nodes));
     let gateway = operator.gateway.as_ref();
-    let gateway =
-        gateway.map(|gateway| (&gateway.part.site, gateway.part.rules, &gateway.sites, gateway.fellows));
+    let fellows = gateway.and_then(|gateway| gateway.fellows.as_ref());
+    let fellows = fellows.map(|f| (f.rules, f.audit.as_ref().map(|audit| audit.rules), &f.straggler));
+    let gateway = gateway.map(|gateway| (&gateway.part.site, gateway.part.rules, &gateway.sites, fellows));
     xxh3_64(format!("{:?}", (hierarchy, gateway, &operator.watch, operator.log)).as_bytes())
 }
 
 impl Fleet {
-    pub fn new(now: Ms, name: &str, rules: Rules, settings: u64, operator: u64) -> Self {
+    pub fn new(now: Ms, name: &str, fellows: &Fellows, settings: u64, operator: u64) -> Self {
         let build = env!("CARGO_PKG_VERSION").to_string();
         let acts = Acts { build, settings, operator, ..Acts::default() };
         // The same start as the gateway's.
         let start = (now * 1_000.0) as u64;
+        let mut core = Core::new(now, fellows.rules, name, start, acts.clone());
+        let audit = fellows.audit.as_ref().map(|part| {
+            let folder = part.folder.as_deref().map(Path::new);
+            Auditor::new(now, core.clock.stamp(now), part.rules, folder, (name, start), acts.clone())
+        });
+        let straggler = fellows.straggler.as_ref().map(|part| Behind {
+            voters: part.voters.clone(),
+            core: Straggler::new(part.rule),
+            alone: Some(now),
+            shut_out: 0,
+        });
         Self {
-            core: Fellows::new(now, rules, name, start, acts.clone()),
+            core,
             acts,
             looked: now - LOOK,
             targets: BTreeMap::new(),
@@ -60,18 +89,144 @@
             drains: 0,
             purges: 0,
             batches: 0,
+            audit,
+            straggler,
         }
     }
 
-    /// The operator file was read again.
-    pub fn set(&mut self, rules: Rules, operator: u64) {
+    /// The operator file was read again. What was not there at the start begins with the next one.
+    pub fn set(&mut self, fellows: &Fellows, operator: u64) {
         self.acts.operator = operator;
-        self.core.set(rules);
+        self.core.set(fellows.rules);
         self.core.acts(&self.acts);
+        if let (Some(audit), Some(part)) = (&mut self.audit, &fellows.audit) {
+            audit.set(part.rules);
+        }
+        if let (Some(behind), Some(part)) = (&mut self.straggler, &fellows.straggler) {
+            behind.voters.clone_from(&part.voters);
+            behind.core.set(part.rule);
+        }
     }
 
     pub fn next(&self, now: Ms) -> Ms {
-        self.core.next(now)
+        let audit = self.audit.as_ref().map(Auditor::next);
+        let straggler = self.straggler.as_ref().and_then(|behind| behind.core.next());
+        let due = [audit, straggler].into_iter().flatten().fold(self.core.next(now), f64::min);
+        due.max(now)
+    }
+
+    // ---- The account.
+
+    fn act(&mut self, now: Ms, act: Act) {
+        if let Some(audit) = &mut self.audit {
+            audit.act(self.core.clock.stamp(now), act);
+        }
+    }
+
+    /// An attempt was sent, with the request's id.
+    pub fn sent(&mut self, now: Ms, ordered: &Ordered, id: &str, write: bool) {
+        let Some(audit) = &mut self.audit else { return };
+        let at = self.core.clock.stamp(now);
+        let to = ordered.place.number();
+        match write {
+            true => audit.booking(Booking { id: id.to_string(), number: ordered.attempt.number, to, at }),
+            false => audit.act(at, Act::Attempt { to }),
+        }
+        if let Some(source) = ordered.filling.source.filter(|_| !ordered.filling.only_held) {
+            audit.act(at, Act::Fill { child: to, source: source.number() });
+        }
+    }
+
+    /// How an attempt of what must not run twice ended.
+    pub fn write_ended(&mut self, now: Ms, id: &str, number: u8, end: End) {
+        let Some(audit) = &mut self.audit else { return };
+        let how = format!("{end:?}").to_lowercase();
+        audit.booking_ended(BookingEnd { id: id.to_string(), number, how, at: self.core.clock.stamp(now) });
+    }
+
+    /// A client was answered so.
+    pub fn answered(&mut self, now: Ms, answer: Final) {
+        match answer {
+            Final::Refused { .. } => self.act(now, Act::Refused),
+            Final::Failed => self.act(now, Act::Failed),
+            Final::Served => {}
+        }
+    }
+
+    /// Fellows that there is a link with.
+    fn linked(&self) -> BTreeSet<&str> {
+        self.core.members().links().map(|(name, _)| name.as_str()).collect()
+    }
+
+    fn account(&mut self, now: Ms, ends: bool) {
+        let at = self.core.clock.stamp(now);
+        let linked: BTreeSet<String> = self.linked().into_iter().map(str::to_string).collect();
+        let linked: BTreeSet<&str> = linked.iter().map(String::as_str).collect();
+        let Some(audit) = &mut self.audit else { return };
+        let words = match ends {
+            true => audit.end(now, at, &linked),
+            false => audit.tick(now, at, &self.acts, &linked),
+        };
+        self.send(words);
+    }
+
+    fn send(&mut self, words: Words) {
+        for (to, kind, bytes) in words {
+            self.core.send(&to, kind, bytes);
+        }
+    }
+
+    // ---- Stragglers.
+
+    /// Looks whether this router, or another one, is behind.
+    fn look(&mut self, now: Ms, journal: Ms) {
+        let Some(behind) = &mut self.straggler else { return };
+        let floor = self.core.floor(&behind.voters);
+        self.core.hold(now, floor, behind.core.rule().bound);
+        behind.alone = if self.core.hears_somebody() { None } else { Some(behind.alone.unwrap_or(now)) };
+        let seen = Seen { version: self.acts.shape.0, floor, alone: behind.alone, journal };
+        if let Some(state) = behind.core.look(now, &seen) {
+            let (version, floor) = (seen.version, seen.floor);
+            match state {
+                State::Well => log_line!(version, floor, "straggler: this router is level with the fleet"),
+                State::Late(_) => {
+                    log_line!(
+                        version,
+                        floor,
+                        "straggler: this router is at version {version}, below {floor}"
+                    );
+                }
+                State::Out(Why::Behind) => {
+                    log_line!(
+                        version,
+                        floor,
+                        "straggler: THIS ROUTER IS SHUT OUT: it is at version {version}, below {floor}"
+                    );
+                }
+                State::Out(Why::Blind) => {
+                    log_line!(
+                        version,
+                        floor,
+                        "straggler: THIS ROUTER IS SHUT OUT: it hears no fellow, and its journal is silent"
+                    );
+                }
+                State::Returning(_) => log_line!(version, floor, "straggler: this router comes back"),
+            }
+        }
+    }
+
+    /// When a client may come again whose request this router must not act on now; `None` where it may.
+    pub fn shuts_out(&mut self, now: Ms, object: u64) -> Option<Ms> {
+        let behind = self.straggler.as_mut()?;
+        let part = behind.core.part(now);
+        // The same objects all the while that it comes back.
+        if part >= 1.0 || (xxh3_64(&object.to_le_bytes()) >> 11) as f64 / ((1u64 << 53) as f64) < part {
+            return None;
+        }
+        behind.shut_out += 1;
+        let wait = behind.core.rule().come_back;
+        self.act(now, Act::ShutOut);
+        Some(wait)
     }
 
     /// Lines of the own journal at a number: what fellows know of a later one still holds, and what of them is news
@@ -90,6 +245,15 @@
             }
             let was_ready = before.is_none_or(|before| before.ready());
             self.acts.drains += u64::from(was_ready && !line.ready);
+            let cache = Place::of(&name).number();
+            if let Some(audit) = &mut self.audit {
+                audit.name(cache, &name);
+            }
+            if was_ready && !line.ready {
+                self.act(now, Act::Drain { cache, number, fellows: false });
+            } else if !was_ready && line.ready {
+                self.act(now, Act::Back { cache, number, fellows: false });
+            }
             // A cache is worth a word once it takes no new work, and once it does again.
             if !line.ready || !was_ready {
                 self.core.tell_cache(now, &name, line, number);
@@ -171,6 +335,7 @@
         let Some(fleet) = &mut self.fleet else { return };
         if let Some(expire) = &entry.expire {
             fleet.acts.purges += 1;
+            fleet.act(now, Act::Purge { number: entry.pos, fellows: false });
             let purge = Purge { stamp: expire.stamp, number: entry.pos };
             fleet.core.tell_purge(now, &purge_key(expire), purge);
         }
@@ -199,6 +364,16 @@
         self.carry_fleet();
     }
 
+    /// All is answered: the account ends here, and those that keep copies are told.
+    pub fn end_account(&mut self) {
+        let now = self.clock.now();
+        if let Some(fleet) = &mut self.fleet {
+            fleet.account(now, true);
+            fleet.core.leave(now);
+        }
+        self.carry_fleet();
+    }
+
     /// All of the fleet that is due by now.
     pub fn tick_fleet(&mut self) {
         let now = self.clock.now();
@@ -206,7 +381,13 @@
         if let Some(upstream) = &mut self.upstream {
             for batch in upstream.news() {
                 let body = postcard::to_stdvec(&batch).unwrap_or_default();
-                fleet.core.tell_batch(now, batch.author, batch.number, batch.stamp, body);
+                if fleet.core.tell_batch(now, batch.author, batch.number, batch.stamp, body) {
+                    let (author, number) = (batch.author, batch.number);
+                    fleet.act(now, Act::Batch { author, number, fellows: false });
+                }
+            }
+            for (to, stage) in upstream.entered() {
+                fleet.act(now, Act::Stage { to, stage });
             }
             if now - fleet.looked >= LOOK {
                 fleet.looked = now;
@@ -215,6 +396,8 @@
         }
         let back = fleet.caught_up(self.journal.number());
         fleet.core.acts(&fleet.acts);
+        fleet.look(now, self.journal.heard);
+        fleet.account(now, false);
         fleet.core.tick(now);
         for target in back {
             self.take_fellow_line(target);
@@ -246,6 +429,14 @@
                 Action::StandDown => beyond.gateway.leave_fellows(now),
                 Action::Cache { name, line, number } => {
                     if let Some(target) = fleet.line(&name, line, number) {
+                        let cache = Place::of(&name).number();
+                        fleet.act(
+                            now,
+                            match line.ready {
+                                true => Act::Back { cache, number, fellows: true },
+                                false => Act::Drain { cache, number, fellows: true },
+                            },
+                        );
                         let how = if line.ready { "back" } else { "drained" };
                         log_line!(number, "fellows: {name} is {how}, by the journal as fellows have it");
                         self.take_fellow_line(target);
@@ -255,6 +446,7 @@
                     if purge.number > fleet.acts.journal {
                         fleet.purges += 1;
                         fleet.acts.purges += 1;
+                        fleet.act(now, Act::Purge { number: purge.number, fellows: true });
                         let (name, set) = match key {
                             Key::Object(name) => (Some(name), 0),
                             Key::Group(set) => (None, set),
@@ -270,7 +462,10 @@
                     }
                 }
                 Action::Batch(body) => self.fellow_batch(&body),
-                Action::Word { .. } => {}
+                Action::Word { from, kind, bytes } => {
+                    let words = fleet.audit.as_mut().map(|audit| audit.heard(&from, kind, &bytes));
+                    fleet.send(words.unwrap_or_default());
+                }
                 Action::Note(note) => say(&note),
             }
         }
@@ -287,6 +482,8 @@
         }
         if upstream.acts_on() != before {
             fleet.batches += 1;
+            let (author, number) = (batch.author, batch.number);
+            fleet.act(now, Act::Batch { author, number, fellows: true });
             log_line!(
                 author = batch.author,
                 number = batch.number,
@@ -307,8 +504,43 @@
             drains: fleet.drains,
             purges: fleet.purges,
             batches: fleet.batches,
+            set_by: fleet.core.set_by_people().map(|floor| (floor.version, floor.by)),
+            state: fleet.straggler.as_ref().map(|behind| behind.core.state()),
+            shut_out: fleet.straggler.as_ref().map_or(0, |behind| behind.shut_out),
+            account: fleet.audit.as_ref().map(|audit| {
+                let (links, (accounts, copies, bytes)) = audit.kept();
+                (links, accounts as u64, copies as u64, bytes as u64, audit.unsaved)
+            }),
         }))
     }
+
+    /// People set the floor of the fleet, or take it back with 0.
+    pub fn set_floor(&mut self, version: u64) -> Answer {
+        let now = self.clock.now();
+        let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.straggler.is_some()) else {
+            return Answer::No("nobody is shut out: the operator file has no straggler()".to_string());
+        };
+        fleet.core.set_floor(now, version);
+        log_line!(version, "straggler: the floor was set to {version} by people");
+        self.tick_fleet();
+        match version {
+            0 => Answer::Done("the floor is taken back".to_string()),
+            _ => Answer::Done(format!("nobody is to act on a version below {version}")),
+        }
+    }
+
+    /// All accounts that are kept here.
+    pub fn accounts(&mut self) -> Answer {
+        let now = self.clock.now();
+        let kept = self.fleet.as_mut().and_then(|Fleet { core, audit, .. }| {
+            let at = core.clock.stamp(now);
+            audit.as_mut().map(|audit| audit.all(now, at))
+        });
+        match kept {
+            Some(links) => Answer::Accounts(links),
+            None => Answer::No("there is no account: the operator file has no audit()".to_string()),
+        }
+    }
 }
 
 fn say(note: &Note) {
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -44,6 +44,8 @@
     state: Stage,
     link: Option<Link>,
     pub lost: u64,
+    /// When it last told something, or that there is nothing.
+    pub heard: Ms,
 }
 
 impl<W: Wakes> Journal<W> {
@@ -55,7 +57,7 @@
         pos: u64,
     ) -> Self {
         let state = Stage::Resting(0.0);
-        Self { limits, pool: pool.clone(), handle, address, pos, state, link: None, lost: 0 }
+        Self { limits, pool: pool.clone(), handle, address, pos, state, link: None, lost: 0, heard: 0.0 }
     }
 
     /// Goes over to another address, from the last number taken. An answer that is half there is asked for anew.
@@ -178,6 +180,7 @@
             Ok(None) => Vec::new(),
             Ok(Some(page)) => {
                 self.state = Stage::Resting(now);
+                self.heard = now;
                 // What was heard of already does not count twice.
                 let later: Vec<Entry> =
                     page.entries.into_iter().filter(|entry| entry.pos > self.pos).collect();
--- a/crates/router/src/links/wiring.rs
+++ b/crates/router/src/links/wiring.rs
@@ -170,6 +170,12 @@
             }
             return;
         };
+        if let Some(wait) = self.barred_for_now(now, &taken.wish) {
+            if let Some(beyond) = &mut self.beyond {
+                beyond.gateway.reply(now, ticket, Reply::Refused { wait });
+            }
+            return;
+        }
         self.counters.taken_in += 1;
         self.counters.taken_in_bytes += taken.parcel.body.len() as u64;
         let held = self.held(now, NOBODY, taken.wish, taken.parcel, passed);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Must never look into a message or weigh anything: orders come from the decider, bytes from the others.
 
+mod account;
+mod audit;
 mod caches;
 mod cli;
 mod clients;
@@ -264,10 +266,17 @@
                         self.caches.drop_unsent(now, attempt, place);
                         continue;
                     };
+                    let asked = held.asked;
                     let ordered = Ordered { attempt, place, timeout, filling };
-                    let step = match &mut self.upstream {
-                        Some(upstream) => upstream.admit(now, ordered, held.asked),
-                        None => Some(Step::Send(ordered, None)),
+                    // What can't be vouched for is not done; what is held will do.
+                    let out = self.fleet.as_mut().filter(|_| !asked.write && filling.source.is_some());
+                    let out = out.and_then(|fleet| fleet.shuts_out(now, asked.object));
+                    let step = match (&mut self.upstream, out) {
+                        (Some(upstream), Some(wait)) if upstream.fills(&ordered) => {
+                            Some(upstream.held_alone(now, ordered, asked, wait))
+                        }
+                        (Some(upstream), _) => upstream.admit(now, ordered, asked),
+                        (None, _) => Some(Step::Send(ordered, None)),
                     };
                     self.take(step);
                 }
@@ -311,6 +320,9 @@
             return;
         }
         let Some(held) = self.requests.remove(ticket) else { return };
+        if let Some(fleet) = &mut self.fleet {
+            fleet.answered(self.clock.now(), answer);
+        }
         let nothing = Chain::new(&self.pool);
         let client = held.asker.client;
         match (answer, brought) {
@@ -361,6 +373,13 @@
                         continue;
                     }
                     let crowded = self.requests.len() >= self.limits.open;
+                    if let Some(wait) = self.barred_for_now(now, &taken.wish) {
+                        let Taken { wish, parcel, .. } = *taken;
+                        let held = self.held(now, asker, wish, parcel, Vec::new());
+                        self.requests.insert(ticket, held);
+                        self.finish(ticket, Final::Refused { wait }, Brought::Nothing);
+                        continue;
+                    }
                     let Taken { wish, parcel, .. } = *taken;
                     if self.crosses() {
                         let held = self.held(now, asker, wish, parcel, Vec::new());
@@ -402,6 +421,13 @@
         }
     }
 
+    /// What must not run twice is not begun by a router that is behind: when its client may come again.
+    pub(crate) fn barred_for_now(&mut self, now: Ms, wish: &Wish) -> Option<Ms> {
+        let fleet = self.fleet.as_mut().filter(|_| self.decider.does_harm(wish))?;
+        let wait = fleet.shuts_out(now, wish.object)?;
+        Some(wait.min(self.decider.longest_wait()))
+    }
+
     /// Answers a request that can't be used, and so never reached the decider.
     fn turn_away(&mut self, asker: Asker) {
         self.counters.unusable += 1;
@@ -417,6 +443,11 @@
             let now = self.clock.now();
             if let Some(ended) = self.caches.next_ended() {
                 self.count(ended.ending.end, &ended.brought);
+                let attempt = ended.ending.attempt;
+                let held = self.requests.held.get(&attempt.ticket).filter(|held| held.asked.write);
+                if let (Some(fleet), Some(held)) = (&mut self.fleet, held) {
+                    fleet.write_ended(now, &held.parcel.id, attempt.number, ended.ending.end);
+                }
                 if let Some(upstream) = &mut self.upstream {
                     let steps = upstream.ended(now, &ended);
                     self.take(steps);
@@ -697,6 +728,14 @@
         router.tick();
     }
     router.fail_open();
+    if router.fleet.is_some() {
+        // Fellows hear how it ended; a few turns for the bytes to leave.
+        router.end_account();
+        for _ in 0..4 {
+            events.dispatch(Duration::from_millis(5), &mut router)?;
+            router.tick();
+        }
+    }
     router.clients.close();
     router.print_counters();
     Ok(())
--- a/crates/router/src/steer.rs
+++ b/crates/router/src/steer.rs
@@ -70,8 +70,8 @@
             let beyond = Beyond::new(now, name, seed, gateway, self.limits, self.handle.clone())?;
             self.caches.tells_copies = beyond.crosses();
             self.beyond = Some(beyond);
-            if let Some(rules) = gateway.fellows {
-                self.fleet = Some(Fleet::new(now, name, rules, settings, fleet::digest(operator)));
+            if let Some(fellows) = &gateway.fellows {
+                self.fleet = Some(Fleet::new(now, name, fellows, settings, fleet::digest(operator)));
                 self.upstream.iter_mut().for_each(Upstream::tells_fellows);
             }
         }
@@ -113,6 +113,9 @@
                         continue;
                     };
                     self.counters.sent += 1;
+                    if let Some(fleet) = &mut self.fleet {
+                        fleet.sent(now, &ordered, &held.parcel.id, held.asked.write);
+                    }
                     self.caches.send(now, &ordered, &held.parcel, way.as_ref());
                 }
                 Step::TurnBack(ordered, since) => {
@@ -170,9 +173,9 @@
     /// Takes over what of the operator file may change while the router runs: the nodes of the hierarchy.
     fn take_over(&mut self, file: &Path, operator: &Operator) {
         let now = self.clock.now();
-        let fellows = operator.gateway.as_ref().and_then(|gateway| gateway.fellows);
-        if let (Some(fleet), Some(rules)) = (&mut self.fleet, fellows) {
-            fleet.set(rules, fleet::digest(operator));
+        let fellows = operator.gateway.as_ref().and_then(|gateway| gateway.fellows.as_ref());
+        if let (Some(fleet), Some(fellows)) = (&mut self.fleet, fellows) {
+            fleet.set(fellows, fleet::digest(operator));
             log_line!(always "{}: read again, the settings of fellows(...) hold", file.display());
         }
         let taken = self.fleet.is_some() && fellows.is_some();
@@ -195,6 +198,8 @@
         match question {
             Question::Gateway | Question::Routes | Question::Drain { .. } => self.reply_beyond(question),
             Question::Fleet => self.reply_fleet(),
+            Question::Floor(version) => self.set_floor(version),
+            Question::Accounts => self.accounts(),
             question => self.reply_upstream(question),
         }
     }
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -8,6 +8,7 @@
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, Names, NodeSpec, PlanSpec};
 use linnethook_hierarchy::passed::Passed;
 use linnethook_hierarchy::shield::{Priority, Released, Verdict};
+use linnethook_hierarchy::stages::Stage;
 use linnethook_hierarchy::{
     Author, Brought, Feeds, Heard, Hierarchy, Hop, NodeId, Phase, Picked, Role, Serial, Source, View,
 };
@@ -79,6 +80,8 @@
     due: Ms,
     /// Batches that were taken here and that fellows are to hear of, if there are any.
     news: Option<Vec<BatchSpec>>,
+    /// Stages that were entered, by the node that children go over to, for the account of it.
+    entered: Vec<(u64, u8)>,
 }
 
 /// Batches that wait to be passed on.
@@ -121,6 +124,7 @@
             come_back: HashMap::new(),
             due: now,
             news: None,
+            entered: Vec::new(),
         };
         if !settings.nodes.is_empty() {
             let changes = upstream.names.difference(upstream.hierarchy.shape(), &settings.nodes);
@@ -197,6 +201,11 @@
         self.news.as_mut().map(std::mem::take).unwrap_or_default()
     }
 
+    /// Stages that were entered.
+    pub fn entered(&mut self) -> Vec<(u64, u8)> {
+        std::mem::take(&mut self.entered)
+    }
+
     /// The version and the digest of the shape.
     pub fn acts_on(&self) -> (u64, u64) {
         (self.hierarchy.version(), self.hierarchy.shape().digest())
@@ -295,8 +304,18 @@
         changed.into_iter().map(|(id, feeds)| (Place::from_number(id.0), lists(&feeds))).collect()
     }
 
-    fn note(&self, entered: &[linnethook_hierarchy::stages::Entered]) {
+    fn note(&mut self, entered: &[linnethook_hierarchy::stages::Entered]) {
         for entered in entered {
+            if self.news.is_some() && self.entered.len() < NEWS {
+                let stage = match entered.stage {
+                    Stage::Planned => 0,
+                    Stage::Announced => 1,
+                    Stage::Warming => 2,
+                    Stage::Settled => 3,
+                    Stage::RolledBack(_) => 4,
+                };
+                self.entered.push((entered.id.to.0, stage));
+            }
             let (to, serial) = (self.names.of(entered.id.to), entered.id.by.serial());
             log_line!(
                 to,
@@ -311,6 +330,16 @@
 
     // ---- Fills.
 
+    /// A fill by an edge that can't be vouched for: only what is held will do.
+    pub fn held_alone(&mut self, now: Ms, ordered: Ordered, asked: Asked, come_back: Ms) -> Step {
+        self.only_held(now, ordered, asked, come_back)
+    }
+
+    /// Whether an attempt may have a cache fill.
+    pub fn fills(&self, ordered: &Ordered) -> bool {
+        !ordered.filling.only_held && self.ends(ordered).is_some()
+    }
+
     /// What is to be done with an attempt; `None` where it waits.
     pub fn admit(&mut self, now: Ms, mut ordered: Ordered, asked: Asked) -> Option<Step> {
         // Renewals come last: what can still be served as it is waits for better times.
--- a/crates/standins/src/checker.rs
+++ b/crates/standins/src/checker.rs
@@ -49,6 +49,8 @@
     NoOverlap,
     /// No request crosses back to a site that it has passed.
     NoReturn,
+    /// No fill on a version below the floor, after its bound.
+    NoOldVersion,
 }
 
 impl fmt::Display for Breach {
@@ -69,12 +71,34 @@
         no_strange_edge,
         no_overlap,
         no_return,
+        no_old_version,
     ];
     let mut breaches: Vec<Breach> = passes.iter().flat_map(|pass| pass(lines, rules)).collect();
     breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     breaches
 }
 
+fn no_old_version(lines: &[Line], rules: &Rules) -> Vec<Breach> {
+    let mut out = Vec::new();
+    let mut floors = BTreeMap::<&str, (u64, Ms)>::new();
+    for line in lines {
+        match &line.what {
+            What::Floored { router, version } => _ = floors.insert(router, (*version, line.at)),
+            What::Asked { asked, .. } if asked.source.is_some() && !asked.only_held => {
+                let Some(router) = asked.router.as_deref() else { continue };
+                let Some((floor, since)) = floors.get(router) else { continue };
+                let version = asked.version.unwrap_or(*floor);
+                if version < *floor && line.at > since + rules.slack {
+                    let what = format!("{router} had {} fill on version {version}, below {floor}", asked.at);
+                    out.push(Breach { at: line.at, rule: Rule::NoOldVersion, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
 /// A record as it is to be judged where processes stood still: what a router was told meanwhile counts from when it
 /// went on, and what it owed by then is owed so much later.
 pub fn with_pauses(lines: &[Line], grace: Ms) -> Vec<Line> {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -99,6 +99,8 @@
     started: Ms,
     came: VecDeque<Ms>,
     fallen: bool,
+    /// Fills on an older version than that are turned away.
+    floor: u64,
     /// Where it goes on by itself; changes in service.
     upstream: Vec<String>,
     /// The version that goes with fills which it sends by itself.
@@ -223,6 +225,11 @@
         Ok(started)
     }
 
+    /// Fills on an older version than that are turned away from now on.
+    pub fn set_floor(&self, version: u64) {
+        self.inner.lock().floor = version;
+    }
+
     /// Its own idea of where it goes on, with the version by which it has it.
     pub fn set_upstream(&self, upstream: &[&str], version: u64) {
         let mut state = self.inner.lock();
@@ -309,6 +316,21 @@
             Some(Ok(passed)) => Some(passed),
             Some(Err(_)) => return Found::without("failed", "ORIGIN_ERR"),
         };
+        if passed.as_ref().is_some_and(|passed| passed.version < self.lock().floor) {
+            // What is held would do; a fill on a shape that is gone would not.
+            let oldest = f64::INFINITY;
+            let held = self.held(&key, oldest);
+            return held.map_or_else(
+                || Found::without("absent", "NO_FILL"),
+                |copy| Found {
+                    word: "data",
+                    res: "HIT".into(),
+                    copy: Some(copy),
+                    more: String::new(),
+                    ran: true,
+                },
+            );
+        }
         let passed = match passed.map(|passed| (passed.version, passed.by(&self.name))) {
             None => None,
             Some((_, Ok(passed))) => Some(passed),
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -116,6 +116,11 @@
     Woken {
         router: String,
     },
+    /// From now on a router must not have anything filled on an older version.
+    Floored {
+        router: String,
+        version: u64,
+    },
     /// The proof that an attempt with that token never ran passed the link.
     Proven {
         token: (u64, u64),
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -4,12 +4,14 @@
 //! A seed is always the same script; when what happens within it is the system's. The record is what crossed the
 //! sockets, and is judged by the checker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use linnethook_audit::judge::{Accounts, Finding};
+use linnethook_audit::record::of_file;
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -33,6 +35,9 @@
     pub hierarchy: String,
     pub gateway: String,
     pub fellows: String,
+    /// Inside of `audit(...)` and `straggler(...)`; without them they are off.
+    pub audit: Option<String>,
+    pub straggler: Option<String>,
     /// Requests a second at each router, and how many objects there are.
     pub rate: f64,
     pub objects: u64,
@@ -49,6 +54,8 @@
                 .to_string(),
             gateway: "retry_most = 0.2".to_string(),
             fellows: "suspect = 0.5, frozen = 0.5, compare = 0.5".to_string(),
+            audit: Some("span = 0.5".to_string()),
+            straggler: None,
             rate: 30.0,
             objects: 400,
         }
@@ -61,6 +68,8 @@
     pub fleet: Fleet,
     pub plan: Plan,
     middles: BTreeMap<(usize, usize), Middle>,
+    /// In the middle of each router and its journal.
+    journals: BTreeMap<usize, Middle>,
     loads: BTreeMap<usize, Running>,
     /// Loads that have ended, one after another.
     pub ends: Vec<Ends>,
@@ -97,6 +106,9 @@
         comma(&plan.gateway),
         plan.fellows
     );
+    for (function, inside) in [("audit", &plan.audit), ("straggler", &plan.straggler)] {
+        text += &inside.as_ref().map_or(String::new(), |inside| format!("{function}({inside})\n"));
+    }
     for (_, address) in links {
         text += &format!("link(\"{SITE}\", connect = \"{address}\")\n");
     }
@@ -131,6 +143,7 @@
             fleet,
             plan,
             middles,
+            journals: BTreeMap::new(),
             loads: BTreeMap::new(),
             ends: Vec::new(),
             seeds: 0,
@@ -141,7 +154,16 @@
         for n in 0..rig.plan.routers {
             let dials: Vec<_> = rig.dials(n).map(|(to, middle)| (to, middle.address)).collect();
             let text = change(n, operator(&rig.plan, &dials));
-            rig.fleet.start_router(&name(n), Some(&text), |_| {})?;
+            let sites = [name(n), "journal".to_string()];
+            let middle = Middle::start(Sides { sites, record: rig.fleet.record.clone() })?;
+            let through = |config: &mut Value| {
+                if let Some(Ok(journal)) = config["journal"].as_str().map(str::parse) {
+                    middle.lead_to(journal);
+                }
+                config["journal"] = json!(middle.address.to_string());
+            };
+            rig.fleet.start_router(&name(n), Some(&text), through)?;
+            rig.journals.insert(n, middle);
             rig.lead(n)?;
         }
         let others = rig.plan.routers - 1;
@@ -382,6 +404,78 @@
         self.fleet.asked(&name(n), &["hierarchy", "apply", &file.display().to_string()])
     }
 
+    /// The journal of a router can't be reached, or can again.
+    pub fn silence_journal(&self, n: usize, silent: bool) {
+        if let Some(middle) = self.journals.get(&n) {
+            match silent {
+                true => middle.cut(),
+                false => middle.mend(),
+            }
+        }
+    }
+
+    /// What all routers that run keep of their own and of others' accounts.
+    pub fn accounts(&self) -> io::Result<Accounts> {
+        let mut links = Vec::new();
+        for n in self.up() {
+            let file = self.fleet.write_file(&format!("accounts-{n}"), "")?;
+            let socket = self.fleet.socket(&name(n)).display().to_string();
+            let output =
+                self.fleet.command(&["audit", "export", &file.display().to_string(), "--socket", &socket])?;
+            if !output.status.success() {
+                return Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()));
+            }
+            links.extend(of_file(&std::fs::read(&file)?).ok_or(io::ErrorKind::InvalidData)?);
+        }
+        Ok(Accounts::new(links))
+    }
+
+    /// Whether the accounts and the record tell the same: each booking that reached a node is in some account or in a gap
+    /// that is named, and no account has one that no node saw, unless its end says that it may not have got there.
+    pub fn accounted(&self, accounts: &Accounts) -> Result<(), String> {
+        let lines = self.fleet.record.lines();
+        let mut seen = BTreeSet::<(&str, &str)>::new();
+        let mut told = BTreeSet::<(String, String)>::new();
+        let mut open = Vec::new();
+        for (router, _, _, span) in accounts.spans() {
+            for booking in &span.bookings {
+                told.insert((router.to_string(), booking.id.clone()));
+                let mut ends = accounts.request(&booking.id).into_iter().filter_map(|trace| trace.end);
+                let arrived = ends.any(|end| matches!(end.how.as_str(), "answered" | "full" | "absent"));
+                if arrived {
+                    open.push((router.to_string(), booking.id.clone()));
+                }
+            }
+        }
+        for line in &lines {
+            let What::Asked { asked, .. } = &line.what else { continue };
+            let Some(router) = asked.router.as_deref().filter(|_| asked.class == "booking") else { continue };
+            // A second process of a name is not told apart here.
+            let router = router.trim_end_matches("-twin");
+            seen.insert((router, &asked.id));
+            let in_gap = |finding: &Finding| match finding {
+                Finding::Gap { name, from, to, .. } => {
+                    let from = from.map_or(0.0, |at| at.ms as f64);
+                    let to = to.map_or(f64::INFINITY, |at| at.ms as f64);
+                    name == router && (from - 50.0..=to + 50.0).contains(&line.at)
+                }
+                _ => false,
+            };
+            let known = told.contains(&(router.to_string(), asked.id.clone()));
+            if !known && !accounts.findings.iter().any(in_gap) {
+                return Err(format!(
+                    "{router}'s booking {} at {:.0} is in no account and no gap",
+                    asked.id, line.at
+                ));
+            }
+        }
+        let unseen = open.iter().find(|(router, id)| !seen.contains(&(router.as_str(), id.as_str())));
+        match unseen {
+            Some((router, id)) => Err(format!("{router}'s account has booking {id}, which no node saw")),
+            None => Ok(()),
+        }
+    }
+
     /// The rules that were broken, but for those that are not asked for.
     pub fn breaches(&self, but: &[Rule]) -> Vec<Breach> {
         let rules = Rules { slack: 150.0, going_over: 7_000.0, ..Rules::default() };
@@ -596,6 +690,12 @@
             played.refused += sum(&ends.refused);
             played.failed += sum(&ends.failed);
         }
+        let accounts = self.accounts().map_err(told)?;
+        self.accounted(&accounts)?;
+        if let Some(wrong) = accounts.findings.iter().find(|finding| !matches!(finding, Finding::Gap { .. }))
+        {
+            return Err(format!("the accounts do not hold together: {wrong:?}"));
+        }
         // Halves that change the hierarchy apart from each other have versions that no record can tell apart.
         self.check(&[Rule::NoStrangeEdge])?;
         Ok(played)
