Take a hierarchy over whole from a fellow; each start writes under its own author

Need: a batch that is too long to be passed on, or one of more than are kept, left a router behind for good; and after a restart the control socket's author counted from 1 again, so that a batch written before its fellows had told of the one before it would have had the same name as that one.

The author of a control socket follows from name and start.

--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fact::{micros, Acts, CacheLine, Entry, Floor, Holder, Key, Purge, Statement, NEWEST};
+use crate::fetch::FetchRule;
 use crate::hlc::{Hlc, Stamp};
 use crate::members::{Change, MemberRule, Members, Standing};
 use crate::pace::{Pace, PaceRule};
@@ -20,6 +21,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Rules {
     pub members: MemberRule,
+    pub fetch: FetchRule,
     pub pace: PaceRule,
     pub kept: Kept,
     /// What has changed is said so often at the most, and so many bytes of it in one go.
@@ -29,6 +31,8 @@
     pub compare: Ms,
     /// How long purges, and lines of caches that are back or gone, are passed on.
     pub purges: Ms,
+    /// Batches of the hierarchy that are passed on: the newest.
+    pub batches: usize,
     /// A process that did nothing for so long was frozen; so long afterwards it leaves its name to a later start. No
     /// longer than it takes to suspect one, or a frozen one could be replaced and not know why.
     pub frozen: Ms,
@@ -41,12 +45,14 @@
     fn default() -> Self {
         Self {
             members: MemberRule::default(),
+            fetch: FetchRule::default(),
             pace: PaceRule::default(),
             kept: Kept::default(),
             every: 100.0,
             bundle: 16 << 10,
             compare: 5_000.0,
             purges: 600_000.0,
+            batches: 1_024,
             frozen: 1_000.0,
             yields: 10_000.0,
             speaks: NEWEST,
@@ -348,6 +354,18 @@
         self.late.get(name).is_some_and(|since| now - since >= self.bound)
     }
 
+    /// Fellows with a link that act on a newer hierarchy than this router.
+    pub fn ahead(&self) -> Vec<&str> {
+        let (version, _) = self.acts.shape;
+        let linked =
+            self.members.links().filter_map(|(name, start)| Some((name, start, self.members.get(name)?)));
+        let ahead = linked.filter(|(_, start, member)| {
+            let theirs = member.statement.acts.shape;
+            **start == member.start && theirs.0 > version
+        });
+        ahead.map(|(name, ..)| name.as_str()).collect()
+    }
+
     /// Whether any fellow is within reach.
     pub fn hears_somebody(&self) -> bool {
         self.members.iter().any(|(_, member)| member.standing == Standing::Alive)
@@ -660,6 +678,14 @@
             line.is_some_and(|line| !line.ready && !line.gone)
         };
         old.extend(lines.into_iter().filter(|key| !drained(key)));
+        let batch = |(key, entry): (&Vec<u8>, &Entry)| match Key::decode(key) {
+            Some(Key::Batch(..)) => Some((entry.order, key.clone())),
+            _ => None,
+        };
+        let mut batches: Vec<_> = self.table.iter().filter_map(batch).collect();
+        let over = batches.len().saturating_sub(self.rules.batches);
+        batches.sort_unstable();
+        old.extend(batches.into_iter().take(over).map(|(_, key)| key));
         old.into_iter().for_each(|key| self.drop_fact(&key));
     }
 
--- a/crates/fellows/src/lib.rs
+++ b/crates/fellows/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`fact`]: what is passed on: by whom or of what, how new, in which version of its form;
 //! - [`straggler`]: who is behind what the fleet has settled, or knows too little, and what follows;
 //! - [`table`]: all facts that are known, the newest of each, with digests by which a gap is found;
+//! - [`fetch`]: the whole from a fellow, where facts alone don't suffice;
 //! - [`hlc`]: the time by which acts of several routers are ordered;
 //! - [`members`]: who is alive, suspected, gone or has left, by the links that both ends tell of;
 //! - [`pace`]: how many bytes may be said;
@@ -13,6 +14,7 @@
 
 pub mod fact;
 pub mod fellows;
+pub mod fetch;
 pub mod hlc;
 pub mod members;
 pub mod pace;
--- a/crates/hierarchy/src/history.rs
+++ b/crates/hierarchy/src/history.rs
@@ -75,6 +75,13 @@
     last: Key,
 }
 
+impl Snapshot {
+    /// The stamp of the newest batch in it.
+    pub fn version(&self) -> u64 {
+        self.known.iter().map(|(.., stamp)| *stamp).max().unwrap_or(0)
+    }
+}
+
 /// A record as it is handed on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Kin {
--- a/crates/hierarchy/src/named.rs
+++ b/crates/hierarchy/src/named.rs
@@ -244,6 +244,17 @@
         all
     }
 
+    /// All names that are known: of nodes and of sites.
+    pub fn all(&self) -> (Vec<String>, Vec<String>) {
+        (self.nodes.values().cloned().collect(), self.sites.values().cloned().collect())
+    }
+
+    /// Names that another router knows. An id follows from its name, so that none can be given to another.
+    pub fn learn(&mut self, nodes: &[String], sites: &[String]) {
+        nodes.iter().for_each(|name| _ = self.id(name));
+        sites.iter().for_each(|name| _ = self.site_id(name));
+    }
+
     /// Forgets the names of what the shape has not got.
     pub fn retain(&mut self, shape: &Shape) {
         self.nodes.retain(|id, _| shape.node(*id).is_some());
--- a/crates/operator/src/knobs/fellows.rs
+++ b/crates/operator/src/knobs/fellows.rs
@@ -6,6 +6,15 @@
 
 /// What `fellows(...)` sets.
 pub const FELLOWS: &[Knob<Rules>] = &[
+    knob!(
+        "snapshot",
+        "seconds",
+        (0.1, 3_600.0),
+        SECONDS,
+        fetch.behind,
+        "behind a fellow's hierarchy for so long, a router takes a snapshot of it"
+    ),
+    knob!(whole "batches", "", (16.0, 1e6), usize, batches, "batches of the hierarchy that are passed on; who is further behind takes a snapshot"),
     knob!(
         "suspect",
         "seconds",
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -407,13 +407,14 @@
     let counts = counts.as_object().into_iter().flatten().map(|(name, count)| format!("{name}={count}"));
     let counts: Vec<String> = counts.collect();
     out + &format!(
-        "{} facts, {} bytes, {} waiting; heard from fellows first: {} drains, {} purges, {} batches; {}\n",
+        "{} facts, {} bytes, {} waiting; heard from fellows first: {} drains, {} purges, {} batches, {} snapshots; {}\n",
         fellows.facts,
         fellows.bytes,
         fellows.pending,
         shown.drains,
         shown.purges,
         shown.batches,
+        shown.adopted,
         counts.join(" ")
     )
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -78,6 +78,8 @@
     pub drains: u64,
     pub purges: u64,
     pub batches: u64,
+    /// Snapshots of the hierarchy that were taken over whole.
+    pub adopted: u64,
     /// The floor that people have set, and at which router.
     pub set_by: Option<(u64, String)>,
     /// Whether this router is behind, and what was not done for it.
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -10,6 +10,7 @@
 use linnethook_audit::record::{Act, Booking, BookingEnd};
 use linnethook_fellows::fact::{Acts, CacheLine, Key, Purge};
 use linnethook_fellows::fellows::{Action, Fellows as Core, Note};
+use linnethook_fellows::fetch::{pieces, Fetch};
 use linnethook_fellows::members::Change;
 use linnethook_fellows::straggler::{Seen, State, Straggler, Why};
 use linnethook_hierarchy::named::BatchSpec;
@@ -40,8 +41,15 @@
     batches: u64,
     audit: Option<Auditor>,
     straggler: Option<Behind>,
+    fetch: Fetch,
+    /// Snapshots that were taken over.
+    adopted: u64,
 }
 
+/// Words between fellows beside those of accounts: a snapshot is wanted, and a piece of one.
+const WANT_SHAPE: u8 = 0xf4;
+const SHAPE: u8 = 0xf5;
+
 /// Whether this router is behind.
 struct Behind {
     voters: Vec<String>,
@@ -91,6 +99,8 @@
             batches: 0,
             audit,
             straggler,
+            fetch: Fetch::new(fellows.rules.fetch),
+            adopted: 0,
         }
     }
 
@@ -392,6 +402,11 @@
             if now - fleet.looked >= LOOK {
                 fleet.looked = now;
                 fleet.acts.shape = upstream.acts_on();
+                fleet.core.acts(&fleet.acts);
+                // Who is ahead though all facts are here has something that is passed on no more.
+                if let Some((of, asking)) = fleet.fetch.look(now, &fleet.core.ahead()) {
+                    fleet.core.send(&of, WANT_SHAPE, postcard::to_stdvec(&asking).unwrap_or_default());
+                }
             }
         }
         let back = fleet.caught_up(self.journal.number());
@@ -462,6 +477,21 @@
                     }
                 }
                 Action::Batch(body) => self.fellow_batch(&body),
+                Action::Word { from, kind: WANT_SHAPE, bytes } => {
+                    let asking = postcard::from_bytes::<u64>(&bytes);
+                    if let (Ok(asking), Some(upstream)) = (asking, &self.upstream) {
+                        for piece in pieces(asking, &upstream.snapshot(), fleet.fetch.rule()) {
+                            fleet.core.send(&from, SHAPE, postcard::to_stdvec(&piece).unwrap_or_default());
+                        }
+                    }
+                }
+                Action::Word { from, kind: SHAPE, bytes } => {
+                    let piece = postcard::from_bytes(&bytes).ok();
+                    let whole = piece.and_then(|piece| fleet.fetch.piece(now, &from, &piece));
+                    if let Some(whole) = whole {
+                        self.adopt(&from, &whole);
+                    }
+                }
                 Action::Word { from, kind, bytes } => {
                     let words = fleet.audit.as_mut().map(|audit| audit.heard(&from, kind, &bytes));
                     fleet.send(words.unwrap_or_default());
@@ -493,6 +523,22 @@
         self.tell_feeds();
     }
 
+    /// A fellow's whole shape is there: this router was too far behind for batches.
+    fn adopt(&mut self, from: &str, whole: &[u8]) {
+        let now = self.clock.now();
+        let (Some(upstream), Some(fleet)) = (&mut self.upstream, &mut self.fleet) else { return };
+        match upstream.adopt(now, whole) {
+            Ok(()) => {
+                fleet.adopted += 1;
+                fleet.acts.shape = upstream.acts_on();
+                let (version, digest) = fleet.acts.shape;
+                log_line!(version, "fellows: the hierarchy was taken over whole from {from}: version {version}, {digest:016x}");
+            }
+            Err(why) => log_line!("fellows: the hierarchy of {from} was not taken over: {why}"),
+        }
+        self.tell_feeds();
+    }
+
     pub fn reply_fleet(&mut self) -> Answer {
         let now = self.clock.now();
         let Some(fleet) = &self.fleet else {
@@ -504,6 +550,7 @@
             drains: fleet.drains,
             purges: fleet.purges,
             batches: fleet.batches,
+            adopted: fleet.adopted,
             set_by: fleet.core.set_by_people().map(|floor| (floor.version, floor.by)),
             state: fleet.straggler.as_ref().map(|behind| behind.core.state()),
             shut_out: fleet.straggler.as_ref().map_or(0, |behind| behind.shut_out),
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 
+use linnethook_hierarchy::history::Snapshot;
 use linnethook_hierarchy::named::{BatchSpec, ChangeSpec, Names, NodeSpec, PlanSpec};
 use linnethook_hierarchy::passed::Passed;
 use linnethook_hierarchy::shield::{Priority, Released, Verdict};
@@ -105,9 +106,10 @@
     Lists { now: all(&feeds.now), before: all(&feeds.before), part: feeds.part, salt: feeds.salt }
 }
 
-/// The author of a router's control socket: half of the numbers are for these.
-fn socket_author(router: &str) -> Author {
-    Author(0x8000 | (xxh3_64_with_seed(router.as_bytes(), 0) as u16))
+/// The author of a router's control socket: half of the numbers are for these. Each start is another one, since none
+/// remembers how far the one before it had counted.
+fn socket_author(router: &str, start: Ms) -> Author {
+    Author(0x8000 | (xxh3_64_with_seed(router.as_bytes(), (start * 1_000.0) as u64) as u16))
 }
 
 impl Upstream {
@@ -117,7 +119,7 @@
             hierarchy: Hierarchy::new(settings.part.rules),
             names: Names::default(),
             file: Author(settings.part.author),
-            socket: socket_author(router),
+            socket: socket_author(router, now),
             extended: settings.part.extended,
             waiting: HashMap::new(),
             out: HashMap::new(),
@@ -191,6 +193,27 @@
         heard
     }
 
+    /// The whole shape with its place in the history, for a fellow that is too far behind.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let (nodes, sites) = self.names.all();
+        postcard::to_stdvec(&(self.hierarchy.snapshot(), nodes, sites)).unwrap_or_default()
+    }
+
+    /// Takes a fellow's whole shape over, where it is newer than what is here. All of it or nothing.
+    pub fn adopt(&mut self, now: Ms, bytes: &[u8]) -> Result<(), String> {
+        let (snapshot, nodes, sites) = postcard::from_bytes::<(Snapshot, Vec<String>, Vec<String>)>(bytes)
+            .map_err(|wrong| wrong.to_string())?;
+        let before = self.acts_on();
+        if snapshot.version() < before.0 {
+            return Err(format!("it is at version {}, this router at {}", snapshot.version(), before.0));
+        }
+        self.hierarchy.adopt(now, snapshot).map_err(|wrong| wrong.to_string())?;
+        self.names.learn(&nodes, &sites);
+        self.names.retain(self.hierarchy.shape());
+        self.due = now;
+        Ok(())
+    }
+
     /// Batches are to be passed on to fellows from now on.
     pub fn tells_fellows(&mut self) {
         self.news.get_or_insert_default();
--- a/crates/router/tests/audit.rs
+++ b/crates/router/tests/audit.rs
@@ -270,3 +270,82 @@
     rig.settle().expect("all of one mind");
     rig.check(&[]).expect("no rule is broken");
 }
+
+/// Stopped for ten seconds with bookings written, and woken: none runs twice, and the account has each of them.
+#[test]
+fn bookings_that_were_written_before_a_long_sleep_run_once_and_are_in_the_account() {
+    let plan = Plan { rate: 60.0, ..Plan::default() };
+    let mut rig = Rig::start(PROGRAM, plan).expect("a fleet");
+    let slow = linnethook_standins::faults::When::Between(0.0, f64::INFINITY);
+    rig.fleet.node("origin").script().add(linnethook_standins::faults::Fault::Slow(400.0), slow);
+    rig.load_all().expect("load");
+    pause(1_500);
+    rig.freeze(1).expect("frozen");
+    rig.tell("cache-0", Phase::Draining, &[0, 2]).expect("told");
+    pause(10_000);
+    rig.wake(1).expect("awake");
+    rig.until(1, "the drain", |shown| shown["drains"] == 1).expect("heard");
+    rig.settle().expect("all of one mind");
+    pause(500);
+    rig.end_loads();
+    rig.check(&[]).expect("no rule is broken, and nothing ran twice");
+    let accounts = rig.accounts().expect("accounts");
+    rig.accounted(&accounts).expect("the same as the record");
+}
+
+/// The folder of an account is rolled back to what it was: what fellows keep is more, contradicts nothing, and fills
+/// what the folder lacks.
+#[test]
+fn a_folder_rolled_back_contradicts_nothing_and_fellows_have_the_rest() {
+    let folder = std::env::temp_dir().join(format!("lh-audit-back-{}", std::process::id()));
+    let with = |n: usize, text: String| match n {
+        0 => text.replace("audit(", &format!("audit(folder = \"{}\", ", folder.display())),
+        _ => text,
+    };
+    let mut rig = Rig::start_with(PROGRAM, Plan::default(), with).expect("a fleet");
+    rig.load_all().expect("load");
+    pause(1_500);
+    let before = std::fs::read(folder.join("promises")).expect("a log");
+    pause(1_500);
+    rig.stop(0).expect("it ends");
+    std::fs::write(folder.join("promises"), before).expect("rolled back");
+    rig.start_again(0).expect("it starts");
+    pause(300);
+    rig.end_loads();
+    let accounts = rig.accounts().expect("accounts");
+    rig.accounted(&accounts).expect("the same as the record");
+    let only_gaps = accounts.findings.iter().all(|finding| matches!(finding, Finding::Gap { .. }));
+    assert!(only_gaps, "{:?}", accounts.findings);
+    let first = accounts.starts().find(|((who, _), _)| who == "r0").expect("the first start").1;
+    assert!(first.ended, "the fellows know that it ended");
+    // By the folder alone its end is missing.
+    let (good, text) = audit(&rig, &[0], &["verify"]);
+    assert!(!good && text.contains("r0 (start") && text.contains("MISSING"), "{text}");
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
+
+/// A router that was cut off when a change began comes back in the middle of its stages, under a floor.
+#[test]
+fn a_straggler_in_the_middle_of_a_hierarchys_stage() {
+    let mut rig = rig("bound = 0.5, back = 0.5");
+    rig.load_all().expect("load");
+    pause(500);
+    rig.cut_off(2);
+    rig.until(2, "it is alone", |shown| alive(shown) == 0).expect("seen");
+    rig.apply(0, MOVE).expect("applied");
+    rig.fleet.note_shape(2, &[("cache-0", &["centre", "origin"])]);
+    let warming = |shown: &Value| shown["moves"][0]["stage"] == "warming";
+    rig.fleet.until("r0", &["hierarchy", "show"], "warming", warming).expect("it begins");
+    floor(&rig, 0, &["set", "2"]);
+    pause(600);
+    rig.mend_all();
+    rig.until(2, "the batch", |shown| shown["batches"] == 1).expect("heard");
+    rig.until(2, "it is level", |shown| shown["state"] == "Well").expect("seen");
+    rig.settle().expect("all of one mind");
+    let none = |shown: &Value| shown["moves"].as_array().is_some_and(Vec::is_empty);
+    for n in 0..3 {
+        rig.fleet.until(&name(n), &["hierarchy", "show"], "settled", none).expect("the change ends");
+    }
+    rig.end_loads();
+    rig.check(&[]).expect("no rule is broken");
+}
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -292,6 +292,56 @@
     }
 }
 
+/// A batch that is too long to be passed on: the others take a snapshot, whole or not at all. One of them is killed again
+/// and again while it comes over a slow link.
+#[test]
+fn a_snapshot_is_adopted_whole_however_often_its_taker_is_killed() {
+    let mut rig = rig(3);
+    rig.load_all().expect("load");
+    rig.slow(2, 0, 30_000.0);
+    rig.slow(2, 1, 30_000.0);
+    let long = "for n in range(2500):\n    \
+                add(\"spare-%d\" % n, role = \"parent\", site = \"hub\", capacity = 1, sources = [\"origin\"])\n";
+    rig.apply(0, long).expect("applied");
+    rig.until(1, "the snapshot", |shown| shown["adopted"] == 1).expect("taken over");
+    for wait in [100, 600, 1_100, 1_700] {
+        pause(wait);
+        rig.kill(2);
+        rig.start_again(2).expect("it starts");
+        rig.load(2).expect("load");
+        let nodes = rig.fleet.asked("r2", &["hierarchy", "show"]).expect("shown")["nodes"].as_u64();
+        assert!(nodes == Some(6) || nodes == Some(2_506), "all of it or nothing: {nodes:?}");
+    }
+    rig.mend_all();
+    rig.settle().expect("all have it");
+    // What follows is heard as ever.
+    rig.apply(2, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+    rig.fleet.note_shape(3, &[("cache-0", &["centre", "origin"])]);
+    rig.settle().expect("all have it");
+    assert_eq!(rig.fleet.asked("r0", &["hierarchy", "show"]).expect("shown")["version"], 3);
+    clean(&mut rig);
+}
+
+/// Killed right after an operator's batch was taken, before anybody heard of it or just after, and another batch at once
+/// after its start: all come to one shape, whichever of both there is.
+#[test]
+fn a_router_killed_between_a_batch_and_its_word_of_it_leaves_one_shape() {
+    for wait in [0, 60, 150, 400] {
+        let mut rig = rig(3);
+        rig.apply(0, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+        pause(wait);
+        rig.kill(0);
+        rig.start_again(0).expect("it starts");
+        rig.apply(0, "rerank(\"cache-1\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+        rig.settle().expect("one shape");
+        let nodes = rig.fleet.asked("r2", &["hierarchy", "nodes"]).expect("nodes");
+        let moved =
+            nodes.as_array().into_iter().flatten().filter(|node| node["sources"][0]["name"] == "centre");
+        let moved: Vec<&str> = moved.filter_map(|node| node["name"].as_str()).collect();
+        assert!(moved.contains(&"cache-1"), "after {wait} ms: {moved:?}");
+    }
+}
+
 /// A fleet of two builds: one states itself in the older version, and is read; it reads the newer one.
 #[test]
 fn versions_1_and_2_side_by_side() {
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -53,7 +53,7 @@
                         least = 20, held = 3"
                 .to_string(),
             gateway: "retry_most = 0.2".to_string(),
-            fellows: "suspect = 0.5, frozen = 0.5, compare = 0.5".to_string(),
+            fellows: "suspect = 0.5, frozen = 0.5, compare = 0.5, snapshot = 0.5".to_string(),
             audit: Some("span = 0.5".to_string()),
             straggler: None,
             rate: 30.0,
