--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -149,6 +149,22 @@
         self.findings.extend(gaps);
     }
 
+    /// From when on anything is known of each router: of what it did before nothing is said, and nothing is denied.
+    pub fn known_from(&self) -> BTreeMap<&str, Stamp> {
+        let mut from = BTreeMap::new();
+        for ((name, _), known) in &self.all {
+            let first = known.links.values().next().map(|(_, record)| match record {
+                Record::Began { at, .. } | Record::Ended { at } => *at,
+                Record::Span(span) => span.from,
+            });
+            if let Some(first) = first {
+                let earliest = from.entry(name.as_str()).or_insert(first);
+                *earliest = first.min(*earliest);
+            }
+        }
+        from
+    }
+
     pub fn starts(&self) -> impl Iterator<Item = (&(String, u64), &Known)> {
         self.all.iter()
     }
--- a/crates/fellows/src/straggler.rs
+++ b/crates/fellows/src/straggler.rs
@@ -50,7 +50,7 @@
     /// The version acted on here, and the one below which nobody is to act.
     pub version: u64,
     pub floor: u64,
-    /// Since when there is no fellow within reach, and when the journal was last heard.
+    /// Since when there is no fellow within reach, and since when the journal has been silent for longer than it may be.
     pub alone: Option<Ms>,
     pub journal: Ms,
 }
--- a/crates/hierarchy/src/stages.rs
+++ b/crates/hierarchy/src/stages.rs
@@ -236,8 +236,10 @@
     /// A batch that takes effect at `at` gives children a new source. Hearing of it again changes nothing.
     pub fn begin(&mut self, now: Ms, id: MoveId, at: Ms, started: Ms) {
         let begins = at + self.rule.announce;
+        // Who hears of it long after, as after a restart, is where the others are: not a turn on the old list.
+        let stage = if now >= begins { Stage::Warming } else { Stage::Planned };
         self.moves.entry(id).or_insert_with(|| Move {
-            stage: Stage::Planned,
+            stage,
             begins,
             since: now,
             held: 0.0,
@@ -394,6 +396,15 @@
         assert!((early.part(18_000.0, id()) - 0.51).abs() < 0.01);
     }
 
+    #[test]
+    fn who_hears_of_a_change_after_it_is_over_uses_the_new_source_at_once() {
+        let rule = StageRule::default();
+        let mut late = Stages::new(rule);
+        late.begin(500_000.0, id(), 1_000.0, 0.0);
+        assert_eq!(late.part(500_000.0, id()), 1.0, "before any tick");
+        assert_eq!(run(&mut late, 500_000.0, 500_200.0, false), [(500_000.0, Stage::Settled)]);
+    }
+
     #[test]
     fn a_cold_source_is_asked_for_no_more_than_it_bears() {
         let cold = ColdStart { from: 0.07, warm_in: 20_000.0, fall_multiple: 2.0, window: 3_000.0 };
--- a/crates/router/src/audit.rs
+++ b/crates/router/src/audit.rs
@@ -133,11 +133,15 @@
         }
         Verb::Verify | Verb::Export { .. } => {
             let count = accounts.starts().count();
-            let text = match accounts.findings.is_empty() {
+            let from = accounts.known_from();
+            let mut text = match accounts.findings.is_empty() {
                 true => format!("{count} accounts, whole\n"),
                 false => accounts.findings.iter().map(finding).collect(),
             };
-            (json!({ "accounts": count, "findings": accounts.findings }), text)
+            text.extend(
+                from.iter().map(|(name, at)| format!("{name}: known from {at} on, and not before\n")),
+            );
+            (json!({ "accounts": count, "known_from": from, "findings": accounts.findings }), text)
         }
     }
 }
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -411,7 +411,7 @@
         }
         let back = fleet.caught_up(self.journal.number());
         fleet.core.acts(&fleet.acts);
-        fleet.look(now, self.journal.heard);
+        fleet.look(now, self.journal.sound_until());
         fleet.account(now, false);
         fleet.core.tick(now);
         for target in back {
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -45,7 +45,7 @@
     link: Option<Link>,
     pub lost: u64,
     /// When it last told something, or that there is nothing.
-    pub heard: Ms,
+    heard: Ms,
 }
 
 impl<W: Wakes> Journal<W> {
@@ -70,6 +70,11 @@
         self.state = Stage::Resting(now);
     }
 
+    /// Until when it is no silence that nothing comes: a poll may be held back for so long after the last answer.
+    pub fn sound_until(&self) -> Ms {
+        self.heard + self.limits.journal_wait + self.limits.journal_late
+    }
+
     /// The last number taken.
     pub fn number(&self) -> u64 {
         self.pos
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -728,6 +728,8 @@
         router.tick();
     }
     router.fail_open();
+    // Nothing new comes in any more: what the account says last is the last.
+    router.clients.close();
     if router.fleet.is_some() {
         // Fellows hear how it ended; a few turns for the bytes to leave.
         router.end_account();
@@ -736,7 +738,6 @@
             router.tick();
         }
     }
-    router.clients.close();
     router.print_counters();
     Ok(())
 }
--- /dev/null
+++ b/crates/standins/src/bin/fleet-figures.rs
@@ -0,0 +1,163 @@
+//! Fellow routers as processes, measured: how long until all know of a drain that one journal tells, until a killed
+//! router is suspected by all, what is said meanwhile, who is suspected wrongly while one is slow, and what a full cut
+//! costs in requests beside routers without fellows.
+//!
+//! `fleet-figures [ROUTER_PROGRAM]`; without a program the one beside this is run. Some three minutes.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use linnethook_standins::fleet::{operator_file, router_program, Fleet};
+use linnethook_standins::load::{Ends, Load};
+use linnethook_standins::node::Makeup;
+use linnethook_standins::record::Phase;
+use linnethook_standins::rig::{alive, line, name, Plan, Rig};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+fn quantiles(mut times: Vec<Duration>) -> String {
+    times.sort_unstable();
+    let at = |part: usize| times.get(times.len().saturating_sub(1) * part / 100).copied().unwrap_or_default();
+    format!("{:.0?} {:.0?} {:.0?}", at(50), at(99), at(100))
+}
+
+/// How long until each of some routers shows something, each asked by a thread of its own.
+fn times(
+    rig: &Rig,
+    program: &Path,
+    routers: &[usize],
+    fits: impl Fn(&serde_json::Value) -> bool + Sync,
+) -> Result<Vec<Duration>, Failure> {
+    let begun = Instant::now();
+    let sockets: Vec<PathBuf> = routers.iter().map(|n| rig.fleet.socket(&name(*n))).collect();
+    let until = |socket: &Path| -> Result<Duration, Failure> {
+        while begun.elapsed() < Duration::from_secs(30) {
+            let output = Command::new(program)
+                .args(["fleet", "show", "--format", "json", "--socket"])
+                .arg(socket)
+                .output()?;
+            // Asked before it was there: the answer is no older than that.
+            let at = begun.elapsed();
+            if fits(&serde_json::from_slice(&output.stdout)?) {
+                return Ok(at);
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        Err("it never showed".into())
+    };
+    let until = &until;
+    thread::scope(|scope| {
+        let waits: Vec<_> = sockets.iter().map(|socket| scope.spawn(move || until(socket))).collect();
+        waits.into_iter().map(|wait| wait.join().map_err(|_| "a thread panicked")?).collect()
+    })
+}
+
+fn said(rig: &Rig, routers: usize) -> Result<u64, Failure> {
+    let mut all = 0;
+    for n in 0..routers {
+        all += rig.shown(n)?["fellows"]["counts"]["said_bytes"].as_u64().unwrap_or(0);
+    }
+    Ok(all / routers as u64)
+}
+
+fn fleet(program: &PathBuf, routers: usize) -> Result<(), Failure> {
+    // All with all where they are few, else each with the next one and two others.
+    let links = (routers > 8).then(|| {
+        let mut links: Vec<(usize, usize)> = (0..routers)
+            .flat_map(|a| [1, 3, 7].map(|by| (a.max((a + by) % routers), a.min((a + by) % routers))))
+            .collect();
+        links.sort_unstable();
+        links.dedup();
+        links
+    });
+    // As shipped, but for what the rig would wait for.
+    let plan = Plan { routers, links, fellows: String::new(), rate: 10.0, ..Plan::default() };
+    let mut rig = Rig::start(program, plan)?;
+    rig.load_all()?;
+    thread::sleep(Duration::from_secs(3));
+    let (before, since) = (said(&rig, routers)?, Instant::now());
+    thread::sleep(Duration::from_secs(10));
+    let quiet = (said(&rig, routers)? - before) as f64 / since.elapsed().as_secs_f64();
+    let all: Vec<usize> = (1..routers).collect();
+    let mut drains = Vec::new();
+    for n in 0..10u64 {
+        let phase = if n % 2 == 0 { Phase::Draining } else { Phase::Ready };
+        rig.tell("cache-1", phase, &[0])?;
+        drains.extend(times(&rig, program, &all, |shown| {
+            shown["barred"].as_array().is_some_and(|barred| barred.is_empty() != (n % 2 == 0))
+        })?);
+    }
+    let last = routers - 1;
+    if routers > 2 {
+        // Slow, with all its links: who is suspected?
+        for n in 0..last {
+            rig.slow(last, n, 4_000.0);
+        }
+        thread::sleep(Duration::from_secs(8));
+    }
+    let mut wrong = 0;
+    for n in 0..routers {
+        wrong += routers - 1 - alive(&rig.shown(n)?);
+    }
+    rig.mend_all();
+    thread::sleep(Duration::from_secs(1));
+    rig.kill(last);
+    let others: Vec<usize> = (0..last).collect();
+    let seen = times(&rig, program, &others, |shown| {
+        line(shown, &name(last)).is_some_and(|l| l["standing"] == "Suspected")
+    })?;
+    rig.end_loads();
+    let breaches = rig.breaches(&[]).len();
+    println!(
+        "| {routers} | {} | {} | {quiet:.0} | {wrong} | {breaches} |",
+        quantiles(drains),
+        quantiles(seen)
+    );
+    Ok(())
+}
+
+fn share(ends: &[Ends]) -> String {
+    let sum = |list: fn(&Ends) -> &Vec<u32>| ends.iter().flat_map(list).sum::<u32>();
+    format!("{} of {}", sum(|ends| &ends.served), sum(|ends| &ends.asked))
+}
+
+/// Each by itself for some seconds: with fellows that are cut off, and without any.
+fn cut(program: &PathBuf) -> Result<(), Failure> {
+    let plan = Plan { rate: 100.0, straggler: Some("alone = 2".to_string()), ..Plan::default() };
+    let mut rig = Rig::start(program, plan.clone())?;
+    rig.split(1);
+    rig.split(2);
+    rig.until(0, "it is alone", |shown| alive(shown) == 0)?;
+    rig.load_all()?;
+    thread::sleep(Duration::from_secs(10));
+    rig.end_loads();
+    let with = share(&rig.ends);
+    drop(rig);
+    let mut fleet = Fleet::two_hubs(program, 3, Makeup::new)?;
+    let operator = operator_file(3, "south", &plan.hierarchy);
+    let mut loads = Vec::new();
+    for n in 0..3 {
+        fleet.start_router(&name(n), Some(&operator), |_| {})?;
+    }
+    for n in 0..3u64 {
+        let load = Load { seed: n + 1, rate: 100.0, objects: 400, bookings: 0.1, ..Load::default() };
+        loads.push(fleet.load(&name(n as usize), &load)?);
+    }
+    thread::sleep(Duration::from_secs(10));
+    let ends: Vec<Ends> = loads.into_iter().map(|load| load.finish()).collect();
+    println!("a full cut for 10 s, three routers: {with} served with fellows, {} without any", share(&ends));
+    Ok(())
+}
+
+fn main() -> Result<(), Failure> {
+    let given = std::env::args().nth(1);
+    let program = router_program(given.as_deref().map(Path::new))?;
+    println!("| routers | a drain known, of one journal: median 99% last | a killed one suspected | bytes a second while quiet | suspected while one is slow | breaches |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for routers in [3, 8, 20] {
+        fleet(&program, routers)?;
+    }
+    cut(&program)
+}
--- a/crates/standins/src/bin/process-faults.rs
+++ b/crates/standins/src/bin/process-faults.rs
@@ -50,7 +50,7 @@
 
 fn play(program: &PathBuf, seed: u64, steps: usize) -> (Script, Result<Played, String>) {
     let routers = 3 + seed as usize % 5;
-    let plan = Plan { routers, ..Plan::default() };
+    let plan = Plan { routers, at_once: 0, ..Plan::default() };
     let script = script(seed, routers, plan.caches, steps);
     let played =
         Rig::start(program, plan).map_err(|wrong| wrong.to_string()).and_then(|mut rig| rig.play(&script));
--- a/crates/standins/src/middle.rs
+++ b/crates/standins/src/middle.rs
@@ -107,6 +107,11 @@
         lock(&self.state).target = Some(target);
     }
 
+    /// Whoever was there has gone: its port may be another's by now.
+    pub fn lead_nowhere(&self) {
+        lock(&self.state).target = None;
+    }
+
     pub fn weather(&self, direction: usize, weather: Weather) {
         lock(&self.state).weather[direction] = weather;
     }
