--- a/crates/standins/src/bin/fleet-figures.rs
+++ b/crates/standins/src/bin/fleet-figures.rs
@@ -2,7 +2,8 @@
 //! router is suspected by all, what is said meanwhile, who is suspected wrongly while one is slow, and what a full cut
 //! costs in requests beside routers without fellows.
 //!
-//! `fleet-figures [ROUTER_PROGRAM]`; without a program the one beside this is run. Some three minutes.
+//! `fleet-figures [--cut] [ROUTER_PROGRAM]`; without a program the one beside this is run. Some three minutes, and half a
+//! minute for the cut alone.
 
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -152,8 +153,12 @@
 }
 
 fn main() -> Result<(), Failure> {
-    let given = std::env::args().nth(1);
-    let program = router_program(given.as_deref().map(Path::new))?;
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let given = words.iter().find(|word| !word.starts_with("--"));
+    let program = router_program(given.map(Path::new))?;
+    if words.iter().any(|word| word == "--cut") {
+        return cut(&program);
+    }
     println!("| routers | a drain known, of one journal: median 99% last | a killed one suspected | bytes a second while quiet | suspected while one is slow | breaches |");
     println!("| --- | --- | --- | --- | --- | --- |");
     for routers in [3, 8, 20] {
