--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use linnethook_audit::record::{Act, Booking, BookingEnd};
 use linnethook_fellows::fact::{Acts, CacheLine, Key, Purge};
-use linnethook_fellows::fellows::{Action, Fellows as Core, Note};
+use linnethook_fellows::fellows::{Action as Errand, Fellows as Core, Note};
 use linnethook_fellows::fetch::{pieces, Fetch};
 use linnethook_fellows::members::Change;
 use linnethook_fellows::straggler::{Seen, State, Straggler, Why};
@@ -438,11 +438,11 @@
             let (Some(fleet), Some(beyond)) = (&mut self.fleet, &mut self.beyond) else { return };
             let Some(action) = fleet.core.next_action() else { break };
             match action {
-                Action::Say(said) => beyond.gateway.tell_fellows(now, said),
-                Action::Drop(key) => beyond.gateway.drop_fellows(key),
-                Action::Direct(name, said) => beyond.gateway.tell_fellow_alone(&name, said),
-                Action::StandDown => beyond.gateway.leave_fellows(now),
-                Action::Cache { name, line, number } => {
+                Errand::Say(said) => beyond.gateway.tell_fellows(now, said),
+                Errand::Drop(key) => beyond.gateway.drop_fellows(key),
+                Errand::Direct(name, said) => beyond.gateway.tell_fellow_alone(&name, said),
+                Errand::StandDown => beyond.gateway.leave_fellows(now),
+                Errand::Cache { name, line, number } => {
                     if let Some(target) = fleet.line(&name, line, number) {
                         let cache = Place::of(&name).number();
                         fleet.act(
@@ -457,7 +457,7 @@
                         self.take_fellow_line(target);
                     }
                 }
-                Action::Purge { key, purge } => {
+                Errand::Purge { key, purge } => {
                     if purge.number > fleet.acts.journal {
                         fleet.purges += 1;
                         fleet.acts.purges += 1;
@@ -476,8 +476,8 @@
                         self.purged(expire);
                     }
                 }
-                Action::Batch(body) => self.fellow_batch(&body),
-                Action::Word { from, kind: WANT_SHAPE, bytes } => {
+                Errand::Batch(body) => self.fellow_batch(&body),
+                Errand::Word { from, kind: WANT_SHAPE, bytes } => {
                     let asking = postcard::from_bytes::<u64>(&bytes);
                     if let (Ok(asking), Some(upstream)) = (asking, &self.upstream) {
                         for piece in pieces(asking, &upstream.snapshot(), fleet.fetch.rule()) {
@@ -485,18 +485,18 @@
                         }
                     }
                 }
-                Action::Word { from, kind: SHAPE, bytes } => {
+                Errand::Word { from, kind: SHAPE, bytes } => {
                     let piece = postcard::from_bytes(&bytes).ok();
                     let whole = piece.and_then(|piece| fleet.fetch.piece(now, &from, &piece));
                     if let Some(whole) = whole {
                         self.adopt(&from, &whole);
                     }
                 }
-                Action::Word { from, kind, bytes } => {
+                Errand::Word { from, kind, bytes } => {
                     let words = fleet.audit.as_mut().map(|audit| audit.heard(&from, kind, &bytes));
                     fleet.send(words.unwrap_or_default());
                 }
-                Action::Note(note) => say(&note),
+                Errand::Note(note) => say(&note),
             }
         }
         self.carry_beyond();
