--- a/crates/fellows/src/members.rs
+++ b/crates/fellows/src/members.rs
@@ -226,15 +226,21 @@
         assert_eq!(members.tick(1_100.0), [change("b", Standing::Suspected)]);
         members.state(2_000.0, "a", 1, says(&[("me", 1), ("b", 1)], false));
         assert_eq!(members.tick(2_000.0), [change("b", Standing::Alive)]);
+        // The other end alone says so, too.
+        members.state(2_100.0, "b", 1, says(&[], false));
+        members.tick(2_100.0);
+        assert_eq!(members.tick(3_200.0), [change("b", Standing::Suspected)]);
+        members.state(3_300.0, "b", 1, says(&[("a", 1)], false));
+        assert_eq!(members.tick(3_300.0), [change("b", Standing::Alive)]);
         // The own link goes: both are out of reach, whatever they said of each other.
         members.link("a", 1, false);
-        members.tick(3_000.0);
-        assert_eq!(members.next(3_000.0), Some(4_000.0));
         members.tick(4_000.0);
+        assert_eq!(members.next(4_000.0), Some(5_000.0));
+        members.tick(5_000.0);
         assert!(standings(&members).iter().all(|(_, standing)| *standing == Standing::Suspected));
-        members.tick(33_000.0);
+        members.tick(34_000.0);
         assert!(standings(&members).iter().all(|(_, standing)| *standing == Standing::Gone));
-        members.tick(603_000.0);
+        members.tick(604_000.0);
         assert_eq!(members.iter().count(), 0, "forgotten");
     }
 
--- a/crates/fellows/tests/fleet.rs
+++ b/crates/fellows/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod net;
 
-use linnethook_fellows::fact::{CacheLine, Key, Purge};
+use linnethook_fellows::fact::{Acts, CacheLine, Key, Purge};
 use linnethook_fellows::fellows::{Action, Note, Part, Rules};
 use linnethook_fellows::members::{Change, Standing};
 use net::{Net, Wire};
@@ -178,6 +178,42 @@
     assert!((2..=80).contains(&sent), "{sent}");
 }
 
+/// What a straggler says of the world counts for nothing at others; once it has caught up it is told again, and counts.
+#[test]
+fn a_stragglers_word_counts_once_it_has_caught_up() {
+    let mut net = fleet(3);
+    let on = |version: u64| Acts { shape: (version, version), ..Acts::default() };
+    for n in 0..3 {
+        net.core(n).acts(&on(if n == 2 { 4 } else { 5 }));
+    }
+    let now = net.now;
+    net.core(0).set_floor(now, 5);
+    net.run(now + 500.0);
+    let hold = |net: &mut Net| {
+        for n in 0..3 {
+            let now = net.now;
+            let floor = net.core(n).floor(&[]);
+            net.core(n).hold(now, floor, 1_000.0);
+        }
+    };
+    hold(&mut net);
+    net.run(now + 2_000.0);
+    hold(&mut net);
+    let at = net.now;
+    assert!(net.core(0).is_straggler(at, "r2") && !net.core(0).is_straggler(at, "r1"));
+    net.core(2).tell_cache(at, "c1", CacheLine { ready: false, gone: false, started: 0.0 }, 9);
+    net.run(at + 2_000.0);
+    let heeds =
+        |net: &Net, n: usize| net.nodes[n].done.iter().any(|(_, a)| matches!(a, Action::Cache { .. }));
+    assert!(!heeds(&net, 0) && !heeds(&net, 1), "a straggler's word");
+    assert!(net.core(0).counts.shut_out > 0);
+    net.core(2).acts(&on(5));
+    net.run(at + 3_000.0);
+    hold(&mut net);
+    net.run(at + 30_000.0);
+    assert!(heeds(&net, 0) && heeds(&net, 1), "told again, and heeded");
+}
+
 /// Whatever goes wrong, no router says more than its pace.
 #[test]
 fn no_more_is_said_than_the_pace_lets_through() {
