Look at the fleet only when something is due, and say in one place what was said twice

Found in reading the change again. On every turn of the loop a router with fellows built the set of its links, read the floor and looked over all members: now only where something changed or is due (members, account, stragglers by 0.2 s).

--- a/crates/audit/src/account.rs
+++ b/crates/audit/src/account.rs
@@ -130,14 +130,22 @@
         open.counts.is_empty() && open.bookings.is_empty() && open.ends.is_empty()
     }
 
+    /// Whether what is acted on differs from what the open span tells. Counts of drains and purges are acts themselves.
+    fn differs(&self, acts_on: &Acts) -> bool {
+        let told = |a: &Acts| (a.settings, a.operator, a.shape, a.journal);
+        told(&self.acts_on) != told(acts_on) || self.acts_on.build != acts_on.build
+    }
+
+    /// Whether a span is to be written down now.
+    pub fn is_due(&self, now: Ms, acts_on: &Acts) -> bool {
+        let full =
+            self.open.bookings.len() >= self.rules.bookings || self.open.counts.len() >= self.rules.kinds;
+        full || now >= self.next() || self.differs(acts_on)
+    }
+
     /// What is acted on from now on; what was done before is written down as done on what held then.
     pub fn acts_on(&mut self, now: Ms, at: Stamp, acts_on: &Acts, names: impl Fn(u64) -> Option<String>) {
-        // Counts of drains and purges are acts themselves.
-        let same = |a: &Acts, b: &Acts| {
-            (&a.build, a.settings, a.operator, a.shape, a.journal)
-                == (&b.build, b.settings, b.operator, b.shape, b.journal)
-        };
-        if same(&self.acts_on, acts_on) {
+        if !self.differs(acts_on) {
             return;
         }
         self.close(now, at, names);
@@ -146,9 +154,7 @@
 
     /// Writes the open span down, where it is due.
     pub fn tick(&mut self, now: Ms, at: Stamp, names: impl Fn(u64) -> Option<String>) {
-        let full =
-            self.open.bookings.len() >= self.rules.bookings || self.open.counts.len() >= self.rules.kinds;
-        if now - self.open.since >= self.rules.span || full {
+        if self.is_due(now, &self.acts_on) {
             self.close(now, at, names);
         }
     }
--- a/crates/audit/src/judge.rs
+++ b/crates/audit/src/judge.rs
@@ -238,7 +238,9 @@
         for line in self.who(version) {
             let at = (line.span.from, line.span.clock.0);
             let known = first.entry((line.name, line.start)).or_insert(at);
-            *known = (*known).min_by_stamp(at);
+            if at.0 < known.0 {
+                *known = at;
+            }
         }
         let mut all: Vec<_> =
             first.into_iter().map(|((name, start), (at, clock))| (name, start, at, clock)).collect();
@@ -292,20 +294,6 @@
     }
 }
 
-trait Earlier {
-    fn min_by_stamp(self, other: Self) -> Self;
-}
-
-impl Earlier for (Stamp, Ms) {
-    fn min_by_stamp(self, other: Self) -> Self {
-        if other.0 < self.0 {
-            other
-        } else {
-            self
-        }
-    }
-}
-
 fn is_on(span: &Span, version: &str) -> bool {
     let acts = &span.acts_on;
     match version.split_once(':') {
--- a/crates/fellows/src/fellows.rs
+++ b/crates/fellows/src/fellows.rs
@@ -308,11 +308,6 @@
         self.tell(now, &Key::Batch(author, number), entry)
     }
 
-    /// What was known of something is known no more here: as after a fault that lost it.
-    pub fn forget(&mut self, key: &Key) -> bool {
-        self.table.remove(&key.encode())
-    }
-
     // ---- What is settled.
 
     /// People set the floor, or take it back with 0.
@@ -702,15 +697,16 @@
         }
         let waits = self.dirty || !self.pending.is_empty() || !self.direct.is_empty();
         let bundle = waits.then_some(self.bundled + self.rules.every);
-        let members = self.members.next(now);
-        let due = [bundle, members, Some(self.compare_at)].into_iter().flatten().fold(f64::MAX, f64::min);
+        let due = bundle.unwrap_or(f64::INFINITY).min(self.members.next(now)).min(self.compare_at);
         // So often at the least, to know whether it was frozen.
         due.clamp(now, now + self.rules.frozen / 4.0)
     }
 
     /// Settings that were read again.
     pub fn set(&mut self, rules: Rules) {
-        self.members.rule(rules.members);
+        self.members.set(rules.members);
+        self.pace.set(rules.pace);
+        self.table.set(rules.kept);
         self.dirty |= rules.speaks != self.rules.speaks;
         self.rules = rules;
     }
--- a/crates/fellows/src/fetch.rs
+++ b/crates/fellows/src/fetch.rs
@@ -113,6 +113,10 @@
         self.under.take().map(|under| under.bytes)
     }
 
+    pub fn set(&mut self, rule: FetchRule) {
+        self.rule = rule;
+    }
+
     pub fn rule(&self) -> &FetchRule {
         &self.rule
     }
--- a/crates/fellows/src/members.rs
+++ b/crates/fellows/src/members.rs
@@ -64,16 +64,19 @@
     all: BTreeMap<String, Member>,
     /// Something changed by which others may be within reach or out of it.
     changed: bool,
+    /// When somebody who is out of reach stands otherwise by the time alone.
+    due: Ms,
 }
 
 impl Members {
     pub fn new(rule: MemberRule, name: &str, start: u64) -> Self {
         let (links, all) = (BTreeSet::new(), BTreeMap::new());
-        Self { rule, me: (name.to_string(), start), links, all, changed: true }
+        Self { rule, me: (name.to_string(), start), links, all, changed: true, due: f64::INFINITY }
     }
 
-    pub fn rule(&mut self, rule: MemberRule) {
+    pub fn set(&mut self, rule: MemberRule) {
         self.rule = rule;
+        self.changed = true;
     }
 
     pub fn get(&self, name: &str) -> Option<&Member> {
@@ -147,6 +150,9 @@
 
     /// Lets time pass; what has become of whom.
     pub fn tick(&mut self, now: Ms) -> Vec<(String, u64, Change)> {
+        if !self.changed && now < self.due {
+            return Vec::new();
+        }
         if std::mem::take(&mut self.changed) {
             let reached: BTreeSet<String> = self.reached().into_iter().map(str::to_string).collect();
             for (name, member) in &mut self.all {
@@ -177,14 +183,6 @@
             }
             !ended
         });
-        changes
-    }
-
-    /// When `tick` has something to do, as far as that follows from the time.
-    pub fn next(&self, now: Ms) -> Option<Ms> {
-        if self.changed {
-            return Some(now);
-        }
         let due = |member: &Member| {
             let since = member.unreached?;
             let after = match member.standing {
@@ -194,7 +192,16 @@
             };
             Some(since + after)
         };
-        self.all.values().filter_map(due).reduce(f64::min)
+        self.due = self.all.values().filter_map(due).fold(f64::INFINITY, f64::min);
+        changes
+    }
+
+    /// When `tick` has something to do; never, where nothing follows from the time.
+    pub fn next(&self, now: Ms) -> Ms {
+        match self.changed {
+            true => now,
+            false => self.due,
+        }
     }
 }
 
@@ -235,7 +242,7 @@
         // The own link goes: both are out of reach, whatever they said of each other.
         members.link("a", 1, false);
         members.tick(4_000.0);
-        assert_eq!(members.next(4_000.0), Some(5_000.0));
+        assert_eq!(members.next(4_000.0), 5_000.0);
         members.tick(5_000.0);
         assert!(standings(&members).iter().all(|(_, standing)| *standing == Standing::Suspected));
         members.tick(34_000.0);
--- a/crates/fellows/src/pace.rs
+++ b/crates/fellows/src/pace.rs
@@ -29,6 +29,10 @@
         Self { rule, left: rule.rate * rule.saved, at: now }
     }
 
+    pub fn set(&mut self, rule: PaceRule) {
+        self.rule = rule;
+    }
+
     fn fill(&mut self, now: Ms) {
         let gained = (now - self.at).max(0.0) / 1_000.0 * self.rule.rate;
         self.left = (self.left + gained).min(self.rule.rate * self.rule.saved);
@@ -64,5 +68,7 @@
         assert!(said[0] <= 3_100 && said[1..].iter().all(|bytes| (900..=1_100).contains(bytes)), "{said:?}");
         assert!(pace.spend(13_000.0, 9_000), "one that is longer than all that is saved up");
         assert!(!pace.spend(19_000.0, 1_000) && pace.spend(21_500.0, 1_000), "is paid off afterwards");
+        pace.set(PaceRule { rate: 100.0, saved: 1.0 });
+        assert!(pace.spend(30_000.0, 100) && !pace.spend(30_500.0, 100), "another rate holds from then on");
     }
 }
--- a/crates/fellows/src/straggler.rs
+++ b/crates/fellows/src/straggler.rs
@@ -105,15 +105,6 @@
             State::Returning(since) => ((now - since) / self.rule.back.max(1.0)).clamp(0.0, 1.0),
         }
     }
-
-    /// When it has to be looked at again, as far as that follows from the time.
-    pub fn next(&self) -> Option<Ms> {
-        match self.state {
-            State::Late(since) => Some(since + self.rule.bound),
-            State::Returning(since) => Some(since + self.rule.back),
-            State::Well | State::Out(_) => None,
-        }
-    }
 }
 
 /// The version that a majority of a roll of voters acts on, or a newer one; those that were never heard act on none.
--- a/crates/fellows/src/table.rs
+++ b/crates/fellows/src/table.rs
@@ -72,6 +72,11 @@
         Self { kept, ..Self::default() }
     }
 
+    /// Other bounds; what is beyond them stays until a newer fact takes its place or it ends.
+    pub fn set(&mut self, kept: Kept) {
+        self.kept = kept;
+    }
+
     pub fn len(&self) -> usize {
         self.facts.len()
     }
--- a/crates/fellows/tests/fleet.rs
+++ b/crates/fellows/tests/fleet.rs
@@ -165,11 +165,15 @@
     }
     net.run(now + 20_000.0);
     assert!(digests_agree(&net));
-    // One forgets some of it.
+    // One does not get what two of them are about next, though its links are up.
     let before = net.nodes[0].core.as_ref().map(|core| core.counts.repaired);
+    net.deaf(1, true);
+    let now = net.now;
     for group in [3, 50] {
-        net.core(1).forget(&Key::Group(group));
+        net.core(0).tell_purge(now, &Key::Group(group), Purge { stamp: 6.0, number: 2 });
     }
+    net.run(now + 1_000.0);
+    net.deaf(1, false);
     assert!(!digests_agree(&net));
     assert!(net.until(30_000.0, digests_agree).is_some());
     let repaired = net.nodes[0].core.as_ref().map(|core| core.counts.repaired);
--- a/crates/fellows/tests/net/mod.rs
+++ b/crates/fellows/tests/net/mod.rs
@@ -70,6 +70,8 @@
     up: BTreeMap<(usize, usize), (u64, u64)>,
     cut: BTreeSet<(usize, usize)>,
     slow: BTreeMap<usize, Ms>,
+    /// What is told to these is lost, and no link ends for it.
+    deaf: BTreeSet<usize>,
     last: BTreeMap<(usize, usize), Ms>,
     events: BTreeMap<(u64, u64), Event>,
     count: u64,
@@ -104,6 +106,7 @@
             up: BTreeMap::new(),
             cut: BTreeSet::new(),
             slow: BTreeMap::new(),
+            deaf: BTreeSet::new(),
             last: BTreeMap::new(),
             events: BTreeMap::new(),
             count: 0,
@@ -210,6 +213,15 @@
         self.slow.insert(n, by);
     }
 
+    /// All that is told to one is lost, or nothing any more.
+    pub fn deaf(&mut self, n: usize, deaf: bool) {
+        if deaf {
+            self.deaf.insert(n);
+        } else {
+            self.deaf.remove(&n);
+        }
+    }
+
     pub fn links(&self) -> Vec<(usize, usize)> {
         self.links.iter().copied().collect()
     }
@@ -287,7 +299,7 @@
             }
             Event::Deliver { from, to, starts, said } => {
                 let same = (self.nodes[from].start, self.nodes[to].start) == starts;
-                let up = self.up.contains_key(&pair(from, to));
+                let up = self.up.contains_key(&pair(from, to)) && !self.deaf.contains(&to);
                 if !same || !up || self.nodes[to].core.is_none() || self.nodes[to].frozen {
                     return;
                 }
--- a/crates/gateway/src/site.rs
+++ b/crates/gateway/src/site.rs
@@ -70,6 +70,9 @@
     pub facts: Vec<(About, Fact)>,
 }
 
+/// A fact with the version in which it was said.
+type Said = (u64, (About, Fact));
+
 /// What a site says of itself.
 #[derive(Debug, Clone)]
 pub struct Own {
@@ -140,45 +143,45 @@
         self.facts.remove(about);
     }
 
-    /// The same as `since`, in pieces of about so many bytes at the most: each on top of the one before.
+    /// What was said since a version that the other side has, each with its version; all there is, on top of nothing, where
+    /// that is not of this start.
+    fn said(&self, epoch: u64, version: u64) -> (u64, Vec<Said>) {
+        let known = epoch == self.epoch && version <= self.version && version >= self.oldest;
+        let since = if known { version } else { 0 };
+        let mut said: Vec<Said> = (self.facts.iter())
+            .filter(|(_, (said, ..))| *said > since)
+            .map(|(about, (said, _, fact))| (*said, (about.clone(), fact.clone())))
+            .collect();
+        said.sort_by_key(|(said, _)| *said);
+        (since, said)
+    }
+
+    /// What has changed since a version that the other side has; all there is where that is not of this start.
+    pub fn since(&self, epoch: u64, version: u64) -> State {
+        let (since, said) = self.said(epoch, version);
+        let facts = said.into_iter().map(|(_, fact)| fact).collect();
+        State { epoch: self.epoch, since, version: self.version, facts }
+    }
+
+    /// The same in pieces of about so many bytes at the most: each on top of the one before.
     pub fn pieces(&self, epoch: u64, version: u64, bytes: usize) -> Vec<State> {
-        let whole = self.since(epoch, version);
-        let mut said: Vec<(u64, (About, Fact))> = Vec::with_capacity(whole.facts.len());
-        for (about, fact) in whole.facts {
-            let version = self.facts.get(&about).map_or(whole.version, |(version, ..)| *version);
-            said.push((version, (about, fact)));
-        }
-        let mut pieces = Vec::new();
-        let (mut since, mut length) = (whole.since, 0);
-        let mut facts = Vec::new();
-        let mut last = whole.since;
+        let (mut since, said) = self.said(epoch, version);
+        let (mut pieces, mut facts) = (Vec::new(), Vec::new());
+        let (mut last, mut length) = (since, 0);
         for (version, (about, fact)) in said {
             let more = about.bytes(&fact);
             if length + more > bytes && !facts.is_empty() {
-                let piece = std::mem::take(&mut facts);
-                pieces.push(State { epoch: self.epoch, since, version: last, facts: piece });
+                let facts = std::mem::take(&mut facts);
+                pieces.push(State { epoch: self.epoch, since, version: last, facts });
                 (since, length) = (last, 0);
             }
             length += more;
             last = version;
             facts.push((about, fact));
         }
-        pieces.push(State { epoch: self.epoch, since, version: whole.version, facts });
+        pieces.push(State { epoch: self.epoch, since, version: self.version, facts });
         pieces
     }
-
-    /// What has changed since a version that the other side has; all there is where that is not of this start.
-    pub fn since(&self, epoch: u64, version: u64) -> State {
-        let known = epoch == self.epoch && version <= self.version && version >= self.oldest;
-        let since = if known { version } else { 0 };
-        let mut facts: Vec<(u64, About, Fact)> = (self.facts.iter())
-            .filter(|(_, (said, ..))| *said > since)
-            .map(|(about, (said, _, fact))| (*said, about.clone(), fact.clone()))
-            .collect();
-        facts.sort_by_key(|(said, ..)| *said);
-        let facts = facts.into_iter().map(|(_, about, fact)| (about, fact)).collect();
-        State { epoch: self.epoch, since, version: self.version, facts }
-    }
 }
 
 /// What came of a state that was heard.
--- a/crates/hierarchy/src/named.rs
+++ b/crates/hierarchy/src/named.rs
@@ -226,18 +226,9 @@
 
     /// All nodes of a shape, by name.
     pub fn nodes(&self, shape: &Shape) -> Vec<NodeSpec> {
-        let spec = |record: &crate::shape::Record| NodeSpec {
-            name: self.of(record.node.id),
-            role: record.node.role,
-            site: self.site(record.node.site),
-            tier: record.node.tier,
-            capacity: record.node.capacity,
-            retiring: record.node.retiring,
-            sources: record
-                .edges
-                .iter()
-                .map(|edge| SourceSpec { name: self.of(edge.source.node), rank: edge.source.rank })
-                .collect(),
+        let spec = |record: &crate::shape::Record| {
+            let sources: Vec<Source> = record.edges.iter().map(|edge| edge.source).collect();
+            self.node_spec(&record.node, &sources)
         };
         let mut all: Vec<NodeSpec> = shape.records().into_iter().map(spec).collect();
         all.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/operator/src/apart.rs
+++ b/crates/operator/src/apart.rs
@@ -8,7 +8,6 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
-use linnethook_gateway::gateway::Rules as GatewayRules;
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Rules;
 use nix::sys::resource::{setrlimit, Resource};
@@ -94,14 +93,14 @@
             extended: part.extended,
             staged: part.rules.staged,
             shielded: part.rules.shielded,
-            knobs: HIERARCHY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
+            knobs: values(HIERARCHY, &part.rules),
             nodes,
         });
         let log = operator.log.map(|log| (log.json, log.lines_per_second));
         let gateway = operator.gateway.map(|Gateway { part, sites, links, fellows }| SentGateway {
             site: part.site,
             listen: part.listen,
-            knobs: GATEWAY.iter().map(|knob| (knob.get)(&part.rules)).collect(),
+            knobs: values(GATEWAY, &part.rules),
             sites,
             links,
             fellows: fellows.map(|Fellows { rules, audit, straggler }| SentFellows {
@@ -117,19 +116,14 @@
 impl From<Sent> for Operator {
     fn from(sent: Sent) -> Self {
         let hierarchy = sent.hierarchy.map(|sent| {
-            let mut rules = Rules { staged: sent.staged, shielded: sent.shielded, ..Rules::default() };
-            for (knob, value) in HIERARCHY.iter().zip(&sent.knobs) {
-                (knob.set)(&mut rules, *value);
-            }
+            let (staged, shielded) = (sent.staged, sent.shielded);
+            let rules = Rules { staged, shielded, ..put(HIERARCHY, &sent.knobs) };
             let part = HierarchyPart { author: sent.author, extended: sent.extended, rules };
             Hierarchy { part, nodes: sent.nodes }
         });
         let log = sent.log.map(|(json, lines_per_second)| Log { json, lines_per_second });
         let gateway = sent.gateway.map(|sent| {
-            let mut rules = GatewayRules::default();
-            for (knob, value) in GATEWAY.iter().zip(&sent.knobs) {
-                (knob.set)(&mut rules, *value);
-            }
+            let rules = put(GATEWAY, &sent.knobs);
             let part = GatewayPart { site: sent.site, listen: sent.listen, rules };
             let fellows = sent.fellows.map(|sent| Fellows {
                 rules: put(FELLOWS, &sent.knobs),
--- a/crates/router/src/account.rs
+++ b/crates/router/src/account.rs
@@ -43,7 +43,8 @@
     rules: Rules,
     copies: Copies,
     names: HashMap<u64, String>,
-    /// Fellows that keep a copy, and up to which link they were told.
+    /// Fellows that there is a link with; those of them that keep a copy, and up to which record they were told.
+    fellows: BTreeSet<String>,
     holders: BTreeMap<String, u64>,
     disk: Option<Disk>,
     saved: u64,
@@ -67,6 +68,7 @@
             rules,
             copies,
             names: HashMap::new(),
+            fellows: BTreeSet::new(),
             holders: BTreeMap::new(),
             disk,
             saved: 0,
@@ -102,8 +104,13 @@
         self.account.next()
     }
 
+    /// Whether a span is to be written down, or others are to keep copies.
+    pub fn is_due(&self, now: Ms, acts: &Acts, fellows: &BTreeSet<String>) -> bool {
+        self.account.is_due(now, acts) || self.fellows != *fellows
+    }
+
     /// Lets time pass: spans that are due are written down, and go to the disk and to those that keep copies.
-    pub fn tick(&mut self, now: Ms, at: Stamp, acts: &Acts, fellows: &BTreeSet<&str>) -> Words {
+    pub fn tick(&mut self, now: Ms, at: Stamp, acts: &Acts, fellows: &BTreeSet<String>) -> Words {
         let names = |id: u64| self.names.get(&id).cloned();
         self.account.acts_on(now, at, acts, names);
         self.account.tick(now, at, names);
@@ -111,7 +118,7 @@
     }
 
     /// The router ends: nothing follows.
-    pub fn end(&mut self, now: Ms, at: Stamp, fellows: &BTreeSet<&str>) -> Words {
+    pub fn end(&mut self, now: Ms, at: Stamp, fellows: &BTreeSet<String>) -> Words {
         let names = |id: u64| self.names.get(&id).cloned();
         self.account.end(now, at, names);
         let words = self.hand_on(fellows);
@@ -123,7 +130,8 @@
         words
     }
 
-    fn hand_on(&mut self, fellows: &BTreeSet<&str>) -> Words {
+    fn hand_on(&mut self, fellows: &BTreeSet<String>) -> Words {
+        self.fellows.clone_from(fellows);
         let (head, _) = self.account.head();
         if head > self.saved {
             for link in self.account.from(self.saved + 1) {
@@ -134,7 +142,7 @@
         }
         // Those that keep copies are always the same ones, as long as there is a link with them.
         let me = self.account.name();
-        let mut all: Vec<&str> = fellows.iter().copied().collect();
+        let mut all: Vec<&str> = fellows.iter().map(String::as_str).collect();
         all.sort_by_key(|name| xxh3_64(format!("{me} {name}").as_bytes()));
         all.truncate(self.rules.copies);
         self.holders.retain(|name, _| all.contains(&name.as_str()));
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -25,7 +25,7 @@
 use crate::told::{Entry, Expire, Hosts, Target};
 use crate::Router;
 
-/// How often it is looked at what this router acts on.
+/// How often it is looked at what this router acts on, and who is behind.
 const LOOK: Ms = 200.0;
 
 pub struct Fleet {
@@ -41,6 +41,8 @@
     batches: u64,
     audit: Option<Auditor>,
     straggler: Option<Behind>,
+    /// Fellows that there is a link with.
+    linked: BTreeSet<String>,
     fetch: Fetch,
     /// Snapshots that were taken over.
     adopted: u64,
@@ -99,6 +101,7 @@
             batches: 0,
             audit,
             straggler,
+            linked: BTreeSet::new(),
             fetch: Fetch::new(fellows.rules.fetch),
             adopted: 0,
         }
@@ -108,6 +111,7 @@
     pub fn set(&mut self, fellows: &Fellows, operator: u64) {
         self.acts.operator = operator;
         self.core.set(fellows.rules);
+        self.fetch.set(fellows.rules.fetch);
         self.core.acts(&self.acts);
         if let (Some(audit), Some(part)) = (&mut self.audit, &fellows.audit) {
             audit.set(part.rules);
@@ -120,8 +124,7 @@
 
     pub fn next(&self, now: Ms) -> Ms {
         let audit = self.audit.as_ref().map(Auditor::next);
-        let straggler = self.straggler.as_ref().and_then(|behind| behind.core.next());
-        let due = [audit, straggler].into_iter().flatten().fold(self.core.next(now), f64::min);
+        let due = audit.unwrap_or(f64::INFINITY).min(self.core.next(now)).min(self.looked + LOOK);
         due.max(now)
     }
 
@@ -163,19 +166,15 @@
         }
     }
 
-    /// Fellows that there is a link with.
-    fn linked(&self) -> BTreeSet<&str> {
-        self.core.members().links().map(|(name, _)| name.as_str()).collect()
-    }
-
     fn account(&mut self, now: Ms, ends: bool) {
-        let at = self.core.clock.stamp(now);
-        let linked: BTreeSet<String> = self.linked().into_iter().map(str::to_string).collect();
-        let linked: BTreeSet<&str> = linked.iter().map(String::as_str).collect();
         let Some(audit) = &mut self.audit else { return };
+        if !ends && !audit.is_due(now, &self.acts, &self.linked) {
+            return;
+        }
+        let at = self.core.clock.stamp(now);
         let words = match ends {
-            true => audit.end(now, at, &linked),
-            false => audit.tick(now, at, &self.acts, &linked),
+            true => audit.end(now, at, &self.linked),
+            false => audit.tick(now, at, &self.acts, &self.linked),
         };
         self.send(words);
     }
@@ -355,6 +354,7 @@
     pub fn fellow(&mut self, name: &str, start: u64, up: bool) {
         if let Some(fleet) = &mut self.fleet {
             fleet.core.link(name, start, up);
+            fleet.linked = fleet.core.members().links().map(|(name, _)| name.clone()).collect();
         }
     }
 
@@ -388,6 +388,7 @@
     pub fn tick_fleet(&mut self) {
         let now = self.clock.now();
         let Some(fleet) = &mut self.fleet else { return };
+        let looks = now - fleet.looked >= LOOK;
         if let Some(upstream) = &mut self.upstream {
             for batch in upstream.news() {
                 let body = postcard::to_stdvec(&batch).unwrap_or_default();
@@ -399,8 +400,7 @@
             for (to, stage) in upstream.entered() {
                 fleet.act(now, Act::Stage { to, stage });
             }
-            if now - fleet.looked >= LOOK {
-                fleet.looked = now;
+            if looks {
                 fleet.acts.shape = upstream.acts_on();
                 fleet.core.acts(&fleet.acts);
                 // Who is ahead though all facts are here has something that is passed on no more.
@@ -411,7 +411,10 @@
         }
         let back = fleet.caught_up(self.journal.number());
         fleet.core.acts(&fleet.acts);
-        fleet.look(now, self.journal.sound_until());
+        if looks {
+            fleet.looked = now;
+            fleet.look(now, self.journal.sound_until());
+        }
         fleet.account(now, false);
         fleet.core.tick(now);
         for target in back {
@@ -568,6 +571,7 @@
             return Answer::No("nobody is shut out: the operator file has no straggler()".to_string());
         };
         fleet.core.set_floor(now, version);
+        fleet.looked = now - LOOK;
         log_line!(version, "straggler: the floor was set to {version} by people");
         self.tick_fleet();
         match version {
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -247,14 +247,7 @@
     pub fn apply(&mut self, now: Ms, changes: Vec<ChangeSpec>) -> Applied {
         let read = self.names.changes(&changes);
         let batch = self.hierarchy.draft(self.socket, now, read);
-        let spec = BatchSpec {
-            author: batch.serial.author.0,
-            number: batch.serial.number,
-            stamp: batch.stamp,
-            basis: batch.basis.iter().map(|(author, number)| (author.0, *number)).collect(),
-            at: batch.at,
-            changes,
-        };
+        let spec = self.names.spec(&batch);
         let applied = match self.take(now, batch) {
             Ok(()) => Applied::Done(spec),
             Err(why) => Applied::No(why),
