Have the tests of processes share what they said each by themselves

Waiting for what a router shows was written three times (Fleet, TwoSites, tests/hierarchy.rs) and is one now; moving a cache and noting the shape, and cutting a router off until it sees that, are the rig's.

--- a/crates/router/tests/audit.rs
+++ b/crates/router/tests/audit.rs
@@ -7,11 +7,10 @@
 use linnethook_audit::judge::Finding;
 use linnethook_standins::checker::Rule;
 use linnethook_standins::record::{Phase, What};
-use linnethook_standins::rig::{alive, line, name, Plan, Rig};
+use linnethook_standins::rig::{line, name, Plan, Rig};
 use serde_json::Value;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_linnethook");
-const MOVE: &str = "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n";
 
 fn pause(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
@@ -46,8 +45,7 @@
     let mut rig = rig("");
     rig.load_all().expect("load");
     pause(800);
-    rig.apply(1, MOVE).expect("applied");
-    rig.fleet.note_shape(2, &[("cache-0", &["centre", "origin"])]);
+    rig.move_cache(1, 0).expect("applied");
     rig.settle().expect("all have it");
     rig.tell("cache-1", Phase::Draining, &[0]).expect("told");
     for n in [1, 2] {
@@ -142,10 +140,8 @@
 fn a_floor_set_while_the_half_below_it_is_cut_off() {
     let mut rig = rig("bound = 1, back = 0.5");
     rig.load_all().expect("load");
-    rig.cut_off(2);
-    rig.until(2, "it is alone", |shown| alive(shown) == 0).expect("seen");
-    rig.apply(0, MOVE).expect("applied");
-    rig.fleet.note_shape(2, &[("cache-0", &["centre", "origin"])]);
+    rig.isolate(2).expect("cut off");
+    rig.move_cache(0, 0).expect("applied");
     rig.until(1, "the batch", |shown| shown["batches"] == 1).expect("heard");
     floor(&rig, 0, &["set", "2"]);
     rig.until(1, "the floor", |shown| shown["fellows"]["floor"] == 2).expect("heard");
@@ -226,9 +222,8 @@
     let mut rig = rig("alone = 1.5, back = 0.5, come_back = 0.2");
     rig.load_all().expect("load");
     pause(600);
-    rig.cut_off(0);
     rig.silence_journal(1, true);
-    rig.until(0, "it is alone", |shown| alive(shown) == 0).expect("seen");
+    rig.isolate(0).expect("cut off");
     // Longer than it may be alone, and than its journal holds an answer back.
     pause(5_500);
     for n in [0, 1] {
@@ -257,11 +252,10 @@
 /// A majority of the roll settles a version without anybody setting a floor.
 #[test]
 fn a_majority_of_the_voters_settles_a_version() {
-    let rig = rig("voters = [\"r0\", \"r1\", \"r2\"], bound = 1");
+    let mut rig = rig("voters = [\"r0\", \"r1\", \"r2\"], bound = 1");
     assert!((0..3).all(|n| version(&rig, n) == 1));
-    rig.cut_off(2);
-    rig.until(2, "it is alone", |shown| alive(shown) == 0).expect("seen");
-    rig.apply(0, MOVE).expect("applied");
+    rig.isolate(2).expect("cut off");
+    rig.move_cache(0, 0).expect("applied");
     for n in [0, 1] {
         rig.until(n, "settled", |shown| shown["fellows"]["floor"] == 2).expect("two of three act on it");
     }
@@ -331,10 +325,8 @@
     let mut rig = rig("bound = 0.5, back = 0.5");
     rig.load_all().expect("load");
     pause(500);
-    rig.cut_off(2);
-    rig.until(2, "it is alone", |shown| alive(shown) == 0).expect("seen");
-    rig.apply(0, MOVE).expect("applied");
-    rig.fleet.note_shape(2, &[("cache-0", &["centre", "origin"])]);
+    rig.isolate(2).expect("cut off");
+    rig.move_cache(0, 0).expect("applied");
     let warming = |shown: &Value| shown["moves"][0]["stage"] == "warming";
     rig.fleet.until("r0", &["hierarchy", "show"], "warming", warming).expect("it begins");
     floor(&rig, 0, &["set", "2"]);
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -70,9 +70,7 @@
         rig.fleet.record.note(What::Listed { router, node, phase: Phase::Draining });
     }
     // An operator's batch, applied at one.
-    let batch =
-        rig.apply(2, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
-    rig.fleet.note_shape(batch["stamp"].as_u64().expect("a stamp"), &[("cache-0", &["centre", "origin"])]);
+    rig.move_cache(2, 0).expect("applied");
     rig.settle().expect("all act on the same hierarchy");
     assert_eq!(rig.shown(0).expect("shown")["batches"], 1);
     let object = rig.fleet.record.lines().iter().find_map(|line| match &line.what {
@@ -132,8 +130,7 @@
     rig.load_all().expect("load");
     rig.tell("cache-1", Phase::Draining, &[0]).expect("told");
     rig.until(1, "the drain", |shown| shown["barred"][0][0] == "cache-1").expect("heard");
-    rig.cut_off(1);
-    rig.until(1, "it is alone", |shown| alive(shown) == 0).expect("seen");
+    rig.isolate(1).expect("cut off");
     rig.tell("cache-1", Phase::Ready, &[1]).expect("told");
     rig.until(1, "its journal", |shown| shown["fellows"]["me"]["acts"]["journal"] == 3).expect("heard");
     rig.kill(1);
@@ -154,11 +151,9 @@
 fn a_router_that_was_cut_off_hears_what_it_missed() {
     let mut rig = rig(4);
     rig.load_all().expect("load");
-    rig.cut_off(3);
-    rig.until(3, "it is alone", |shown| alive(shown) == 0).expect("seen");
+    rig.isolate(3).expect("cut off");
     rig.tell("cache-0", Phase::Draining, &[0, 1, 2]).expect("told");
-    rig.apply(1, "rerank(\"cache-1\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
-    rig.fleet.note_shape(2, &[("cache-1", &["centre", "origin"])]);
+    rig.move_cache(1, 1).expect("applied");
     rig.until(0, "r3 is suspected", |shown| stands(shown, 3, "Suspected")).expect("seen");
     let shown = rig.shown(3).expect("shown");
     assert!(shown["drains"] == 0 && shown["batches"] == 0, "{shown}");
@@ -270,8 +265,7 @@
 fn a_majority_that_starts_again_within_a_second_and_all_in_turn_under_load() {
     let mut rig = rig(5);
     rig.load_all().expect("load");
-    rig.apply(0, "rerank(\"cache-1\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
-    rig.fleet.note_shape(2, &[("cache-1", &["centre", "origin"])]);
+    rig.move_cache(0, 1).expect("applied");
     rig.settle().expect("all have it");
     // Batches of a control socket are in no journal: those that start again have them from fellows alone.
     for n in [1, 2, 3] {
@@ -297,12 +291,12 @@
 /// Two halves that each change the hierarchy while they are apart: joined, all have the same shape.
 #[test]
 fn two_halves_with_a_batch_each_come_to_one_shape() {
-    let rig = rig(4);
+    let mut rig = rig(4);
     rig.split(2);
     rig.until(0, "half", |shown| alive(shown) == 1).expect("seen");
     rig.until(3, "half", |shown| alive(shown) == 1).expect("seen");
-    rig.apply(0, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
-    rig.apply(3, "rerank(\"cache-1\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+    rig.move_cache(0, 0).expect("applied");
+    rig.move_cache(3, 1).expect("applied");
     let version = |n: usize| rig.fleet.asked(&name(n), &["hierarchy", "show"]).expect("shown");
     assert_ne!(version(0)["digest"], version(3)["digest"]);
     rig.mend_all();
@@ -339,8 +333,7 @@
     rig.mend_all();
     rig.settle().expect("all have it");
     // What follows is heard as ever.
-    rig.apply(2, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
-    rig.fleet.note_shape(3, &[("cache-0", &["centre", "origin"])]);
+    rig.move_cache(2, 0).expect("applied");
     rig.settle().expect("all have it");
     assert_eq!(rig.fleet.asked("r0", &["hierarchy", "show"]).expect("shown")["version"], 3);
     clean(&mut rig);
@@ -352,11 +345,11 @@
 fn a_router_killed_between_a_batch_and_its_word_of_it_leaves_one_shape() {
     for wait in [0, 60, 150, 400] {
         let mut rig = rig(3);
-        rig.apply(0, "rerank(\"cache-0\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+        rig.move_cache(0, 0).expect("applied");
         pause(wait);
         rig.kill(0);
         rig.start_again(0).expect("it starts");
-        rig.apply(0, "rerank(\"cache-1\", sources = [(\"centre\", 0), (\"origin\", 9)])\n").expect("applied");
+        rig.move_cache(0, 1).expect("applied");
         rig.settle().expect("one shape");
         let nodes = rig.fleet.asked("r2", &["hierarchy", "nodes"]).expect("nodes");
         let moved =
--- a/crates/router/tests/hierarchy.rs
+++ b/crates/router/tests/hierarchy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use linnethook_hierarchy::named::{ChangeSpec, NodeSpec};
 use linnethook_hierarchy::Role;
@@ -42,10 +42,10 @@
     (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
 }
 
+const SHOW: [&str; 2] = ["hierarchy", "show"];
+
 fn show(fleet: &Fleet, router: &str) -> serde_json::Value {
-    let (code, text) = ask(fleet, router, &["show"]);
-    assert_eq!(code, 0, "{text}");
-    serde_json::from_str(&text).expect("JSON")
+    fleet.asked(router, &SHOW).expect("shown")
 }
 
 /// Waits until a router shows what is wanted; the time is only a bound.
@@ -55,15 +55,7 @@
     what: &str,
     fits: impl Fn(&serde_json::Value) -> bool,
 ) -> serde_json::Value {
-    let end = Instant::now() + Duration::from_secs(20);
-    loop {
-        let shown = show(fleet, router);
-        if fits(&shown) {
-            return shown;
-        }
-        assert!(Instant::now() < end, "{what}: {shown}");
-        thread::sleep(Duration::from_millis(20));
-    }
+    fleet.until(router, &SHOW, what, fits).expect("it shows")
 }
 
 fn clean(fleet: &Fleet) {
--- a/crates/standins/src/bin/starts.rs
+++ b/crates/standins/src/bin/starts.rs
@@ -67,8 +67,8 @@
     let (mut asked, mut served) = (0, 0);
     for running in back.into_iter().chain(rest) {
         // Of those that were not killed, what came after the kill.
-        let from = (((since - running.since) / 1_000.0) as usize + (TIMES[0] + TIMES[1]) as usize)
-            * usize::from(running.since < since + 1_000.0);
+        let old = running.since < since + 1_000.0;
+        let from = if old { (TIMES[0] + TIMES[1]) as usize } else { 0 };
         let ends = running.finish();
         asked += ends.asked.iter().skip(from).sum::<u32>();
         served += ends.served.iter().skip(from).sum::<u32>();
--- a/crates/standins/src/middle.rs
+++ b/crates/standins/src/middle.rs
@@ -390,7 +390,7 @@
 
     /// A command to the gateway of a side.
     pub fn gateway(&self, router: &str, words: &[&str]) -> io::Result<(bool, String)> {
-        let fleet = if router == NORTH { &self.north } else { &self.south };
+        let fleet = self.fleet(router);
         let socket = fleet.socket(router).display().to_string();
         let words = [&["gateway"], words, &["--socket", &socket]].concat();
         let output = fleet.command(&words)?;
@@ -398,10 +398,17 @@
         Ok((output.status.success(), String::from_utf8_lossy(&text).into_owned()))
     }
 
+    fn fleet(&self, router: &str) -> &crate::fleet::Fleet {
+        if router == NORTH {
+            &self.north
+        } else {
+            &self.south
+        }
+    }
+
     /// How a gateway stands.
     pub fn status(&self, router: &str) -> io::Result<serde_json::Value> {
-        let (_, text) = self.gateway(router, &["status", "--format", "json"])?;
-        serde_json::from_str(&text).map_err(|wrong| io::Error::other(format!("{wrong}: {text}")))
+        self.fleet(router).asked(router, &["gateway", "status"])
     }
 
     /// Waits until a gateway shows what is wanted; the time is only a bound.
@@ -411,17 +418,7 @@
         what: &str,
         fits: impl Fn(&serde_json::Value) -> bool,
     ) -> io::Result<serde_json::Value> {
-        let end = Instant::now() + Duration::from_secs(20);
-        loop {
-            let status = self.status(router)?;
-            if fits(&status) {
-                return Ok(status);
-            }
-            if Instant::now() > end {
-                return Err(io::Error::new(ErrorKind::TimedOut, format!("{what}: {status}")));
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
+        self.fleet(router).until(router, &["gateway", "status"], what, fits)
     }
 
     /// Waits until both sides use the link.
--- a/crates/standins/src/rig.rs
+++ b/crates/standins/src/rig.rs
@@ -365,6 +365,12 @@
         self.middles.iter().filter(|((a, b), _)| *a == n || *b == n).for_each(|(_, middle)| middle.cut());
     }
 
+    /// The same, and waits until it sees that.
+    pub fn isolate(&self, n: usize) -> io::Result<()> {
+        self.cut_off(n);
+        self.until(n, "it is alone", |shown| alive(shown) == 0).map(drop)
+    }
+
     /// Cuts all links between those below `left` and the others.
     pub fn split(&self, left: usize) {
         let across = self.middles.iter().filter(|((a, b), _)| (*a < left) != (*b < left));
@@ -424,7 +430,6 @@
     /// Waits until all that run see each other alive and act on the same hierarchy and the same journal's number.
     pub fn settle(&self) -> io::Result<()> {
         let up = self.up();
-        let digest = self.fleet.asked(&name(up[0]), &["hierarchy", "show"])?["digest"].clone();
         for n in &up {
             self.until(*n, "all are alive", |shown| alive(shown) == up.len() - 1)?;
         }
@@ -438,7 +443,7 @@
                 return Ok(());
             }
             if Instant::now() > end {
-                let why = format!("hierarchies differ: {digests:?}, at first {digest}");
+                let why = format!("hierarchies differ: {digests:?}");
                 return Err(io::Error::new(io::ErrorKind::TimedOut, why));
             }
             thread::sleep(Duration::from_millis(20));
@@ -451,6 +456,16 @@
         self.fleet.asked(&name(n), &["hierarchy", "apply", &file.display().to_string()])
     }
 
+    /// A router's operator has a cache fill by the other parent.
+    pub fn move_cache(&mut self, n: usize, cache: usize) -> io::Result<()> {
+        let cache = format!("cache-{cache}");
+        let batch =
+            self.apply(n, &format!("rerank(\"{cache}\", sources = [(\"centre\", 0), (\"origin\", 9)])\n"))?;
+        let version = batch["stamp"].as_u64().ok_or(io::ErrorKind::InvalidData)?;
+        self.fleet.note_shape(version, &[(&cache, &["centre", "origin"])]);
+        Ok(())
+    }
+
     /// The journal of a router can't be reached, or can again.
     pub fn silence_journal(&self, n: usize, silent: bool) {
         if let Some(middle) = self.journals.get(&n) {
@@ -654,7 +669,6 @@
 
 impl Rig {
     fn step(&mut self, step: Step, drained: &mut Option<usize>) -> io::Result<()> {
-        let spoil = |rig: &Self, a, b, spoils| rig.spoil(a, b, spoils);
         match step {
             Step::Kill(n) => self.kill(n),
             Step::StartAgain(n) => {
@@ -667,15 +681,11 @@
             Step::OneWay(a, b) => self.one_way(a, b),
             Step::Slow(a, b) => self.slow(a, b, 2_000.0),
             Step::Delay(a, b) => self.delay(a, b, Duration::from_millis(150)),
-            Step::Lose(a, b) => spoil(self, a, b, Spoils::Lost),
-            Step::Repeat(a, b) => spoil(self, a, b, Spoils::Repeated),
+            Step::Lose(a, b) => self.spoil(a, b, Spoils::Lost),
+            Step::Repeat(a, b) => self.spoil(a, b, Spoils::Repeated),
             Step::Mend(a, b) => self.mend(a, b),
-            Step::Batch(n, cache) => {
-                let changes =
-                    format!("rerank(\"cache-{cache}\", sources = [(\"centre\", 0), (\"origin\", 9)])\n");
-                // One that overtakes another may be refused: that is for the hierarchy to say.
-                let _ = self.apply(n, &changes);
-            }
+            // One that overtakes another may be refused: that is for the hierarchy to say.
+            Step::Batch(n, cache) => _ = self.move_cache(n, cache),
             Step::Drain(cache, high) => {
                 let half = self.plan.routers / 2;
                 let told: Vec<usize> = (0..self.plan.routers).filter(|n| (*n >= half) == high).collect();
