Pay what is owed where something ends: leavers, purges, full connections, the exit

Causes and changes: - caches.rs, hosts(): queued attempts were taken back only for lines that are not ready. One missing from a complete list, listed anew with another start or address, or named as source, kept its queue. - caches.rs: what waited for a connect kept the age it accepted across a purge (purged()), and went out after its client had left where settings forbid calling off (left()). - caches.rs, give_up(): QUIT went to the end of the queue of a connection that took nothing, so the attempt could be made whole or run beside the next one. It goes first; a connection that does not take it at once is closed. The system is asked to hold 128 KB at most for a cache. - caches.rs, answered(): a second `full` for an id was taken for the answer to the next attempt under it; a booking was then sent while it ran. An id is not used again on a connection that answered it otherwise than wanted. - caches.rs, read(): an answer nobody asked for that has begun on an idle connection stood before the next one; the connection is closed. - clients.rs, read(): one held back was not seen to end (peek); what was said while reading in a later turn was not written (type 80 behind more than 256 KB), found while writing a test. - main.rs: the exit dropped what the kernel had not taken, did not wait for half a message and answered nothing in its last turns.

--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -10,10 +10,10 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::config::Limits;
-use crate::decider::{micros, Attempt, End, Ending, Filling, How, Ms, Place};
+use crate::decider::{micros, Attempt, End, Ending, Filling, How, Ms, Place, Ticket};
 use crate::log::log_line;
 use crate::pool::{Chain, Pool};
 use crate::resp::{self, Decoder, Pairs, Reply, Word};
@@ -27,6 +27,8 @@
     pub class: String,
     pub object: String,
     pub part: String,
+    /// The group of the object.
+    pub group: u32,
     /// The tag of the copy that the client holds.
     pub known: Option<String>,
     /// By which caches tell a repeat of a keyed request.
@@ -113,10 +115,19 @@
     /// The attempt that it is, and where that fills from.
     attempt: Option<Attempt>,
     source: Option<Place>,
+    /// The object and its group, by which purges name it.
+    object: Option<(u64, u32)>,
     since: Ms,
     bytes: Chain,
 }
 
+impl Queued {
+    /// One that is no attempt.
+    fn message(id: Option<String>, since: Ms, bytes: Chain) -> Self {
+        Self { id, attempt: None, source: None, object: None, since, bytes }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Owner {
     Attempt(Attempt),
@@ -144,6 +155,9 @@
     output: Chain,
     writing: Option<String>,
     open: HashMap<String, Open>,
+    /// The ids under which something other than what was wanted was answered here: a second answer may still
+    /// come, and would be taken for that of a further attempt under the same id.
+    past: HashSet<String>,
     used: Ms,
     /// Nothing new goes here, and it is closed once nothing is open on it: something was given up here whose
     /// answer may still come, or its cache has gone or has started anew.
@@ -228,16 +242,18 @@
     /// Takes in the addresses of a list. One that has gone or started anew gets fresh connections: another
     /// cache may answer at its address now.
     pub fn hosts(&mut self, now: Ms, targets: &[Target], complete: bool) {
-        let barred: HashSet<Place> =
-            targets.iter().filter(|target| !target.ready()).map(|target| Place::of(&target.uid)).collect();
-        self.withdraw(now, |place, queued| {
-            barred.contains(&place) || queued.source.is_some_and(|source| barred.contains(&source))
-        });
         let (mut retired, mut gone) = (Vec::new(), Vec::new());
         if complete {
             let listed: HashSet<Place> = targets.iter().map(|target| Place::of(&target.uid)).collect();
             gone.extend(self.peers.keys().filter(|place| !listed.contains(place)));
         }
+        // What waits for one that drains, has gone or is another one now was ordered on grounds that are over.
+        let mut barred: HashSet<Place> = gone.iter().copied().collect();
+        let ends = |target: &&Target| !target.ready() || self.is_another(target);
+        barred.extend(targets.iter().filter(ends).map(|target| Place::of(&target.uid)));
+        self.withdraw(now, End::TimedOut, |place, queued| {
+            barred.contains(&place) || queued.source.is_some_and(|source| barred.contains(&source))
+        });
         for target in targets {
             let place = Place::of(&target.uid);
             let known = self.peers.get_mut(&place);
@@ -271,6 +287,30 @@
         }
     }
 
+    /// Whether a line of the list tells of another process, or another address, than the one that is known.
+    fn is_another(&self, target: &Target) -> bool {
+        let known = self.peers.get(&Place::of(&target.uid)).zip(target.endpoint);
+        known.is_some_and(|(peer, address)| peer.address != address || peer.started != target.started())
+    }
+
+    /// Takes back what was not written yet and is purged: it says which copies will do by what held before.
+    ///
+    /// Guards against a connect that lasts longer than the grace of a purge.
+    pub fn purged(&mut self, now: Ms, object: Option<u64>, group: u32) {
+        self.withdraw(now, End::TimedOut, |_, queued| {
+            queued.object.is_some_and(|(own, its)| object.map_or(its == group, |object| object == own))
+        });
+    }
+
+    /// Takes back what was not written yet of a request that nobody waits for any more.
+    ///
+    /// That is no calling off, which settings may forbid: there is nothing at a cache yet.
+    pub fn left(&mut self, now: Ms, ticket: Ticket) {
+        self.withdraw(now, End::Cancelled, |_, queued| {
+            queued.attempt.is_some_and(|attempt| attempt.ticket == ticket)
+        });
+    }
+
     /// Lets connections end with what is open on them.
     fn retire(&mut self, connections: Vec<ConnectionId>) {
         for id in connections {
@@ -290,7 +330,7 @@
     ///
     /// Guards against a drain that comes while a connection is not up yet or does not take any more: what
     /// waits for it would begin after the grace.
-    fn withdraw(&mut self, now: Ms, which: impl Fn(Place, &Queued) -> bool) {
+    fn withdraw(&mut self, now: Ms, end: End, which: impl Fn(Place, &Queued) -> bool) {
         let mut taken = Vec::new();
         for connection in self.connections.values().filter(|connection| !connection.queue.is_empty()) {
             let place = connection.place;
@@ -298,7 +338,7 @@
             taken.extend(meant.filter_map(|queued| queued.attempt));
         }
         taken.sort_unstable();
-        taken.into_iter().for_each(|attempt| self.give_up(now, attempt, End::TimedOut));
+        taken.into_iter().for_each(|attempt| self.give_up(now, attempt, end));
     }
 
     /// Sends an attempt on its way.
@@ -347,6 +387,7 @@
             id: Some(parcel.id.clone()),
             attempt: Some(attempt),
             source: filling.source,
+            object: u64::from_str_radix(&parcel.object, 16).ok().map(|object| (object, parcel.group)),
             since: now,
             bytes,
         });
@@ -381,8 +422,7 @@
         let bytes = resp::info(&self.pool, &tag);
         let Some(connection) = self.connections.get_mut(&id) else { return };
         connection.used = now;
-        let queued = Queued { id: Some(tag.clone()), attempt: None, source: None, since: now, bytes };
-        connection.queue.push_back(queued);
+        connection.queue.push_back(Queued::message(Some(tag.clone()), now, bytes));
         self.probes_due.insert((micros(now + self.limits.probe), id, tag.clone()));
         connection.open.insert(tag, Open { owner: Owner::Probe, whole: false });
         self.flush(now, id);
@@ -401,7 +441,8 @@
     fn connection_for(&mut self, now: Ms, place: Place, id: &str) -> Option<ConnectionId> {
         let peer = self.peers.get(&place)?;
         let fits = |c: &Connection| {
-            c.open.len() < self.limits.cache_streams && !c.leaving && !c.open.contains_key(id)
+            let carried = c.open.contains_key(id) || c.past.contains(id);
+            c.open.len() < self.limits.cache_streams && !c.leaving && !carried
         };
         let known = peer.connections.iter().filter_map(|id| self.connections.get(id).map(|c| (*id, c)));
         let fit: Vec<(ConnectionId, &Connection)> = known.filter(|(_, c)| fits(c)).collect();
@@ -423,6 +464,10 @@
 
     fn connect(&mut self, now: Ms, place: Place, address: SocketAddr) -> io::Result<ConnectionId> {
         let stream = Rc::new(connect(address)?);
+        // What the system has taken can't be called off any more.
+        let bound = SockRef::from(&*stream).set_send_buffer_size(self.limits.cache_send);
+        let _ =
+            bound.inspect_err(|wrong| log_line!("a connection to {address} keeps its send buffer: {wrong}"));
         self.connects += 1;
         self.last += 1;
         let id = self.last;
@@ -443,6 +488,7 @@
             output: Chain::new(&self.pool),
             writing: None,
             open: HashMap::new(),
+            past: HashSet::new(),
             used: now,
             leaving: false,
         };
@@ -487,7 +533,9 @@
             match connection.input.read_from(&*connection.stream) {
                 Ok(0) => return self.close(now, id, "closed"),
                 Ok(_) => self.heard(now, id),
-                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => return,
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {
+                    return self.close_if_spoilt(now, id)
+                }
                 Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
                 Err(wrong) => return self.close(now, id, &wrong.to_string()),
             }
@@ -521,6 +569,10 @@
         };
         let Some(out) = self.out.remove(&attempt) else { return };
         self.due.remove(&(out.due, attempt));
+        if !matches!(reply.word, Word::Data | Word::Unchanged) {
+            connection.past.insert(reply.id);
+            connection.leaving |= connection.past.len() >= self.limits.cache_streams;
+        }
         let (end, brought) = match reply.word {
             Word::Data => {
                 let made = if self.tells_copies { made(&reply.fields) } else { None };
@@ -564,13 +616,9 @@
             } else {
                 connection.leaving = true;
                 let bytes = resp::quit(&self.pool, &out.id);
-                connection.queue.push_back(Queued {
-                    id: None,
-                    attempt: None,
-                    source: None,
-                    since: now,
-                    bytes,
-                });
+                connection.queue.push_front(Queued::message(None, now, bytes));
+                self.flush(now, out.connection);
+                self.close_if_deaf(now, out.connection);
             }
             if end == End::TimedOut && !whole {
                 end = End::Unreached;
@@ -618,6 +666,28 @@
         }
     }
 
+    /// Ends a connection that does not take at once what calls something off: until then that may still run, or
+    /// is even made whole there, while the next attempt is under way. What shares it ends with it.
+    fn close_if_deaf(&mut self, now: Ms, id: ConnectionId) {
+        let calls_off = |c: &Connection| {
+            let writing = !c.output.is_empty() && c.writing.is_none();
+            writing || c.queue.iter().any(|queued| queued.id.is_none())
+        };
+        if self.connections.get(&id).is_some_and(calls_off) {
+            self.close(now, id, "it takes no more");
+        }
+    }
+
+    /// Ends a connection on which nothing is open and yet an answer has begun: whatever is asked next there
+    /// would be answered behind it, if ever.
+    fn close_if_spoilt(&mut self, now: Ms, id: ConnectionId) {
+        let begun = |c: &Connection| !c.input.is_empty() || !c.decoder.rests();
+        if self.connections.get(&id).is_some_and(|c| c.open.is_empty() && begun(c)) {
+            log_line!("an answer that nobody asked for ends its connection");
+            self.close(now, id, "an answer that nobody asked for");
+        }
+    }
+
     /// A connection that is to leave goes once nothing is open on it.
     fn close_if_done(&mut self, id: ConnectionId) {
         let done = |c: &Connection| c.leaving && c.open.is_empty();
@@ -698,7 +768,7 @@
         }
         // What a connection has not taken for so long would begin on grounds that are out of date.
         let oldest = now - self.limits.connect;
-        self.withdraw(now, |_, queued| queued.since <= oldest);
+        self.withdraw(now, End::TimedOut, |_, queued| queued.since <= oldest);
         let mut late = Vec::new();
         let mut idle = Vec::new();
         for (&id, connection) in &mut self.connections {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -102,6 +102,14 @@
 }
 
 impl Client {
+    /// Whether its connection has ended, and nothing that it sent before is still to be read.
+    fn has_ended(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(wrong) => !matches!(wrong.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
     /// Nobody would miss it.
     fn idle(&self) -> bool {
         self.phase != Phase::Open || (self.open.is_empty() && self.output.is_empty())
@@ -280,13 +288,24 @@
         Ok(id)
     }
 
-    /// Reads what a client has sent. A lost client's open requests come back as given up.
+    /// Reads what a client has sent, and writes what can be said to that at once. A lost client's open requests
+    /// come back as given up.
     pub fn read(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
+        self.take_in_turn(now, id, said);
+        // Whoever reads, on whatever occasion: no other one may come for this client.
+        self.flush(now, id, said);
+    }
+
+    fn take_in_turn(&mut self, now: Ms, id: ClientId, said: &mut Vec<Said>) {
         self.held.remove(&id);
         let mut budget = self.limits.read_turn;
         while let Some(client) = self.clients.get_mut(&id).filter(|client| client.phase != Phase::Closing) {
             let behind = client.phase == Phase::Open && client.output.len() > self.limits.write_backlog;
             if behind || budget == 0 || self.pool.crowded() {
+                // What it asked for must not go on to caches for as long as it is not read.
+                if client.has_ended() {
+                    return self.lose(id, said);
+                }
                 self.held.insert(id);
                 return;
             }
@@ -538,16 +557,47 @@
         }
     }
 
-    /// Whether every answer has been written, and nobody waits to be accepted or read.
+    /// Whether every answer has been written, and nobody waits to be accepted or read, or has begun to ask.
     pub fn settled(&self) -> bool {
-        !self.backlog && self.held.is_empty() && self.clients.values().all(|client| client.output.is_empty())
+        let quiet = |client: &Client| client.output.is_empty() && client.begun.is_none();
+        !self.backlog && self.held.is_empty() && self.clients.values().all(quiet)
     }
 
-    /// Ends all connections in order, so that what was written still arrives.
-    pub fn close(&mut self) {
-        for client in self.clients.values() {
-            // One that has ended by itself has nothing to be told.
-            let _ = client.stream.shutdown(Shutdown::Write);
+    /// Reads all that has arrived, from everybody.
+    pub fn read_all(&mut self, now: Ms, said: &mut Vec<Said>) {
+        let mut ids: Vec<ClientId> = self.clients.keys().copied().collect();
+        ids.sort_unstable();
+        ids.into_iter().for_each(|id| self.read(now, id, said));
+    }
+
+    /// Lets go of those to whom nothing is owed: each has what is written for it, then the end, and what it still
+    /// sends is read, so that a reset does not take the last words along. Who has begun to ask may end that.
+    pub fn let_go(&mut self, now: Ms, said: &mut Vec<Said>) {
+        let owed_nothing =
+            |client: &Client| client.phase == Phase::Open && client.open.is_empty() && client.begun.is_none();
+        let mut ids: Vec<ClientId> = self.clients.keys().copied().collect();
+        ids.retain(|id| self.clients.get(id).is_some_and(owed_nothing) && !self.held.contains(id));
+        ids.sort_unstable();
+        for id in ids {
+            if let Some(client) = self.clients.get_mut(&id) {
+                client.phase = Phase::Closing;
+            }
+            self.flush(now, id, said);
+        }
+    }
+
+    /// Ends what is left: who has begun to ask is told that nothing comes of it.
+    pub fn close(&mut self, now: Ms, said: &mut Vec<Said>) {
+        let mut ids: Vec<ClientId> = self.clients.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            if self.clients.get(&id).is_some_and(|client| client.begun.is_some()) {
+                self.break_off(now, id, "half a message at the end", said);
+            }
+            if let Some(client) = self.clients.get(&id) {
+                // One that has ended by itself has nothing to be told.
+                let _ = client.stream.shutdown(Shutdown::Write);
+            }
         }
     }
 }
@@ -592,11 +642,12 @@
         return None;
     }
     let part = number("chunk", limits.parts)?;
+    let group = number("tag", limits.groups)?;
     let wish = Wish {
         class: class.to_string(),
         object: u64::from_str_radix(object, 16).ok()?,
         part,
-        group: number("tag", limits.groups)?,
+        group,
         size_kb: size,
         repeat,
         budget: (wait - limits.way).max(0.0),
@@ -606,6 +657,7 @@
         class: class.to_string(),
         object: object.to_string(),
         part: fields.get("chunk").unwrap_or("0").to_string(),
+        group,
         known: fields.get("known").map(str::to_string),
         token: fields.get("k").map(str::to_string),
         body,
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -114,6 +114,8 @@
     /// Open requests on one connection of a client, by the protocol, and in all.
     pub client_streams: usize,
     pub open: usize,
+    /// Bytes that the system is asked to hold for a cache that takes nothing.
+    pub cache_send: usize,
     /// Attempts on one connection to a cache, connections to one cache, and to all.
     pub cache_streams: usize,
     pub cache_connections: usize,
@@ -125,17 +127,19 @@
     pub idle: f64,
     /// Part of a client's wait that its request and the answer spend on the way.
     pub way: f64,
-    /// How long the journal may hold back its answer, how much longer it is waited for, the pause after a
-    /// poll that was lost, and the most bytes of an answer.
+    /// How long the journal may hold back its answer, how much longer it is waited for, how long a connect may
+    /// take, the pause after a poll that was lost, and the most bytes of an answer.
     pub journal_wait: f64,
     pub journal_late: f64,
+    pub journal_connect: f64,
     pub journal_pause: f64,
     pub journal_answer: usize,
     /// After SIGTERM requests are waited for that long at the least. After the most, what is still open is
     /// answered as failed: the platform kills no sooner than the longest wait, taken as 3 s where it is longer,
-    /// and 0.7 s after the signal.
+    /// and 0.7 s after the signal. Then the last answers may take so long to leave.
     pub stop_least: f64,
     pub stop_most: f64,
+    pub stop_last: f64,
     /// Log lines a second.
     pub log_lines: u32,
     /// Commands at once on the control socket, the bytes of a question, and how long one may take.
@@ -184,6 +188,7 @@
             clients: (platform.sockets / 2).saturating_sub(SPARE).max(1),
             client_streams: 32,
             open: transport.max_open as usize,
+            cache_send: 128 * 1024,
             cache_streams: transport.streams as usize,
             cache_connections: (platform.sockets / 8).max(1),
             connections: (platform.sockets / 2).saturating_sub(SPARE).max(1),
@@ -194,10 +199,12 @@
             // Two polls in a row may be lost without a word before what they would have told binds.
             journal_wait: 2_000.0,
             journal_late: 800.0,
+            journal_connect: 800.0,
             journal_pause: 100.0,
             journal_answer: 8 * 1024 * 1024,
-            stop_least: 1_000.0,
+            stop_least: (longest.min(3_000.0) + 450.0).min(1_000.0),
             stop_most: longest.min(3_000.0) + 450.0,
+            stop_last: 150.0,
             log_lines: 20,
             control_connections: 4,
             control_message: 16 * 1024 * 1024,
@@ -240,7 +247,22 @@
             // What one client may send in part, or leave unread, is a small share of the buffers.
             assert!((limits.frame + limits.write_backlog) * 8 < limits.blocks_most * limits.block);
             // The platform kills 0.7 s after the longest wait.
-            assert!(limits.stop_least < limits.stop_most && limits.stop_most < 3_700.0);
+            assert!(limits.stop_least < limits.stop_most);
+            assert!(limits.stop_most + limits.stop_last < 3_700.0);
+        }
+    }
+
+    /// Requests come for up to 0.6 s after the signal, and the platform kills 0.7 s after the longest wait.
+    #[test]
+    fn however_short_the_longest_wait_the_end_comes_after_the_last_request_and_before_the_kill() {
+        let told = linnethook_settings::decode(b"{}").expect("settings");
+        let platform = Platform { memory_mb: 64.0, sockets: 512 };
+        for longest in [0.0, 50.0, 150.0, 300.0, 550.0, 3_000.0, 60_000.0] {
+            let limits = Limits::new(platform, told.transport, longest);
+            let kill = longest.min(3_000.0) + 700.0;
+            assert!(limits.stop_least <= limits.stop_most, "{longest}");
+            assert!(limits.stop_most + limits.stop_last < kill, "{longest}");
+            assert!(limits.stop_most + limits.stop_last >= 600.0, "{longest}");
         }
     }
 
--- a/crates/router/src/journal.rs
+++ b/crates/router/src/journal.rs
@@ -90,14 +90,19 @@
     pub fn tick(&mut self, now: Ms) {
         match self.state {
             Stage::Resting(at) if now >= at => self.poll(now),
-            Stage::Polling(at) if now >= at => self.lose(now, "no answer in time"),
+            Stage::Polling(at) if now >= at => {
+                let up = self.link.as_ref().is_some_and(|link| link.up);
+                self.lose(now, if up { "no answer in time" } else { "not up in time" });
+            }
             _ => {}
         }
     }
 
     fn poll(&mut self, now: Ms) {
-        self.state = Stage::Polling(now + self.limits.journal_wait + self.limits.journal_late);
+        self.await_answer(now);
         if self.link.is_none() {
+            // One that does not come up is no answer that is held back.
+            self.state = Stage::Polling(now + self.limits.journal_connect);
             match self.connect() {
                 Ok(link) => self.link = Some(link),
                 Err(wrong) => return self.lose(now, &wrong.to_string()),
@@ -114,6 +119,10 @@
         self.flush(now);
     }
 
+    fn await_answer(&mut self, now: Ms) {
+        self.state = Stage::Polling(now + self.limits.journal_wait + self.limits.journal_late);
+    }
+
     fn connect(&self) -> io::Result<Link> {
         let stream = Rc::new(connect(self.address)?);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
@@ -159,7 +168,10 @@
     pub fn ready(&mut self, now: Ms, writable: bool) -> Vec<Entry> {
         if let Some(link) = self.link.as_mut().filter(|link| !link.up && writable) {
             match link.stream.take_error() {
-                Ok(None) => link.up = true,
+                Ok(None) => {
+                    link.up = true;
+                    self.await_answer(now);
+                }
                 Ok(Some(wrong)) | Err(wrong) => {
                     self.lose(now, &wrong.to_string());
                     return Vec::new();
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -124,6 +124,8 @@
     Serving,
     /// Since when it finishes what it has.
     Stopping(Ms),
+    /// Until when the last answers may leave; what still comes is turned away at once.
+    Leaving(Ms),
 }
 
 /// One router.
@@ -232,6 +234,9 @@
             if let Some(expire) = &entry.expire {
                 match expire.news() {
                     Some(news) => {
+                        if let News::Expired { object, group, .. } = news {
+                            self.caches.purged(now, object, group);
+                        }
                         if let Some(beyond) = &mut self.beyond {
                             beyond.expired(now, expire);
                         }
@@ -372,7 +377,8 @@
                         self.turn_away(asker);
                         continue;
                     }
-                    let crowded = self.requests.len() >= self.limits.open;
+                    let leaving = matches!(self.run, Run::Leaving(_));
+                    let crowded = leaving || self.requests.len() >= self.limits.open;
                     if let Some(wait) = self.barred_for_now(now, &taken.wish) {
                         let Taken { wish, parcel, .. } = *taken;
                         let held = self.held(now, asker, wish, parcel, Vec::new());
@@ -405,6 +411,7 @@
                 Said::GivenUp(ticket) => {
                     self.counters.given_up += 1;
                     self.requests.remove(ticket);
+                    self.caches.left(now, ticket);
                     self.upstream.as_mut().and_then(|upstream| upstream.come_back(ticket));
                     if let Some(beyond) = self.beyond.as_mut().filter(|beyond| beyond.crosses()) {
                         beyond.gateway.gone(now, ticket);
@@ -530,6 +537,7 @@
                 Some(since + self.limits.stop_least)
             }
             Run::Stopping(since) => Some(since + self.limits.stop_most),
+            Run::Leaving(until) => Some(until),
         };
         let upstream = self.upstream.as_ref().map(Upstream::next);
         let control = self.control.as_ref().and_then(Control::next);
@@ -595,6 +603,31 @@
         }
     }
 
+    /// The last turns: all that is open is answered, and the answers may leave.
+    fn leave(&mut self) {
+        self.fail_open();
+        let now = self.clock.now();
+        self.run = Run::Leaving(now + self.limits.stop_last);
+        let mut said = Vec::new();
+        // What has arrived by now is owed an answer.
+        self.clients.read_all(now, &mut said);
+        self.hear(said);
+        self.settle();
+        let mut said = Vec::new();
+        self.clients.let_go(now, &mut said);
+        self.hear(said);
+    }
+
+    /// Whether everybody has taken the last words, or had the time to.
+    fn left(&mut self) -> bool {
+        let Run::Leaving(until) = self.run else { return false };
+        let now = self.clock.now();
+        let mut said = Vec::new();
+        self.clients.let_go(now, &mut said);
+        self.hear(said);
+        self.clients.len() == 0 || now >= until
+    }
+
     fn print_counters(&self) {
         let counters = Counters {
             clients: self.clients.accepted,
@@ -727,9 +760,16 @@
         events.dispatch(router.rest(), &mut router)?;
         router.tick();
     }
-    router.fail_open();
+    router.leave();
+    while !router.left() {
+        events.dispatch(router.rest(), &mut router)?;
+        router.tick();
+    }
     // Nothing new comes in any more: what the account says last is the last.
-    router.clients.close();
+    let (now, mut said) = (router.clock.now(), Vec::new());
+    router.clients.close(now, &mut said);
+    router.hear(said);
+    router.fail_open();
     if router.fleet.is_some() {
         // Fellows hear how it ended; a few turns for the bytes to leave.
         router.end_account();
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -89,6 +89,11 @@
 }
 
 impl Decoder {
+    /// Whether no answer has begun.
+    pub fn rests(&self) -> bool {
+        self.lacks == 0
+    }
+
     /// Takes one answer off `input` once it is there whole.
     pub fn decode(&mut self, input: &mut Chain, longest: usize) -> Result<Option<Reply>, Malformed> {
         loop {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -127,14 +127,54 @@
     Fleet { a, b, parent, origin, journal, router }
 }
 
+/// An address whose door is shut: connections to it begin and do not come up, until it is opened.
+pub struct Late {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// What takes the one place that there is before the door.
+    _waiting: TcpStream,
+}
+
+impl Late {
+    pub fn new() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        listener.bind(&any.into()).expect("an address");
+        listener.listen(0).expect("it listens");
+        let listener = TcpListener::from(listener);
+        let address = listener.local_addr().expect("its address");
+        let _waiting = TcpStream::connect(address).expect("the first one finds a place");
+        Self { address, listener, _waiting }
+    }
+
+    /// Takes in whoever waits, and whoever comes; its first connection is that of nobody.
+    pub fn open(
+        self,
+        answer: impl Fn(&str, &Fields, &[u8]) -> Option<Answer> + Send + Sync + 'static,
+    ) -> Cache {
+        Cache::serve(self.listener, Arc::new(answer)).expect("a stand-in listens")
+    }
+}
+
 impl Router {
     fn start(journal: &Journal, sockets: usize, operator: Option<&str>, descriptors: Option<u32>) -> Self {
+        let sockets = |config: &mut Value| config["limits"]["sockets"] = json!(sockets);
+        Self::start_with(journal, sockets, operator, descriptors)
+    }
+
+    /// Starts one whose configuration is the example's, changed.
+    pub fn start_with(
+        journal: &Journal,
+        change: impl FnOnce(&mut Value),
+        operator: Option<&str>,
+        descriptors: Option<u32>,
+    ) -> Self {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
         config["listen"] = json!("127.0.0.1:0");
         config["journal"] = json!(journal.address.to_string());
         config["known"] = journal.known();
-        config["limits"]["sockets"] = json!(sockets);
+        change(&mut config);
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let n = COUNT.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("linnethook-{}-{n}.json", std::process::id()));
--- a/examples/toy/src/cache.rs
+++ b/examples/toy/src/cache.rs
@@ -48,7 +48,11 @@
 impl Cache {
     /// Listens, and answers as `behaviour` says.
     pub fn start(address: impl ToSocketAddrs, behaviour: Behaviour) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        Self::serve(TcpListener::bind(address)?, behaviour)
+    }
+
+    /// Takes what comes to a listener.
+    pub fn serve(listener: TcpListener, behaviour: Behaviour) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let (sender, heard) = channel();
         let connections = Connections::default();
@@ -77,6 +81,11 @@
         (&stream).write_all(&encode(id, answer))
     }
 
+    /// Writes bytes as they are.
+    pub fn write(&self, connection: usize, bytes: &[u8]) -> io::Result<()> {
+        (&self.stream(connection)?).write_all(bytes)
+    }
+
     /// Ends a connection from this side.
     pub fn close(&self, connection: usize) -> io::Result<()> {
         self.stream(connection)?.shutdown(Shutdown::Both)
