Judge from a record what was sent on after its client left

crates/standins checker: leavers() counts requests whose clients left while they waited, and each that the same router sent on over 0.3 s (and the slack) later; a broken record is caught, one that keeps it is not. It is a share and no pass of judge().

--- a/crates/standins/src/checker.rs
+++ b/crates/standins/src/checker.rs
@@ -51,6 +51,8 @@
     NoReturn,
     /// No fill on a version below the floor, after its bound.
     NoOldVersion,
+    /// No request is sent on for a client that has left (`leavers`).
+    NoneLeft,
 }
 
 impl fmt::Display for Breach {
@@ -78,6 +80,47 @@
     breaches
 }
 
+/// Requests whose clients left while they waited, and each time that one was sent on later than it may be.
+#[derive(Debug, Default)]
+pub struct Leavers {
+    pub cases: usize,
+    pub sent_on: Vec<Breach>,
+}
+
+/// How long a router may take to hear that a client has left.
+const HEARD_OF: Ms = 300.0;
+
+/// What became of requests whose clients left. Not a pass of `judge`: it is a share that is asked for.
+pub fn leavers(lines: &[Line], rules: &Rules) -> Leavers {
+    let mut out = Leavers::default();
+    let mut waiting = BTreeMap::<u64, (&str, &str)>::new();
+    let mut left = BTreeMap::<(&str, &str), Ms>::new();
+    for line in lines {
+        match &line.what {
+            What::Requested { request, id, router, .. } => _ = waiting.insert(*request, (router, id)),
+            What::Final { request, .. } => _ = waiting.remove(request),
+            What::Released { request } => {
+                if let Some(who) = waiting.remove(request) {
+                    out.cases += 1;
+                    left.insert(who, line.at);
+                }
+            }
+            What::Asked { asked, .. } => {
+                let Some(router) = asked.router.as_deref() else { continue };
+                let Some(since) = left.get(&(router, asked.id.as_str())) else { continue };
+                if line.at > since + HEARD_OF + rules.slack {
+                    let late = line.at - since;
+                    let what =
+                        format!("{} sent to {} {late:.0} ms after its client left", asked.id, asked.at);
+                    out.sent_on.push(Breach { at: line.at, rule: Rule::NoneLeft, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
 fn no_old_version(lines: &[Line], rules: &Rules) -> Vec<Breach> {
     let mut out = Vec::new();
     let mut floors = BTreeMap::<&str, (u64, Ms)>::new();
--- a/crates/standins/tests/checker.rs
+++ b/crates/standins/tests/checker.rs
@@ -1,6 +1,6 @@
 //! The checker catches a broken record: one for each rule, beside a record that keeps it.
 
-use linnethook_standins::checker::{judge, Breach, Rule, Rules};
+use linnethook_standins::checker::{judge, leavers, Breach, Rule, Rules};
 use linnethook_standins::record::{Asked, Cold, Line, Ms, Phase, What};
 
 const ROUTER: &str = "n0";
@@ -200,3 +200,27 @@
         }
     }
 }
+
+/// Only what is sent on by the router whose client left, later than it takes to hear of that, counts.
+#[test]
+fn a_request_that_is_sent_on_after_its_client_left_is_caught() {
+    let released = |at, request| line(at, What::Released { request });
+    let kept = [
+        requested(0.0, 1, false),
+        asked(10.0, 1, "a", "id1"),
+        released(100.0, 1),
+        // In the time that it takes to hear of it.
+        asked(400.0, 2, "b", "id1"),
+        requested(0.0, 2, false),
+        answered(50.0, 2, 1, None),
+        // It had its answer: nobody left while waiting.
+        released(60.0, 2),
+        asked(900.0, 3, "b", "id2"),
+    ];
+    let seen = leavers(&kept, &Rules::default());
+    assert_eq!((seen.cases, seen.sent_on.len()), (1, 0));
+    let broken = [requested(0.0, 1, false), released(100.0, 1), asked(460.0, 1, "a", "id1")];
+    let seen = leavers(&broken, &Rules::default());
+    assert_eq!((seen.cases, seen.sent_on.len()), (1, 1));
+    assert_eq!(seen.sent_on[0].rule, Rule::NoneLeft);
+}
