--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -169,6 +169,16 @@
         operator: Option<&str>,
         descriptors: Option<u32>,
     ) -> Self {
+        Self::try_start(journal, change, operator, descriptors).unwrap_or_else(|said| panic!("{said:?}"))
+    }
+
+    /// The same, or what one that does not start has said.
+    pub fn try_start(
+        journal: &Journal,
+        change: impl FnOnce(&mut Value),
+        operator: Option<&str>,
+        descriptors: Option<u32>,
+    ) -> Result<Self, Vec<String>> {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
         config["listen"] = json!("127.0.0.1:0");
@@ -212,16 +222,28 @@
                 }
             }
         });
-        let address = wait(&log, |line: &String| line.contains("listens on"));
+        let mut said = Vec::new();
+        let address = loop {
+            match log.recv_timeout(PATIENCE) {
+                Ok(line) if line.contains("listens on") => break line,
+                Ok(line) => said.push(line),
+                Err(RecvTimeoutError::Timeout) => panic!("it neither starts nor ends"),
+                Err(RecvTimeoutError::Disconnected) => {
+                    assert_eq!(child.wait().ok().and_then(|end| end.code()), Some(1), "{said:?}");
+                    let _ = std::fs::remove_file(path);
+                    return Err(said);
+                }
+            }
+        };
         let address = address.rsplit(' ').next().and_then(|address| address.parse().ok());
-        Self {
+        Ok(Self {
             address: address.expect("its address"),
             child,
             log,
             log_closed,
             config: path,
             settings: config,
-        }
+        })
     }
 
     pub fn client(&self) -> Client {
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -743,3 +743,61 @@
     client.stream.shutdown(Shutdown::Both).expect("closed");
     wait(&cache.heard, |heard| *heard == Heard::Closed { connection });
 }
+
+/// A figure that is missing, nothing, very small, very large or no figure at all: either the router says in one line
+/// what is wrong, with the way to it, or it answers what it is asked, within the client's time.
+#[test]
+fn settings_out_of_the_ordinary_are_refused_in_one_line_or_served() {
+    let values = [json!(null), json!(0), json!(-1), json!(1e-9), json!(1), json!(1e15), json!("much")];
+    let places: [&[&str]; 12] = [
+        &["grades", "0", "deadline"],
+        &["grades", "0", "objective"],
+        &["grades", "0", "aim-stretch"],
+        &["grades", "0", "effect"],
+        &["allowed", "connect-timeout"],
+        &["allowed", "conn-idle"],
+        &["allowed", "max-attempts"],
+        &["allowed", "max-open"],
+        &["allowed", "streams-per-conn"],
+        &["family-info", "flow-kb-per-s"],
+        &["family-info", "notice-time"],
+        &["rules", "drain-grace"],
+    ];
+    let fleet = fleet();
+    let (mut refused, mut answered) = (0, 0);
+    for way in places {
+        for value in &values {
+            let change = |config: &mut serde_json::Value| {
+                let mut at = &mut config["settings"];
+                for step in &way[..way.len() - 1] {
+                    at = match step.parse::<usize>() {
+                        Ok(n) => &mut at[n],
+                        Err(_) => &mut at[*step],
+                    };
+                }
+                let last = way[way.len() - 1];
+                match value.is_null() {
+                    true => drop(at.as_object_mut().expect("an object").remove(last)),
+                    false => at[last] = value.clone(),
+                }
+            };
+            match Router::try_start(&fleet.journal, change, None, None) {
+                Err(said) => {
+                    assert_eq!(said.len(), 1, "{way:?} {value}: {said:?}");
+                    assert!(said[0].contains(way[way.len() - 1]), "{way:?} {value}: {said:?}");
+                    refused += 1;
+                }
+                Ok(router) => {
+                    let mut client = router.client();
+                    let wish =
+                        [("c", "video"), ("i", "00000000000000e1"), ("o", "00000000000000aa"), ("d", "900")];
+                    client.ask(1, &wish, b"").expect("sent");
+                    let answer = client.read().expect("an answer");
+                    assert_eq!((answer.kind, answer.stream), (66, 1), "{way:?} {value}");
+                    answered += 1;
+                }
+            }
+        }
+    }
+    assert!(refused > 10 && answered > 10, "{refused} refused, {answered} answered");
+}
