--- a/crates/router/tests/endings.rs
+++ b/crates/router/tests/endings.rs
@@ -244,7 +244,7 @@
 
 // ---- What is out at a cache.
 
-/// A cache that takes in what is sent, and reads none of it for as long as it is told so.
+/// The cache here takes connections and reads nothing of them.
 ///
 /// Where connections are shared, a request that is given up while its connection takes nothing can't be called off
 /// there: it would be made whole, or run, when the cache goes on. What shares the connection ends with it, at once.
@@ -410,9 +410,19 @@
     assert_eq!(fleet.router.ended().code(), Some(0));
 }
 
-/// What has come in part when the time is over is told so, beside the answer to what is still open.
-#[test]
-fn at_the_end_half_a_message_is_told_and_what_is_open_is_answered() {
+/// A router that was told to end, with little time for it.
+struct Ending {
+    /// The fleet that it stands in.
+    _fleet: [Cache; 3],
+    _journal: Journal,
+    router: Router,
+    /// One of its requests is open at the origin.
+    open: Client,
+    /// It has asked nothing yet but whether the router is ready.
+    half: Client,
+}
+
+fn ending() -> Ending {
     let (door, b, parent, origin) = (Late::new(), echo("b"), echo("parent"), holding());
     let targets = all(door.address, b.address, parent.address, origin.address);
     let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
@@ -422,7 +432,7 @@
             config["settings"]["grades"][class]["deadline"] = json!(200);
         }
     };
-    let mut router = Router::start_with(&journal, short, None, None);
+    let router = Router::start_with(&journal, short, None, None);
     let mut open = router.client();
     open.ask(1, &booking("00000000000000b1", "60000"), b"pay").expect("sent");
     asked(&origin);
@@ -431,6 +441,14 @@
     assert_eq!(half.read().expect("an answer").kind, 81);
     router.signal(Signal::SIGTERM);
     assert_eq!(half.read().expect("a frame").kind, 90);
+    Ending { _fleet: [b, parent, origin], _journal: journal, router, open, half }
+}
+
+/// What has come in part when the time is over is told so, beside the answer to what is still open.
+#[test]
+fn at_the_end_half_a_message_is_told_and_what_is_open_is_answered() {
+    let mut ending = ending();
+    let (router, open, half) = (&mut ending.router, &mut ending.open, &mut ending.half);
     half.stream.write_all(&request(2, &booking("00000000000000b2", "900"), b"pay")[..20]).expect("sent");
     assert_eq!(open.read().expect("a frame").kind, 90);
     let answer = open.read().expect("an answer");
@@ -444,24 +462,8 @@
 /// What comes whole when all that was open has been given up is turned away, and not left without an answer.
 #[test]
 fn what_comes_in_the_last_turns_is_turned_away() {
-    let (door, b, parent, origin) = (Late::new(), echo("b"), echo("parent"), holding());
-    let targets = all(door.address, b.address, parent.address, origin.address);
-    let known = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
-    let journal = Journal::start("127.0.0.1:0", known).expect("the journal listens");
-    let short = |config: &mut Value| {
-        for class in 0..3 {
-            config["settings"]["grades"][class]["deadline"] = json!(200);
-        }
-    };
-    let mut router = Router::start_with(&journal, short, None, None);
-    let mut open = router.client();
-    open.ask(1, &booking("00000000000000b1", "60000"), b"pay").expect("sent");
-    asked(&origin);
-    let mut half = router.client();
-    half.ask_ready(1).expect("sent");
-    assert_eq!(half.read().expect("an answer").kind, 81);
-    router.signal(Signal::SIGTERM);
-    assert_eq!(half.read().expect("a frame").kind, 90);
+    let mut ending = ending();
+    let (router, open, half) = (&mut ending.router, &mut ending.open, &mut ending.half);
     let bytes = request(2, &booking("00000000000000b2", "900"), b"pay");
     let (begun, rest) = bytes.split_at(20);
     half.stream.write_all(begun).expect("sent");
