--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -390,6 +390,10 @@
         Ok(Self { stream })
     }
 
+    pub fn try_clone(&self) -> io::Result<Self> {
+        Ok(Self { stream: self.stream.try_clone()? })
+    }
+
     pub fn ask(&mut self, stream: u32, fields: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
         let mut payload = vec![fields.len() as u8];
         for (name, value) in fields {
