--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -503,16 +503,17 @@
     /// A folder for its files.
     pub folder: &'a Path,
     pub sockets: u32,
+    pub memory_mb: u32,
 }
 
 impl Router {
     /// Starts `run` of the deploy file, and waits until the router says that it is ready.
     pub fn start(setup: &RouterSetup<'_>) -> io::Result<Self> {
-        let RouterSetup { name, journal, settings, operator, folder, sockets } = *setup;
+        let RouterSetup { name, journal, settings, operator, folder, sockets, memory_mb } = *setup;
         let address = free_address();
         let config = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{address}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{sockets}}},\"journal\":\"{}\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets}}},\"journal\":\"{}\",\
              \"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000,\"known\":{},\"settings\":{settings}}}",
             journal.address,
             journal.page(0)
--- a/review/standins/keyed_across_sites.rs
+++ b/review/standins/keyed_across_sites.rs
@@ -110,7 +110,7 @@
     );
     let start = |name, journal, zone, operator: &str| {
         let settings = settings(zone);
-        let setup = RouterSetup { name, journal, settings: &settings, operator: Some(operator), folder: &files.0, sockets: 1024 };
+        let setup = RouterSetup { name, journal, settings: &settings, operator: Some(operator), folder: &files.0, sockets: 1024, memory_mb: 192 };
         Router::start(&setup)
     };
     let mut south = start("s0", &south_journal, 1, &south_operator)?;
--- a/review/standins/keyed_late_connection.rs
+++ b/review/standins/keyed_late_connection.rs
@@ -213,7 +213,7 @@
     );
     let journal = Journal::start(&[list])?;
     let settings = settings();
-    let setup = RouterSetup { name: "n0", journal: &journal, settings: &settings, operator: None, folder: &files.0, sockets: 1024 };
+    let setup = RouterSetup { name: "n0", journal: &journal, settings: &settings, operator: None, folder: &files.0, sockets: 1024, memory_mb: 192 };
     let mut router = Router::start(&setup)?;
     for n in 0..BOOKINGS {
         let (id, object) = (format!("{:016x}", 0x00b0_0c00 + n), format!("{:016x}", 0x0b7e_c700 + 977 * n));
--- a/review/standins/refused_but_written.rs
+++ b/review/standins/refused_but_written.rs
@@ -257,7 +257,7 @@
     );
     let journal = Journal::start(&[list])?;
     let settings = settings();
-    let setup = RouterSetup { name: "n0", journal: &journal, settings: &settings, operator: None, folder: &files.0, sockets: 256 };
+    let setup = RouterSetup { name: "n0", journal: &journal, settings: &settings, operator: None, folder: &files.0, sockets: 256, memory_mb: 192 };
     let mut router = Router::start(&setup)?;
     let body = vec![b'x'; BODY];
     let answers: Answers = Arc::default();
