--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -187,6 +187,8 @@
 #[derive(Clone)]
 pub struct Journal {
     pub address: SocketAddr,
+    /// Each answer comes so long after its request at the earliest.
+    pub delay_ms: Arc<AtomicU64>,
     events: Arc<(Mutex<Vec<String>>, Condvar)>,
 }
 
@@ -195,7 +197,7 @@
     pub fn start(events: &[String]) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let journal = Self { address, events: Arc::default() };
+        let journal = Self { address, delay_ms: Arc::default(), events: Arc::default() };
         events.iter().for_each(|event| journal.publish(event));
         let serving = journal.clone();
         thread::spawn(move || {
@@ -242,6 +244,7 @@
                 query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
             };
             let (tail, wait) = (value("tail")? as usize, value("max_wait")?.min(5_000));
+            let asked = Instant::now();
             {
                 let (events, changed) = &*self.events;
                 let events = events.lock().ok()?;
@@ -250,6 +253,7 @@
                     .ok()?;
             }
             let page = self.page(tail);
+            thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::SeqCst)).saturating_sub(asked.elapsed()));
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}", page.len());
             (&mut &*stream).write_all(answer.as_bytes()).ok()?;
         }
