--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -486,6 +487,13 @@
 
 // ---- Routers.
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// A router that this test started; it is killed when it is dropped.
 pub struct Router {
     pub name: String,
@@ -536,6 +544,8 @@
         }
         let log = File::create(folder.join(format!("{name}.log")))?;
         command.stdout(log.try_clone()?).stderr(log);
+        // SAFETY: the call only sets the signal that the router gets if this program ends before it.
+        unsafe { command.pre_exec(|| if prctl(PR_SET_PDEATHSIG, SIGKILL) == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }) };
         let child = command.spawn()?;
         let mut router = Self { name: name.to_string(), address, child };
         router.until_ready()?;
