Log attempts that end while being written, and attempts that waited for a connection

Change: one line where an attempt ends in the middle of its message, with the bytes that were unwritten and whether they were written since; one where attempts are written that waited for their connection, with the wait. Both are held to the log's rate.

--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -1,6 +1,7 @@
 //! Ending attempts without a reply: cancelled, withdrawn from a queue, or timed out.
 
 use crate::event_handler::EventHandler;
+use crate::log::log_line;
 use crate::policy_adapter::{AttemptEnd, AttemptKey, EndpointKey, Ms, Ticket};
 
 use super::attempt_table::InFlightAttempt;
@@ -80,16 +81,48 @@
     /// Ends an attempt in flight without a reply, and cancels it at its endpoint if it may have been sent.
     pub(super) fn abandon(&mut self, now: Ms, attempt: AttemptKey, end: AttemptEnd) {
         let Some(in_flight) = self.attempts.remove(attempt) else { return };
+        let unwritten_bytes = self.partially_unwritten_bytes(&in_flight);
         let was_fully_sent = self.cancel_at_endpoint(now, attempt, &in_flight);
         let end = match end {
             AttemptEnd::TimedOut if was_fully_sent == Some(false) => AttemptEnd::NotSent,
             end => end,
         };
+        if let Some(unwritten_bytes) = unwritten_bytes {
+            self.log_ended_while_written(attempt, &in_flight, unwritten_bytes, end);
+        }
         self.complete(now, attempt, in_flight.endpoint, in_flight.sent_at, end);
         self.close_idle_if_silent(in_flight.endpoint, in_flight.sent_at);
         self.flush(now, in_flight.connection);
     }
 
+    /// The number of unwritten bytes of an attempt's message, if a part of it was written.
+    fn partially_unwritten_bytes(&self, in_flight: &InFlightAttempt) -> Option<usize> {
+        let connection = self.connections.get(&in_flight.connection)?;
+        connection.partially_unwritten_bytes(&in_flight.request_id)
+    }
+
+    /// Logs the end of an attempt whose message was written in part. `unwritten_bytes` is the size of the
+    /// other part when the attempt ended.
+    fn log_ended_while_written(
+        &self,
+        attempt: AttemptKey,
+        in_flight: &InFlightAttempt,
+        unwritten_bytes: usize,
+        end: AttemptEnd,
+    ) {
+        let is_open = self.connections.contains_key(&in_flight.connection);
+        let still_unwritten = self.partially_unwritten_bytes(in_flight);
+        log_line!(
+            upstream = %self.endpoint_label(in_flight.endpoint),
+            request = %in_flight.request_id,
+            attempt = attempt.number,
+            end = %end.name(),
+            unwritten_bytes,
+            written_since = is_open && still_unwritten.is_none(),
+            "attempt ended while its message was being written"
+        );
+    }
+
     /// Removes an attempt from its connection, or cancels it at the endpoint. Returns whether its last byte
     /// was written; `None` if its connection is already closed.
     fn cancel_at_endpoint(
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -196,6 +196,12 @@
         position.and_then(|position| self.queue.remove(position)).is_some()
     }
 
+    /// The number of unwritten bytes of the message with this id, if a part of it was written.
+    pub fn partially_unwritten_bytes(&self, id: &str) -> Option<usize> {
+        let is_current = self.writing_id.as_deref() == Some(id) && !self.output.is_empty();
+        is_current.then(|| self.output.len())
+    }
+
     /// Whether a cancellation is queued or only partially written.
     pub fn has_unsent_cancellation(&self) -> bool {
         let is_writing_one = !self.output.is_empty() && self.writing_id.is_none();
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -41,9 +41,24 @@
 
     /// Writes queued messages, however long they have been queued.
     pub fn write_queued(&mut self, now: Ms, id: ConnectionId) {
+        self.log_late_write(now, id);
         self.write(now, id, f64::NEG_INFINITY);
     }
 
+    /// Logs how long the next attempt was queued.
+    fn log_late_write(&self, now: Ms, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        let Some(next) = connection.queue.front().filter(|next| next.attempt.is_some()) else { return };
+        log_line!(
+            upstream = %self.endpoint_label(connection.endpoint),
+            request = %next.id.as_deref().unwrap_or_default(),
+            attempt = next.attempt.map(|attempt| attempt.number),
+            waited_ms = (now - next.queued_at).round(),
+            queued = connection.queue.len(),
+            "writing attempts that waited for their connection"
+        );
+    }
+
     /// Writes queued messages until the socket would block, but no attempt that was queued before `oldest`.
     fn write(&mut self, now: Ms, id: ConnectionId, oldest: Ms) {
         let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_up()) else {
