Never finish a message that was abandoned in part, so that "not sent" stays true

Cause: cancel_at_endpoint took the exchange off the connection, read from it that the message was not whole, and then wrote the rest with the cancellation behind it. Change: Connection::take_off decides once how much was written, and nothing of the attempt is written after that; a connection with an abandoned message takes no further one and closes once its exchanges have ended. Attempts that end together are all taken off before anything is written. It works because the endpoint can only execute a message whose last byte it gets, and that byte is dropped with the decision.

--- a/crates/router/src/upstream/attempt_table.rs
+++ b/crates/router/src/upstream/attempt_table.rs
@@ -39,6 +39,11 @@
         self.in_flight.insert(attempt, in_flight);
     }
 
+    /// The attempt, if it is in flight.
+    pub fn get(&self, attempt: AttemptKey) -> Option<&InFlightAttempt> {
+        self.in_flight.get(&attempt)
+    }
+
     /// Removes an attempt with its deadline.
     pub fn remove(&mut self, attempt: AttemptKey) -> Option<InFlightAttempt> {
         let in_flight = self.in_flight.remove(&attempt)?;
--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -1,4 +1,10 @@
 //! Ending attempts without a reply: cancelled, withdrawn from a queue, or timed out.
+//!
+//! An attempt counts as not sent only if its message can never become complete at the endpoint. So an
+//! abandoned message of which a part was written is not finished: nothing follows it on its connection, and
+//! the connection is closed once the exchanges before it have ended.
+
+use std::collections::BTreeSet;
 
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
@@ -6,7 +12,7 @@
 
 use super::attempt_table::InFlightAttempt;
 use super::codec;
-use super::connection::{ConnectionId, QueuedMessage, RequestedObject};
+use super::connection::{ConnectionId, QueuedMessage, RequestedObject, SendProgress};
 use super::Upstreams;
 
 /// A writable connection whose next attempt has been queued for longer than the client check interval.
@@ -20,7 +26,7 @@
 impl<W: EventHandler> Upstreams<W> {
     /// Cancels an attempt.
     pub fn cancel(&mut self, now: Ms, attempt: AttemptKey) {
-        self.abandon(now, attempt, AttemptEnd::Cancelled);
+        self.abandon_all(now, vec![attempt], AttemptEnd::Cancelled);
     }
 
     /// Withdraws queued attempts for a purged object or group: their age limit predates the purge.
@@ -39,16 +45,16 @@
     /// This is not a cancellation at an endpoint, which the settings may forbid: nothing was sent to a cache
     /// yet.
     pub fn withdraw_request(&mut self, now: Ms, ticket: Ticket) {
-        let is_queued = |attempt: AttemptKey, in_flight: &InFlightAttempt| {
-            let connection = self.connections.get(&in_flight.connection);
-            connection.is_some_and(|connection| connection.has_queued(attempt))
-        };
         let of_request = self.attempts.of_request(ticket);
-        let queued = of_request.filter(|(attempt, in_flight)| is_queued(*attempt, in_flight));
+        let queued = of_request.filter(|(attempt, in_flight)| self.is_queued(*attempt, in_flight));
         let queued: Vec<AttemptKey> = queued.map(|(attempt, _)| attempt).collect();
-        for attempt in queued {
-            self.abandon(now, attempt, AttemptEnd::Cancelled);
-        }
+        self.abandon_all(now, queued, AttemptEnd::Cancelled);
+    }
+
+    /// Whether no byte of an attempt was written.
+    fn is_queued(&self, attempt: AttemptKey, in_flight: &InFlightAttempt) -> bool {
+        let connection = self.connections.get(&in_flight.connection);
+        connection.is_some_and(|connection| connection.has_queued(attempt))
     }
 
     /// Withdraws queued attempts of which no byte was written.
@@ -64,9 +70,7 @@
             withdrawn.extend(matching.filter_map(|queued| queued.attempt));
         }
         withdrawn.sort_unstable();
-        for attempt in withdrawn {
-            self.abandon(now, attempt, end);
-        }
+        self.abandon_all(now, withdrawn, end);
     }
 
     /// The next stalled connection. The caller checks the clients of its requests before it has the queue
@@ -78,31 +82,39 @@
         Some(StalledConnection { id, tickets: attempts.map(|attempt| attempt.ticket).collect() })
     }
 
-    /// Ends an attempt in flight without a reply, and cancels it at its endpoint if it may have been sent.
-    pub(super) fn abandon(&mut self, now: Ms, attempt: AttemptKey, end: AttemptEnd) {
-        let Some(in_flight) = self.attempts.remove(attempt) else { return };
-        let unwritten_bytes = self.partially_unwritten_bytes(&in_flight);
-        let was_fully_sent = self.cancel_at_endpoint(now, attempt, &in_flight);
+    /// Ends attempts in flight without a reply, and cancels those at their endpoints that were sent.
+    ///
+    /// Queued ones are taken off first: none of them is written behind the cancellation of another one.
+    pub(super) fn abandon_all(&mut self, now: Ms, attempts: Vec<AttemptKey>, end: AttemptEnd) {
+        let is_queued = |attempt: &AttemptKey| {
+            self.attempts.get(*attempt).is_some_and(|in_flight| self.is_queued(*attempt, in_flight))
+        };
+        let (queued, written): (Vec<_>, Vec<_>) = attempts.into_iter().partition(is_queued);
+        let mut connections = BTreeSet::new();
+        for attempt in queued.into_iter().chain(written) {
+            connections.extend(self.end_without_reply(now, attempt, end));
+        }
+        for id in connections {
+            self.flush(now, id);
+        }
+    }
+
+    /// Ends an attempt in flight, and returns its connection; `None` if the attempt is not in flight.
+    fn end_without_reply(&mut self, now: Ms, attempt: AttemptKey, end: AttemptEnd) -> Option<ConnectionId> {
+        let in_flight = self.attempts.remove(attempt)?;
+        let progress = self.take_off(now, attempt, &in_flight);
         let end = match end {
-            AttemptEnd::TimedOut if was_fully_sent == Some(false) => AttemptEnd::NotSent,
+            AttemptEnd::TimedOut if progress != SendProgress::Sent => AttemptEnd::NotSent,
             end => end,
         };
-        if let Some(unwritten_bytes) = unwritten_bytes {
+        if let SendProgress::Partial { unwritten_bytes } = progress {
             self.log_ended_while_written(attempt, &in_flight, unwritten_bytes, end);
         }
         self.complete(now, attempt, in_flight.endpoint, in_flight.sent_at, end);
         self.close_idle_if_silent(in_flight.endpoint, in_flight.sent_at);
-        self.flush(now, in_flight.connection);
+        Some(in_flight.connection)
     }
 
-    /// The number of unwritten bytes of an attempt's message, if a part of it was written.
-    fn partially_unwritten_bytes(&self, in_flight: &InFlightAttempt) -> Option<usize> {
-        let connection = self.connections.get(&in_flight.connection)?;
-        connection.partially_unwritten_bytes(&in_flight.request_id)
-    }
-
-    /// Logs the end of an attempt whose message was written in part. `unwritten_bytes` is the size of the
-    /// other part when the attempt ended.
     fn log_ended_while_written(
         &self,
         attempt: AttemptKey,
@@ -110,47 +122,55 @@
         unwritten_bytes: usize,
         end: AttemptEnd,
     ) {
-        let is_open = self.connections.contains_key(&in_flight.connection);
-        let still_unwritten = self.partially_unwritten_bytes(in_flight);
         log_line!(
             upstream = %self.endpoint_label(in_flight.endpoint),
             request = %in_flight.request_id,
             attempt = attempt.number,
             end = %end.name(),
             unwritten_bytes,
-            written_since = is_open && still_unwritten.is_none(),
             "attempt ended while its message was being written"
         );
     }
 
-    /// Removes an attempt from its connection, or cancels it at the endpoint. Returns whether its last byte
-    /// was written; `None` if its connection is already closed.
-    fn cancel_at_endpoint(
-        &mut self,
-        now: Ms,
-        attempt: AttemptKey,
-        in_flight: &InFlightAttempt,
-    ) -> Option<bool> {
+    /// Takes an attempt off its connection, and cancels it at the endpoint if it was sent. Returns how much
+    /// of it was written: no more of it is written afterwards.
+    fn take_off(&mut self, now: Ms, attempt: AttemptKey, in_flight: &InFlightAttempt) -> SendProgress {
         let endpoint = self.endpoints.get(&in_flight.endpoint);
         let is_silent = endpoint.is_none_or(|endpoint| endpoint.last_activity < in_flight.sent_at);
-        let connection = self.connections.get_mut(&in_flight.connection)?;
-        let exchange = connection.open.remove(&in_flight.request_id);
-        let was_fully_sent = exchange.is_some_and(|exchange| exchange.fully_sent);
-        if connection.remove_queued(attempt) {
-            // No byte of it was written: there is nothing to cancel.
-        } else if connection.open.is_empty() {
-            self.remove(in_flight.connection);
-        } else if is_silent {
+        let id = in_flight.connection;
+        // Without its connection, it is not known how much of the attempt was written.
+        let Some(connection) = self.connections.get_mut(&id) else { return SendProgress::Sent };
+        let progress = connection.take_off(attempt, &in_flight.request_id);
+        match progress {
+            SendProgress::Queued => {}
+            _ if connection.open.is_empty() => _ = self.remove(id),
             // An endpoint from which nothing was received since the attempt was sent would not read a
             // cancellation either: the connection is closed, with all that is open on it.
-            self.close(now, in_flight.connection, "endpoint is silent");
-        } else {
-            connection.draining = true;
-            let bytes = codec::encode_cancellation(&self.buffers, &in_flight.request_id);
-            connection.queue.push_front(QueuedMessage::control(None, now, bytes));
-            self.flush(now, in_flight.connection);
-            self.close_if_cancellation_unsent(now, in_flight.connection);
+            _ if is_silent => self.close(now, id, "endpoint is silent"),
+            SendProgress::Partial { .. } => self.withdraw_unwritable(now, id),
+            SendProgress::Sent => self.cancel_at_endpoint(now, id, &in_flight.request_id),
+        }
+        progress
+    }
+
+    /// Cancels a request at its endpoint. Its connection is closed if the cancellation can't be written at
+    /// once.
+    fn cancel_at_endpoint(&mut self, now: Ms, id: ConnectionId, request_id: &str) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.draining = true;
+        let bytes = codec::encode_cancellation(&self.buffers, request_id);
+        connection.queue.push_front(QueuedMessage::control(None, now, bytes));
+        self.flush(now, id);
+        self.close_if_cancellation_unsent(now, id);
+    }
+
+    /// Ends the messages that were queued behind an abandoned one of which a part was written.
+    fn withdraw_unwritable(&mut self, now: Ms, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let endpoint = connection.endpoint;
+        for exchange in connection.take_unwritable() {
+            self.end_exchange(now, endpoint, &exchange);
         }
-        Some(was_fully_sent)
+        self.close_if_drained(id);
     }
 }
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -67,6 +67,19 @@
     pub fully_sent: bool,
 }
 
+/// How much of an attempt was handed to the system when it was taken off its connection. No byte of it is
+/// written after that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SendProgress {
+    Queued,
+    /// A part of it: the endpoint never receives the rest, and can't execute it.
+    Partial {
+        unwritten_bytes: usize,
+    },
+    /// All of it: the endpoint may execute it.
+    Sent,
+}
+
 impl Exchange {
     /// The exchange of a message that was just queued.
     pub fn new(owner: ExchangeOwner) -> Self {
@@ -96,6 +109,8 @@
     /// The unwritten rest of the current message; `writing_id` is the id of its exchange.
     output: BufferChain,
     writing_id: Option<String>,
+    /// The current message was abandoned, so that the endpoint would take any further byte for a part of it.
+    is_write_stopped: bool,
     /// Messages without a reply, by id.
     pub open: HashMap<String, Exchange>,
     /// Ids that were answered with an error on this connection: a second reply may follow, and would be
@@ -127,6 +142,7 @@
             queue: VecDeque::new(),
             output: BufferChain::new(buffers),
             writing_id: None,
+            is_write_stopped: false,
             open: HashMap::new(),
             retired_ids: HashSet::new(),
             last_used: now,
@@ -191,15 +207,40 @@
     }
 
     /// Removes a queued attempt; returns false if it is not queued.
-    pub fn remove_queued(&mut self, attempt: AttemptKey) -> bool {
+    fn remove_queued(&mut self, attempt: AttemptKey) -> bool {
         let position = self.queue.iter().position(|queued| queued.attempt == Some(attempt));
         position.and_then(|position| self.queue.remove(position)).is_some()
     }
 
-    /// The number of unwritten bytes of the message with this id, if a part of it was written.
-    pub fn partially_unwritten_bytes(&self, id: &str) -> Option<usize> {
+    /// Takes an attempt off the connection, with its exchange. If it was written in part, nothing more is
+    /// written to the connection: its other exchanges may still be answered.
+    pub fn take_off(&mut self, attempt: AttemptKey, id: &str) -> SendProgress {
+        let exchange = self.open.remove(id);
+        if exchange.is_some_and(|exchange| exchange.fully_sent) {
+            return SendProgress::Sent;
+        }
+        if self.remove_queued(attempt) {
+            return SendProgress::Queued;
+        }
         let is_current = self.writing_id.as_deref() == Some(id) && !self.output.is_empty();
-        is_current.then(|| self.output.len())
+        if !is_current {
+            return SendProgress::Sent;
+        }
+        self.draining = true;
+        self.is_write_stopped = true;
+        self.writing_id = None;
+        let unwritten_bytes = self.output.len();
+        self.output.consume(unwritten_bytes);
+        SendProgress::Partial { unwritten_bytes }
+    }
+
+    /// Takes off the messages that can't be written any more because the one before them was abandoned.
+    pub fn take_unwritable(&mut self) -> Vec<Exchange> {
+        if !self.is_write_stopped {
+            return Vec::new();
+        }
+        let queue = std::mem::take(&mut self.queue);
+        queue.into_iter().filter_map(|queued| self.open.remove(&queued.id?)).collect()
     }
 
     /// Whether a cancellation is queued or only partially written.
@@ -237,6 +278,9 @@
     ///
     /// Errors of the system.
     pub fn write(&mut self, oldest: Ms) -> io::Result<WriteProgress> {
+        if self.is_write_stopped {
+            return Ok(WriteProgress::Done);
+        }
         loop {
             if self.output.is_empty() {
                 self.finish_message();
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -183,8 +183,8 @@
         }
     }
 
-    /// Ends an exchange whose connection is closed.
-    fn end_exchange(&mut self, now: Ms, key: EndpointKey, exchange: &Exchange) {
+    /// Ends an exchange whose connection is closed, or is not written any more.
+    pub(super) fn end_exchange(&mut self, now: Ms, key: EndpointKey, exchange: &Exchange) {
         let attempt = match exchange.owner {
             ExchangeOwner::HealthCheck => return self.health_checks.fail(key),
             ExchangeOwner::Attempt(attempt) => attempt,
--- a/crates/router/src/upstream/timers.rs
+++ b/crates/router/src/upstream/timers.rs
@@ -25,9 +25,8 @@
     /// Ends attempts, health checks and connects that timed out, withdraws attempts that were queued too
     /// long, and closes idle connections.
     pub fn on_timer(&mut self, now: Ms) {
-        while let Some(attempt) = self.attempts.pop_overdue(now) {
-            self.abandon(now, attempt, AttemptEnd::TimedOut);
-        }
+        let overdue = std::iter::from_fn(|| self.attempts.pop_overdue(now)).collect();
+        self.abandon_all(now, overdue, AttemptEnd::TimedOut);
         self.time_out_health_checks(now);
         // The decisions behind messages that were queued for so long are outdated.
         let oldest = now - self.limits.upstreams.connect_timeout_ms;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 pub mod pending_connections;
+pub mod slow_origin;
 pub mod timestamped_server;
 
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/router/tests/effects.rs
@@ -0,0 +1,102 @@
+//! No effect happens twice: what the router reports as never executed was not executed, and no request is
+//! repeated once its endpoint may have forgotten its key. With the built program.
+
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use common::pending_connections::*;
+use common::slow_origin::{ReadPace, SlowOrigin};
+use common::*;
+use linnethook_quickstart::{Client, Journal};
+use serde_json::json;
+use socket2::SockRef;
+
+/// The size of the system's send buffer that the router requests for a connection.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
+/// The id of the request with this number.
+fn id_of(n: usize) -> String {
+    format!("{:016x}", n + 1)
+}
+
+/// How many bytes a connection to a server that reads nothing takes.
+fn connection_capacity(address: SocketAddr) -> usize {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES).expect("a small buffer");
+    stream.set_nonblocking(true).expect("writes don't block");
+    let mut written = 0;
+    while let Ok(n) = stream.write(&[0; 16 << 10]) {
+        written += n;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    written
+}
+
+/// Guards against a booking that is rejected although the origin executes it: it timed out while a part of
+/// its message was written, and the rest was written afterwards.
+#[test]
+fn a_booking_that_times_out_while_it_is_written_is_not_executed_after_its_rejection() {
+    /// With this limit the router opens 16 connections to one endpoint.
+    const DESCRIPTORS: usize = 128;
+    const CONNECTIONS: usize = 16;
+    const CLIENTS: usize = 8;
+    const MAX_BODY_BYTES: usize = 48_000;
+    /// The share of the last message that fits into the buffers of a connection.
+    const WRITTEN_RATIO: f64 = 0.8;
+    /// The origin reads nothing for this time, and then slowly.
+    const PAUSE: Duration = Duration::from_millis(1_250);
+    const SLOW: Duration = Duration::from_millis(1_000);
+    const PATIENT_DEADLINE_MS: usize = 20_000;
+    /// The first impatient client gives up before the origin reads again, the others one after another.
+    const IMPATIENT_DEADLINE_MS: usize = 1_200;
+    const DEADLINE_STEP_MS: usize = 30;
+
+    let (a, b, parent, origin) = (echo("a"), echo("b"), echo("parent"), SlowOrigin::start());
+    let targets = ready_endpoints(a.address, b.address, parent.address, origin.address);
+    let events = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
+    let journal = Journal::start("127.0.0.1:0", events).expect("the journal listens");
+    let change = |config: &mut serde_json::Value| {
+        extend_timeouts(config);
+        config["limits"]["sockets"] = json!(DESCRIPTORS);
+        config["settings"]["grades"][2]["deadline"] = json!(PATIENT_DEADLINE_MS);
+    };
+    let router = Router::start_with(&journal, change, Some("log(lines_per_second = 10000)"), None);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| router.client()).collect();
+
+    origin.set_pace(ReadPace::Paused);
+    // On each connection, the messages of patient clients are written completely, the next one in part.
+    let capacity = connection_capacity(origin.address) as f64;
+    let patient = (capacity / MAX_BODY_BYTES as f64 - WRITTEN_RATIO).ceil();
+    let body = vec![7; (capacity / (patient + WRITTEN_RATIO)) as usize];
+    let (patient, all) = (patient as usize * CONNECTIONS, (patient as usize + 1) * CONNECTIONS);
+    for n in 0..all {
+        let impatient = n.checked_sub(patient).map(|place| IMPATIENT_DEADLINE_MS + place * DEADLINE_STEP_MS);
+        let deadline = impatient.unwrap_or(PATIENT_DEADLINE_MS).to_string();
+        clients[n % CLIENTS].ask(n as u32 + 1, &booking(&id_of(n), &deadline), &body).expect("sent");
+    }
+    std::thread::sleep(PAUSE);
+    origin.set_pace(ReadPace::Slow);
+    std::thread::sleep(SLOW);
+    origin.set_pace(ReadPace::Unlimited);
+
+    let mut rejected = Vec::new();
+    for client in &mut clients {
+        for _ in 0..all / CLIENTS {
+            let answer = client.read().expect("an answer to each request");
+            if answer.code == REJECTED {
+                rejected.push(id_of(answer.stream as usize - 1));
+            }
+        }
+    }
+    // What was written to the origin is executed by then.
+    std::thread::sleep(Duration::from_millis(500));
+    let executed = origin.executed();
+    let untrue: Vec<&String> = rejected.iter().filter(|id| executed.contains(id)).collect();
+    assert!(untrue.is_empty(), "{} of {} rejected bookings ran: {untrue:?}", untrue.len(), rejected.len());
+    let (_, log) = router.counters();
+    let ended_in_part = log.iter().filter(|line| line.contains("while its message was being written"));
+    assert!(ended_in_part.count() > 0, "no message was written in part when its attempt ended: {log:?}");
+}
