Send no repeat after the window of its key, however long it waited for a connection

Cause: may_repeat_at checked the window when the repeat was ordered; the order did not carry it, and the repeat was written when its connection came up (logged: 1,007 to 1,031 ms after the order). Change: the actions that order an attempt carry send_by; the router ends an attempt that is not sent completely by then as not sent, by a timer and before each write. A message written in part is never finished. It works since all ways to a socket pass Upstreams::send or Upstreams::write.

--- a/crates/adapter/src/codec/encode.rs
+++ b/crates/adapter/src/codec/encode.rs
@@ -36,14 +36,14 @@
     /// Adds an action of an instance. The protocol has no field for the reason of a rejection or failure.
     pub fn push(&mut self, instance: Instance, action: &Action) {
         match action {
-            Action::Forward { request, endpoint, timeout } => {
+            Action::Forward { request, endpoint, timeout, .. } => {
                 self.record(code::FORWARD, instance, |out| {
                     out.extend(request.0.to_le_bytes());
                     out.extend(timeout.to_le_bytes());
                     out.extend(address(*endpoint));
                 });
             }
-            Action::ForwardWithFill { request, endpoint, timeout, fill } => {
+            Action::ForwardWithFill { request, endpoint, timeout, fill, .. } => {
                 self.record(code::FORWARD_WITH_FILL, instance, |out| {
                     out.extend(request.0.to_le_bytes());
                     out.extend(address(*endpoint));
--- a/crates/adapter/tests/unit/codec.rs
+++ b/crates/adapter/tests/unit/codec.rs
@@ -254,7 +254,7 @@
 #[test]
 fn every_action_is_encoded() {
     let request = RequestId(42);
-    let forward = Action::Forward { request, endpoint: CACHE, timeout: 80.0 };
+    let forward = Action::Forward { request, endpoint: CACHE, timeout: 80.0, send_by: None };
     assert_eq!(fields_of(&forward), (1000, empty().u64(42).f64(80.0).cache().0));
     let (max_age, max_stale_age) = (360.0, 0.0);
     let fill = FillInstruction {
@@ -266,7 +266,8 @@
         only_if_cached: false,
         revalidate: true,
     };
-    let with_fill = |fill| Action::ForwardWithFill { request, endpoint: CACHE, timeout: 80.0, fill };
+    let with_fill =
+        |fill| Action::ForwardWithFill { request, endpoint: CACHE, timeout: 80.0, send_by: None, fill };
     let fields = |bits| empty().u64(42).cache().f64(80.0).cache().u8(2).f64(360.0).u8(bits).0;
     assert_eq!(fields_of(&with_fill(fill)), (1120, fields(9)));
     let cached = FillInstruction { coalesce: false, only_if_cached: true, revalidate: false, ..fill };
--- a/crates/model/src/baselines.rs
+++ b/crates/model/src/baselines.rs
@@ -168,7 +168,7 @@
             only_if_cached: false,
             revalidate: false,
         };
-        vec![Action::ForwardWithFill { request: id, endpoint: cache, timeout, fill }]
+        vec![Action::ForwardWithFill { request: id, endpoint: cache, timeout, send_by: None, fill }]
     }
 
     fn choose_cache(&mut self, object: u64, caches: &[EndpointId]) -> Option<EndpointId> {
--- a/crates/model/src/cold/routers.rs
+++ b/crates/model/src/cold/routers.rs
@@ -10,10 +10,10 @@
     pub(super) fn notify_policy(&mut self, router: usize, event: &PolicyEvent) {
         for action in self.policies[router].handle(self.now, event) {
             match action {
-                Action::Forward { request, endpoint: cache, timeout } => {
+                Action::Forward { request, endpoint: cache, timeout, .. } => {
                     self.send(router, request, cache, timeout, None)
                 }
-                Action::ForwardWithFill { request, endpoint: cache, timeout, fill } => {
+                Action::ForwardWithFill { request, endpoint: cache, timeout, fill, .. } => {
                     self.send(router, request, cache, timeout, Some(fill));
                 }
                 Action::CancelAttempt(id) => {
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -508,10 +508,10 @@
                 Action::SetTimer { at, token } => {
                     self.queue.add(micros(at), Event::PolicyTimer(router, token))
                 }
-                Action::Forward { request, endpoint: cache, timeout } => {
+                Action::Forward { request, endpoint: cache, timeout, .. } => {
                     self.send(now, request, cache, timeout, None)
                 }
-                Action::ForwardWithFill { request, endpoint: cache, timeout, fill } => {
+                Action::ForwardWithFill { request, endpoint: cache, timeout, fill, .. } => {
                     self.send(now, request, cache, timeout, Some(fill));
                 }
                 Action::CancelAttempt(AttemptId { request, number }) => {
--- a/crates/router/src/policy_adapter/actions.rs
+++ b/crates/router/src/policy_adapter/actions.rs
@@ -74,6 +74,8 @@
         endpoint: EndpointKey,
         /// The timeout, in milliseconds.
         timeout: Ms,
+        /// The time at which it may no longer be sent; `None` for no such limit.
+        send_by: Option<Ms>,
         /// How the endpoint fills a miss.
         fill: FillSpec,
     },
--- a/crates/router/src/policy_adapter/mod.rs
+++ b/crates/router/src/policy_adapter/mod.rs
@@ -287,11 +287,13 @@
     /// The command for an action of the policy; `None` if the router has nothing to do.
     fn command(&mut self, now: Ms, action: Action) -> Option<PolicyCommand> {
         match action {
-            Action::Forward { request, endpoint, timeout } => {
-                self.send(now, request, endpoint, timeout, FillSpec::NO_FILL)
+            Action::Forward { request, endpoint, timeout, send_by } => {
+                let timeout = self.attempt_timeout(now, request, timeout)?;
+                self.send(request, endpoint, timeout, send_by, FillSpec::NO_FILL)
             }
-            Action::ForwardWithFill { request, endpoint, timeout, fill } => {
-                self.send(now, request, endpoint, timeout, FillSpec::new(endpoint, &fill))
+            Action::ForwardWithFill { request, endpoint, timeout, send_by, fill } => {
+                let timeout = self.attempt_timeout(now, request, timeout)?;
+                self.send(request, endpoint, timeout, send_by, FillSpec::new(endpoint, &fill))
             }
             Action::CancelAttempt(id) => Some(PolicyCommand::Cancel(id.into())),
             Action::Reject { request, retry_after, .. } => {
@@ -309,22 +311,26 @@
         }
     }
 
-    /// The command to send an attempt. Its timeout is limited to the remaining time of the request; `timeout`
-    /// 0 stands for all of that.
+    /// The timeout of an attempt, limited to the remaining time of its request; `timeout` 0 stands for all of
+    /// that. `None` if the request has its final answer.
+    fn attempt_timeout(&self, now: Ms, request: RequestId, timeout: Ms) -> Option<Ms> {
+        let left = self.pending.get(&request.0)?.deadline - now;
+        Some(if timeout == 0.0 { left } else { timeout.min(left) })
+    }
+
+    /// The command to send an attempt; `None` if its request has its final answer.
     fn send(
         &mut self,
-        now: Ms,
         request: RequestId,
         endpoint: EndpointId,
         timeout: Ms,
+        send_by: Option<Ms>,
         fill: FillSpec,
     ) -> Option<PolicyCommand> {
         let pending = self.pending.get_mut(&request.0)?;
-        let left = pending.deadline - now;
-        let timeout = if timeout == 0.0 { left } else { timeout.min(left) };
         let attempt = AttemptKey { ticket: request.0, number: pending.attempts };
         pending.attempts += 1;
-        Some(PolicyCommand::Send { attempt, endpoint: endpoint.into(), timeout, fill })
+        Some(PolicyCommand::Send { attempt, endpoint: endpoint.into(), timeout, send_by, fill })
     }
 
     /// The command for the final answer of a request; `None` if it was already answered.
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -97,8 +97,8 @@
         let mut payload = Some(payload);
         for command in commands {
             match command {
-                PolicyCommand::Send { attempt, endpoint, timeout, fill } => {
-                    self.send(now, AttemptOrder { attempt, endpoint, timeout, fill });
+                PolicyCommand::Send { attempt, endpoint, timeout, send_by, fill } => {
+                    self.send(now, AttemptOrder { attempt, endpoint, timeout, send_by, fill });
                 }
                 PolicyCommand::Cancel(attempt) => self.cancel(now, attempt),
                 PolicyCommand::Answer { ticket, answer } => {
--- a/crates/router/src/upstream/attempt.rs
+++ b/crates/router/src/upstream/attempt.rs
@@ -28,6 +28,9 @@
     pub endpoint: EndpointKey,
     /// The timeout of the attempt, in milliseconds.
     pub timeout: Ms,
+    /// The time at which the attempt may no longer be sent: if it is not sent completely by then, it ends as
+    /// not sent.
+    pub send_by: Option<Ms>,
     pub fill: FillSpec,
 }
 
--- a/crates/router/src/upstream/attempt_table.rs
+++ b/crates/router/src/upstream/attempt_table.rs
@@ -16,6 +16,8 @@
     pub request_id: String,
     pub sent_at: Ms,
     pub deadline: Ms,
+    /// The time by which it has to be sent completely, if there is one.
+    pub send_by: Option<Ms>,
     /// The tag of the client's own copy, if it has one.
     pub client_copy: Option<String>,
 }
@@ -25,6 +27,8 @@
 pub(super) struct AttemptTable {
     in_flight: BTreeMap<AttemptKey, InFlightAttempt>,
     deadlines: DeadlineQueue<AttemptKey>,
+    /// The times by which attempts have to be sent; they stay in the queue after that.
+    send_deadlines: DeadlineQueue<AttemptKey>,
 }
 
 impl AttemptTable {
@@ -36,6 +40,9 @@
     /// Adds an attempt with its deadline.
     pub fn insert(&mut self, attempt: AttemptKey, in_flight: InFlightAttempt) {
         self.deadlines.insert(in_flight.deadline, attempt);
+        if let Some(send_by) = in_flight.send_by {
+            self.send_deadlines.insert(send_by, attempt);
+        }
         self.in_flight.insert(attempt, in_flight);
     }
 
@@ -48,6 +55,9 @@
     pub fn remove(&mut self, attempt: AttemptKey) -> Option<InFlightAttempt> {
         let in_flight = self.in_flight.remove(&attempt)?;
         self.deadlines.remove(in_flight.deadline, attempt);
+        if let Some(send_by) = in_flight.send_by {
+            self.send_deadlines.remove(send_by, attempt);
+        }
         Some(in_flight)
     }
 
@@ -59,7 +69,12 @@
 
     /// The earliest deadline, in milliseconds.
     pub fn next_deadline(&self) -> Option<Ms> {
-        self.deadlines.next()
+        self.deadlines.next().into_iter().chain(self.send_deadlines.next()).reduce(Ms::min)
+    }
+
+    /// The next attempt that had to be sent by now, whether or not it was.
+    pub fn pop_send_overdue(&mut self, now: Ms) -> Option<AttemptKey> {
+        self.send_deadlines.pop_overdue(now)
     }
 
     /// The next attempt whose deadline has passed. The deadline is removed, the attempt stays in the table.
--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -57,6 +57,33 @@
         connection.is_some_and(|connection| connection.has_queued(attempt))
     }
 
+    /// Ends the attempts that had to be sent completely by now and were not.
+    pub(super) fn withdraw_unsendable(&mut self, now: Ms) {
+        let due: Vec<AttemptKey> = std::iter::from_fn(|| self.attempts.pop_send_overdue(now)).collect();
+        let unsent: Vec<AttemptKey> =
+            due.into_iter().filter(|attempt| !self.is_fully_sent(*attempt)).collect();
+        for attempt in &unsent {
+            let Some(in_flight) = self.attempts.get(*attempt) else { continue };
+            log_line!(
+                upstream = %self.endpoint_label(in_flight.endpoint),
+                request = %in_flight.request_id,
+                attempt = attempt.number,
+                waited_ms = (now - in_flight.sent_at).round(),
+                "a repeat was not sent before the window of its key ended"
+            );
+        }
+        self.abandon_all(now, unsent, AttemptEnd::TimedOut);
+    }
+
+    /// Whether the last byte of an attempt was written.
+    fn is_fully_sent(&self, attempt: AttemptKey) -> bool {
+        let in_flight = self.attempts.get(attempt);
+        let exchange = in_flight.and_then(|in_flight| {
+            self.connections.get(&in_flight.connection)?.open.get(&in_flight.request_id)
+        });
+        exchange.is_some_and(|exchange| exchange.fully_sent)
+    }
+
     /// Withdraws queued attempts of which no byte was written.
     pub(super) fn withdraw(
         &mut self,
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -13,7 +13,7 @@
 
 impl<W: EventHandler> Upstreams<W> {
     /// Queues an attempt on a connection to its endpoint, and writes as much as possible. Without a
-    /// connection it completes as not sent.
+    /// connection, or if it may no longer be sent, it completes as not sent.
     pub fn send(
         &mut self,
         now: Ms,
@@ -21,7 +21,10 @@
         message: &RequestMessage,
         fill_path: Option<&FillPath>,
     ) {
-        let AttemptOrder { attempt, endpoint, timeout, ref fill } = *order;
+        let AttemptOrder { attempt, endpoint, timeout, send_by, ref fill } = *order;
+        if send_by.is_some_and(|send_by| now >= send_by) {
+            return self.complete(now, attempt, endpoint, now, AttemptEnd::NotSent);
+        }
         let Some(id) = self.connection_for(now, endpoint, &message.id) else {
             log_line!(
                 upstream = %self.endpoint_label(endpoint),
@@ -52,6 +55,7 @@
             request_id: message.id.clone(),
             sent_at: now,
             deadline: now + timeout.max(0.0),
+            send_by,
             client_copy: message.client_copy.clone(),
         };
         self.attempts.insert(attempt, in_flight);
--- a/crates/router/src/upstream/timers.rs
+++ b/crates/router/src/upstream/timers.rs
@@ -27,6 +27,7 @@
     pub fn on_timer(&mut self, now: Ms) {
         let overdue = std::iter::from_fn(|| self.attempts.pop_overdue(now)).collect();
         self.abandon_all(now, overdue, AttemptEnd::TimedOut);
+        self.withdraw_unsendable(now);
         self.time_out_health_checks(now);
         // The decisions behind messages that were queued for so long are outdated.
         let oldest = now - self.limits.upstreams.connect_timeout_ms;
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -61,6 +61,7 @@
 
     /// Writes queued messages until the socket would block, but no attempt that was queued before `oldest`.
     fn write(&mut self, now: Ms, id: ConnectionId, oldest: Ms) {
+        self.withdraw_unsendable(now);
         let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_up()) else {
             return;
         };
--- a/crates/router/tests/effects.rs
+++ b/crates/router/tests/effects.rs
@@ -3,13 +3,15 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use common::late_listener::LateListener;
 use common::pending_connections::*;
 use common::slow_origin::{ReadPace, SlowOrigin};
 use common::*;
+use linnethook_quickstart::cache::array;
 use linnethook_quickstart::{Client, Journal};
 use serde_json::json;
 use socket2::SockRef;
@@ -100,3 +102,54 @@
     let ended_in_part = log.iter().filter(|line| line.contains("while its message was being written"));
     assert!(ended_in_part.count() > 0, "no message was written in part when its attempt ended: {log:?}");
 }
+
+/// Guards against a booking that is executed twice: its repeat was ordered within the window of its key, and
+/// was sent after it, as the connection came up late.
+#[test]
+fn a_repeat_that_waits_for_a_connection_is_not_sent_after_the_window_of_its_key() {
+    const WINDOW: Duration = Duration::from_millis(1_000);
+    /// When the connection of the first attempt is reset, counted from its arrival.
+    const RESET_AFTER: Duration = Duration::from_millis(400);
+    /// New connections to the origin are pending until this long after the window.
+    const HELD_AFTER_WINDOW: Duration = Duration::from_millis(200);
+    /// The final answer is due when the window has ended.
+    const ANSWER_DUE: Duration = Duration::from_millis(1_500);
+
+    let (a, b, parent) = (echo("a"), echo("b"), echo("parent"));
+    let mut origin = LateListener::new();
+    let targets = ready_endpoints(a.address, b.address, parent.address, origin.address);
+    let events = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
+    let journal = Journal::start("127.0.0.1:0", events).expect("the journal listens");
+    let change = |config: &mut serde_json::Value| {
+        extend_timeouts(config);
+        let class = &mut config["settings"]["grades"][2];
+        class["effect"] = json!("idempotency_key");
+        class["dedup-scope"] = json!("all");
+        class["window"] = json!(WINDOW.as_millis() as u64);
+        class["deadline"] = json!(10_000);
+    };
+    let router = Router::start_with(&journal, change, None, None);
+    let mut client = router.client();
+    client.ask(1, &booking(&id_of(0), "10000"), b"pay").expect("sent");
+    let first = origin.accept_within(Duration::from_secs(5)).expect("a connection");
+    let command = array(&mut BufReader::new(&first)).expect("a request");
+    assert_eq!(command[0], b"ASK");
+    let arrived = Instant::now();
+
+    std::thread::sleep(RESET_AFTER);
+    origin.hold();
+    SockRef::from(&first).set_linger(Some(Duration::ZERO)).expect("closing resets the connection");
+    drop(first);
+    let answered = std::thread::spawn(move || (client.read().expect("an answer").code, arrived.elapsed()));
+    std::thread::sleep(WINDOW - RESET_AFTER + HELD_AFTER_WINDOW);
+    origin.release();
+    while let Some(stream) = origin.accept_within(Duration::from_millis(1_500)) {
+        stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+        let late = array(&mut BufReader::new(stream));
+        assert!(late.is_err(), "repeated {:?} after its first attempt: {late:?}", arrived.elapsed());
+    }
+    let (code, answered_after) = answered.join().expect("the client reads its answer");
+    assert_eq!(code, REJECTED, "all endpoints recognise the key");
+    assert!(answered_after < ANSWER_DUE, "answered after {answered_after:?}");
+    router.wait_for_log("a repeat was not sent before the window of its key ended");
+}
--- a/crates/router/tests/unit/policy_adapter.rs
+++ b/crates/router/tests/unit/policy_adapter.rs
@@ -48,7 +48,7 @@
 
 fn sent(commands: &[PolicyCommand]) -> Option<(AttemptKey, EndpointKey, Ms, FillSpec)> {
     commands.iter().find_map(|command| match command {
-        PolicyCommand::Send { attempt, endpoint, timeout, fill } => {
+        PolicyCommand::Send { attempt, endpoint, timeout, fill, .. } => {
             Some((*attempt, *endpoint, *timeout, *fill))
         }
         _ => None,
--- a/crates/shadow-policy/src/comparison.rs
+++ b/crates/shadow-policy/src/comparison.rs
@@ -105,10 +105,10 @@
     /// The request that an action decides about, and the decision; `None` for other actions.
     pub fn from_action(action: &Action) -> Option<(RequestId, Self)> {
         match *action {
-            Action::Forward { request, endpoint, timeout } => {
+            Action::Forward { request, endpoint, timeout, .. } => {
                 Some((request, Self::Forward { endpoint, fill: None, timeout }))
             }
-            Action::ForwardWithFill { request, endpoint, timeout, fill } => {
+            Action::ForwardWithFill { request, endpoint, timeout, fill, .. } => {
                 Some((request, Self::Forward { endpoint, fill: Some(fill), timeout }))
             }
             Action::Reject { request, retry_after, .. } => Some((request, Self::Reject { retry_after })),
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -82,6 +82,9 @@
         endpoint: EndpointId,
         /// Time after which the attempt ends as timed out.
         timeout: Ms,
+        /// Time at which the attempt may no longer be sent: one that is not sent completely by then ends as
+        /// not sent. `None` if it may be sent at any time.
+        send_by: Option<Ms>,
     },
     /// Forward the request; the endpoint fills a missing copy as instructed.
     ForwardWithFill {
@@ -91,6 +94,8 @@
         endpoint: EndpointId,
         /// Time after which the attempt ends as timed out.
         timeout: Ms,
+        /// As in [`Action::Forward`].
+        send_by: Option<Ms>,
         /// How the endpoint fills a missing copy.
         fill: FillInstruction,
     },
--- a/src/policy/request_flow.rs
+++ b/src/policy/request_flow.rs
@@ -91,6 +91,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let copy_key = self.copy_key(&request.request);
         let is_known = self.is_known_copy(route.endpoint, copy_key);
+        let send_by = self.repeat_deadline(request);
         let attempt = self.attempt_record(request, &route, latency_objective, copy_key, is_known);
         self.spend_slow_start_budgets(&attempt, is_known);
         self.record_attempt_sent(&attempt);
@@ -100,7 +101,7 @@
         request.attempts_sent += 1;
         request.attempts_in_flight += 1;
         request.fill_denied = route.fill_denied;
-        self.actions.push(forward_action(id, route.endpoint, timeout, route.fill));
+        self.actions.push(forward_action(id, route.endpoint, timeout, send_by, route.fill));
     }
 
     fn attempt_record(
@@ -212,10 +213,11 @@
     request: RequestId,
     endpoint: EndpointId,
     timeout: Ms,
+    send_by: Option<Ms>,
     fill: Option<FillInstruction>,
 ) -> Action {
     match fill {
-        None => Action::Forward { request, endpoint, timeout },
-        Some(fill) => Action::ForwardWithFill { request, endpoint, timeout, fill },
+        None => Action::Forward { request, endpoint, timeout, send_by },
+        Some(fill) => Action::ForwardWithFill { request, endpoint, timeout, send_by, fill },
     }
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -95,17 +95,32 @@
         if request.attempts_in_flight > 0 && !may_run_parallel {
             return false;
         }
-        let Some((sent_at, first)) = request.may_have_executed else { return true };
+        let Some((_, first)) = request.may_have_executed else { return true };
         match idempotence {
             Idempotence::Idempotent => true,
             Idempotence::NotIdempotent => false,
-            Idempotence::WithKey { scope, window } => {
-                let slack = SENT_SLACK_TICKS * self.settings.clock_resolution;
-                self.recognise_same_keys(scope, first, endpoint) && self.now + slack < sent_at + window
+            Idempotence::WithKey { scope, .. } => {
+                let is_in_window = self.repeat_deadline(request).is_some_and(|deadline| self.now < deadline);
+                self.recognise_same_keys(scope, first, endpoint) && is_in_window
             }
         }
     }
 
+    /// The time at which the next attempt of a request may no longer be sent, as the endpoints may have
+    /// forgotten its key; `None` if it may be sent at any time.
+    ///
+    /// An attempt may wait for a connection or for its turn after it was ordered: the order carries this
+    /// time.
+    pub(super) fn repeat_deadline(&self, request: &RequestRecord) -> Option<Ms> {
+        let (sent_at, _) = request.may_have_executed?;
+        match self.settings.class(request.request.class).idempotence {
+            Idempotence::WithKey { window, .. } => {
+                Some(sent_at + window - SENT_SLACK_TICKS * self.settings.clock_resolution)
+            }
+            Idempotence::Idempotent | Idempotence::NotIdempotent => None,
+        }
+    }
+
     fn recognise_same_keys(&self, scope: DeduplicationScope, first: EndpointId, second: EndpointId) -> bool {
         let (Some(first), Some(second)) = (self.endpoints.get(&first), self.endpoints.get(&second)) else {
             return false;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,6 +95,7 @@
     pub attempt: AttemptId,
     pub endpoint: EndpointId,
     pub timeout: Ms,
+    pub send_by: Option<Ms>,
     pub fill: Option<FillInstruction>,
 }
 
@@ -141,11 +142,13 @@
     pub fn notify(&mut self, event: Event) {
         for action in self.policy.handle(self.now, &event) {
             match action {
-                Action::Forward { request, endpoint, timeout } => {
-                    self.record_attempt(request, endpoint, timeout, None)
+                Action::Forward { request, endpoint, timeout, send_by } => {
+                    let attempt = self.next_attempt(request);
+                    self.sent.push(SentAttempt { attempt, endpoint, timeout, send_by, fill: None });
                 }
-                Action::ForwardWithFill { request, endpoint, timeout, fill } => {
-                    self.record_attempt(request, endpoint, timeout, Some(fill));
+                Action::ForwardWithFill { request, endpoint, timeout, send_by, fill } => {
+                    let attempt = self.next_attempt(request);
+                    self.sent.push(SentAttempt { attempt, endpoint, timeout, send_by, fill: Some(fill) });
                 }
                 Action::Reject { .. } | Action::Fail { .. } => self.final_answers.push(action),
                 Action::SetTimer { at, token } => self.timers.push((at, token)),
@@ -155,15 +158,9 @@
         }
     }
 
-    fn record_attempt(
-        &mut self,
-        request: RequestId,
-        endpoint: EndpointId,
-        timeout: Ms,
-        fill: Option<FillInstruction>,
-    ) {
+    fn next_attempt(&self, request: RequestId) -> AttemptId {
         let number = self.sent.iter().filter(|sent| sent.attempt.request == request).count() as u8;
-        self.sent.push(SentAttempt { attempt: AttemptId { request, number }, endpoint, timeout, fill });
+        AttemptId { request, number }
     }
 
     /// Advances the clock by `length` and fires the timers that become due.
--- a/tests/delivery_rules.rs
+++ b/tests/delivery_rules.rs
@@ -110,6 +110,30 @@
     );
 }
 
+/// Guards against a repeat that waits for a connection and is sent after the window: its order tells until
+/// when it may be sent.
+#[test]
+fn rule_2_the_order_of_a_repeat_ends_with_the_window_of_its_key() {
+    let mut harness = PolicyHarness::new(settings());
+    let Idempotence::WithKey { window, .. } = settings().classes[usize::from(WITH_KEY)].idempotence else {
+        panic!("requests of this class have keys");
+    };
+    let first_sent_at = harness.now;
+    let first = harness.request(WITH_KEY, 4).expect("an attempt");
+    assert_eq!(first.send_by, None, "nothing may have been executed yet");
+    harness.advance(500.0);
+    harness.finish(first, AttemptStatus::ConnectFailed, None);
+    harness.advance(500.0);
+    let second = harness.sent[1];
+    assert_eq!(second.send_by, None, "the first attempt was not executed");
+    let second_sent_at = harness.now;
+    harness.finish(second, AttemptStatus::Reset, None);
+    harness.advance(500.0);
+    let send_by = harness.sent[2].send_by.expect("the second attempt may have been executed");
+    assert!(send_by > first_sent_at + window, "the window begins with the attempt that may have run");
+    assert!(send_by <= second_sent_at + window, "{send_by}");
+}
+
 #[test]
 fn rule_2_a_request_of_an_unknown_class_is_not_retried() {
     let mut harness = PolicyHarness::new(settings());
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -135,18 +135,18 @@
 
 /// Encodes an action: a code for its kind, then its fields, with numbers in little-endian order.
 ///
-/// `max_stale_age` is omitted: it was added after the recording, and the simulator's wire format has no such
-/// field.
+/// `max_stale_age` and `send_by` are omitted: they were added after the recording, and the simulator's wire
+/// format has no such fields.
 fn encode(action: &Action) -> Vec<u8> {
     let mut bytes = Vec::new();
     match action {
-        Action::Forward { request, endpoint, timeout } => {
+        Action::Forward { request, endpoint, timeout, .. } => {
             bytes.push(1);
             bytes.extend(request.0.to_le_bytes());
             bytes.extend(endpoint.0.to_le_bytes());
             bytes.extend(timeout.to_le_bytes());
         }
-        Action::ForwardWithFill { request, endpoint, timeout, fill } => {
+        Action::ForwardWithFill { request, endpoint, timeout, fill, .. } => {
             bytes.push(2);
             bytes.extend(request.0.to_le_bytes());
             bytes.extend(endpoint.0.to_le_bytes());
