--- a/crates/router/tests/effects.rs
+++ b/crates/router/tests/effects.rs
@@ -111,7 +111,7 @@
     /// When the connection of the first attempt is reset, counted from its arrival.
     const RESET_AFTER: Duration = Duration::from_millis(400);
     /// New connections to the origin are pending until this long after the window.
-    const HELD_AFTER_WINDOW: Duration = Duration::from_millis(200);
+    const PENDING_AFTER_WINDOW: Duration = Duration::from_millis(200);
     /// The final answer is due when the window has ended.
     const ANSWER_DUE: Duration = Duration::from_millis(1_500);
 
@@ -141,7 +141,7 @@
     SockRef::from(&first).set_linger(Some(Duration::ZERO)).expect("closing resets the connection");
     drop(first);
     let answered = std::thread::spawn(move || (client.read().expect("an answer").code, arrived.elapsed()));
-    std::thread::sleep(WINDOW - RESET_AFTER + HELD_AFTER_WINDOW);
+    std::thread::sleep(WINDOW - RESET_AFTER + PENDING_AFTER_WINDOW);
     origin.release();
     while let Some(stream) = origin.accept_within(Duration::from_millis(1_500)) {
         stream.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
