Reject a keyed request that may have run only while its key is remembered

Cause: client_may_retry allowed a rejection of keyed requests at any time. Change: such a request is rejected only if the client may retry within the window, and fails otherwise.

--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -178,13 +178,17 @@
     }
 
     /// Whether a retry by the client is safe, whichever endpoint executes it: for idempotent requests, for
-    /// those whose key all endpoints recognise, and for others only if no attempt can have been executed.
+    /// those of which no attempt can have been executed, and for those whose key all endpoints still
+    /// recognise when the client may retry.
     fn client_may_retry(&self, request: &RequestRecord) -> bool {
+        let never_executed = request.may_have_executed.is_none() && request.attempts_in_flight == 0;
         match self.settings.class(request.request.class).idempotence {
-            Idempotence::Idempotent | Idempotence::WithKey { scope: DeduplicationScope::All, .. } => true,
-            Idempotence::WithKey { .. } | Idempotence::NotIdempotent => {
-                request.may_have_executed.is_none() && request.attempts_in_flight == 0
+            Idempotence::Idempotent => true,
+            Idempotence::WithKey { scope: DeduplicationScope::All, .. } => {
+                let retry_at = self.now + self.retry_after();
+                self.repeat_deadline(request).is_none_or(|deadline| retry_at < deadline)
             }
+            Idempotence::WithKey { .. } | Idempotence::NotIdempotent => never_executed,
         }
     }
 
--- a/tests/delivery_rules.rs
+++ b/tests/delivery_rules.rs
@@ -134,6 +134,25 @@
     assert!(send_by <= second_sent_at + window, "{send_by}");
 }
 
+/// Guards against a client that retries on the router's word after the endpoints have forgotten the key: a
+/// rejection says that a retry is harmless.
+#[test]
+fn rule_2_a_request_with_a_key_is_rejected_only_within_its_window() {
+    let answer_after = |length: Ms| {
+        let settings =
+            Settings { max_attempts: 1, supports_retry_after: true, max_retry_after: 2_000.0, ..settings() };
+        let mut harness = PolicyHarness::new(settings);
+        let request = Request { time_limit: 9000.0, ..harness.build_request(WITH_KEY, 4) };
+        let sent = harness.submit(request).expect("an attempt");
+        harness.advance(length);
+        harness.finish(sent, AttemptStatus::Reset, None);
+        harness.final_answers.pop().expect("a final answer")
+    };
+    assert!(matches!(answer_after(1_000.0), Action::Reject { .. }), "the key is still recognised");
+    assert!(matches!(answer_after(3_500.0), Action::Fail { .. }), "the window has ended");
+    assert!(matches!(answer_after(2_980.0), Action::Fail { .. }), "it ends before the client may retry");
+}
+
 #[test]
 fn rule_2_a_request_of_an_unknown_class_is_not_retried() {
     let mut harness = PolicyHarness::new(settings());
