Take a rejection for the same endpoints only for no proof at another site

Cause: the policy rejects a keyed request that may have run, since its endpoints recognise the key; the gateway took each rejection as proof that nothing ran, and sent the request on to endpoints that don't know the key. Change: the action that rejects says where a retry is safe; one for the same endpoints only is a failure to other sites and is not forwarded. The frames are unchanged.

--- a/crates/adapter/src/codec/encode.rs
+++ b/crates/adapter/src/codec/encode.rs
@@ -55,7 +55,7 @@
                 out.extend(attempt.request.0.to_le_bytes());
                 out.push(attempt.number);
             }),
-            Action::Reject { request, retry_after, reason: _ } => {
+            Action::Reject { request, retry_after, retry_scope: _, reason: _ } => {
                 self.record(code::REJECT, instance, |out| {
                     out.extend(request.0.to_le_bytes());
                     out.extend(retry_after.to_le_bytes());
--- a/crates/adapter/tests/unit/codec.rs
+++ b/crates/adapter/tests/unit/codec.rs
@@ -3,6 +3,7 @@
 use linnethook::interface::{
     Action, AttemptId, AttemptOutcome, AttemptStatus, CacheStatus, Endpoint, EndpointId, EndpointPhase,
     EndpointUpdate, Event, FillInstruction, LoadReport, ObjectId, RejectReason, Request, RequestId,
+    RetryScope,
 };
 
 use crate::codec::{decode_batch, BatchHeader, Record, Reply, Result};
@@ -274,7 +275,12 @@
     assert_eq!(fields_of(&with_fill(cached)), (1120, fields(2)));
     let cancel = Action::CancelAttempt(AttemptId { request, number: 3 });
     assert_eq!(fields_of(&cancel), (1030, empty().u64(42).u8(3).0));
-    let reject = Action::Reject { request, retry_after: 250.0, reason: RejectReason::OriginOverloaded };
+    let reject = Action::Reject {
+        request,
+        retry_after: 250.0,
+        retry_scope: RetryScope::Anywhere,
+        reason: RejectReason::OriginOverloaded,
+    };
     assert_eq!(fields_of(&reject), (1010, empty().u64(42).f64(250.0).0));
     assert_eq!(
         fields_of(&Action::Fail { request, reason: RejectReason::RepeatNotAllowed }),
--- a/crates/model/src/baselines.rs
+++ b/crates/model/src/baselines.rs
@@ -9,7 +9,7 @@
 use linnethook::hash_ring::hash_pair;
 use linnethook::interface::{
     Action, AttemptId, AttemptOutcome, AttemptStatus, Endpoint, EndpointId, EndpointPhase, Event,
-    FillInstruction, RejectReason, Request, RequestId, Settings,
+    FillInstruction, RejectReason, Request, RequestId, RetryScope, Settings,
 };
 use linnethook::Policy;
 use rand::{RngExt, SeedableRng};
@@ -150,6 +150,7 @@
             return vec![Action::Reject {
                 request: id,
                 retry_after: 100.0,
+                retry_scope: RetryScope::Anywhere,
                 reason: RejectReason::NoUsableEndpoint,
             }];
         };
@@ -210,6 +211,11 @@
             return self.send_attempt(now, request);
         }
         self.pending.remove(&request);
-        vec![Action::Reject { request, retry_after: 100.0, reason: RejectReason::NoUsableEndpoint }]
+        vec![Action::Reject {
+            request,
+            retry_after: 100.0,
+            retry_scope: RetryScope::Anywhere,
+            reason: RejectReason::NoUsableEndpoint,
+        }]
     }
 }
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -42,7 +42,7 @@
                 let field = AnswerField { name: NOT_MODIFIED_FIELD, value: "1".to_string() };
                 Self { code: AnswerCode::Served, field: Some(field), body: empty }
             }
-            (FinalAnswer::Rejected { retry_after }, _) => {
+            (FinalAnswer::Rejected { retry_after, .. }, _) => {
                 Self { code: AnswerCode::Rejected, field: retry_after_field(retry_after), body: empty }
             }
             (FinalAnswer::Failed, _) | (FinalAnswer::Served, ResponsePayload::Empty) => {
@@ -66,8 +66,8 @@
     longest: Ms,
 ) -> FinalAnswer {
     match (answer, from_hierarchy) {
-        (FinalAnswer::Rejected { retry_after }, Some(later)) if retry_after > 0.0 => {
-            FinalAnswer::Rejected { retry_after: retry_after.max(later.min(longest)) }
+        (FinalAnswer::Rejected { retry_after, may_run_elsewhere }, Some(later)) if retry_after > 0.0 => {
+            FinalAnswer::Rejected { retry_after: retry_after.max(later.min(longest)), may_run_elsewhere }
         }
         _ => answer,
     }
--- a/crates/router/src/policy_adapter/actions.rs
+++ b/crates/router/src/policy_adapter/actions.rs
@@ -58,6 +58,9 @@
     Rejected {
         /// The Retry-After in milliseconds; 0 for none.
         retry_after: Ms,
+        /// Whether another site may execute the request: no endpoint of this one can have done so, or it is
+        /// idempotent.
+        may_run_elsewhere: bool,
     },
     /// Failed, and possibly executed.
     Failed,
--- a/crates/router/src/policy_adapter/mod.rs
+++ b/crates/router/src/policy_adapter/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use linnethook::interface::{
-    Action, AttemptId, EndpointId, Event, Idempotence, ObjectId, Request, RequestClass, RequestId,
+    Action, AttemptId, EndpointId, Event, Idempotence, ObjectId, Request, RequestClass, RequestId, RetryScope,
 };
 use linnethook::Policy;
 use linnethook_settings::DecodedSettings;
@@ -296,8 +296,9 @@
                 self.send(request, endpoint, timeout, send_by, FillSpec::new(endpoint, &fill))
             }
             Action::CancelAttempt(id) => Some(PolicyCommand::Cancel(id.into())),
-            Action::Reject { request, retry_after, .. } => {
-                self.finish(request, FinalAnswer::Rejected { retry_after })
+            Action::Reject { request, retry_after, retry_scope, .. } => {
+                let may_run_elsewhere = retry_scope == RetryScope::Anywhere;
+                self.finish(request, FinalAnswer::Rejected { retry_after, may_run_elsewhere })
             }
             Action::Fail { request, .. } => self.finish(request, FinalAnswer::Failed),
             Action::SetTimer { at, token } => {
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -163,7 +163,8 @@
     pub(super) fn on_policy_answer(&mut self, ticket: Ticket, answer: FinalAnswer, payload: ResponsePayload) {
         if self.parts.forwards_requests() {
             self.record_local_answer(ticket, answer);
-            if matches!(answer, FinalAnswer::Rejected { .. }) && self.forward_rejected(ticket) {
+            let may_run_elsewhere = matches!(answer, FinalAnswer::Rejected { may_run_elsewhere: true, .. });
+            if may_run_elsewhere && self.forward_rejected(ticket) {
                 return self.run_remote_sites();
             }
         }
@@ -187,9 +188,10 @@
         self.run_downstreams(|downstreams, events| downstreams.flush(now, request.stream.client, events));
     }
 
-    /// Rejects a request. `retry_after` is in milliseconds, 0 for none.
+    /// Rejects a request that was not sent anywhere. `retry_after` is in milliseconds, 0 for none.
     fn reject(&mut self, ticket: Ticket, retry_after: Ms) {
-        self.finish(ticket, FinalAnswer::Rejected { retry_after }, ResponsePayload::Empty);
+        let answer = FinalAnswer::Rejected { retry_after, may_run_elsewhere: true };
+        self.finish(ticket, answer, ResponsePayload::Empty);
     }
 
     fn answer_client(&mut self, stream: ClientStream, answer: ClientAnswer) {
--- a/crates/router/src/remote_sites/requests.rs
+++ b/crates/router/src/remote_sites/requests.rs
@@ -111,6 +111,9 @@
 }
 
 /// Converts an answer of this site to a reply to another site.
+///
+/// A rejection tells the other site that the request was not executed here, or that executing it again does
+/// no harm anywhere. One that holds for the endpoints of this site only is a failure to the other one.
 pub fn reply_of(answer: FinalAnswer, payload: ResponsePayload) -> Reply {
     match (answer, payload) {
         (FinalAnswer::Served, ResponsePayload::Body(body, version)) => {
@@ -124,8 +127,10 @@
             let head = vec![("valid".to_string(), "1".to_string())];
             Reply::Served { fields: head, body: Bytes::new(), version: None }
         }
-        (FinalAnswer::Rejected { retry_after: wait }, _) => Reply::Rejected { retry_after: wait },
-        (FinalAnswer::Served | FinalAnswer::Failed, _) => Reply::Failed,
+        (FinalAnswer::Rejected { retry_after, may_run_elsewhere: true }, _) => {
+            Reply::Rejected { retry_after }
+        }
+        (FinalAnswer::Served | FinalAnswer::Failed | FinalAnswer::Rejected { .. }, _) => Reply::Failed,
     }
 }
 
@@ -148,8 +153,9 @@
             let body = BufferChain::from_bytes(buffers, &body);
             (FinalAnswer::Served, ResponsePayload::Body(body, None))
         }
-        Reply::Rejected { retry_after: wait } => {
-            (FinalAnswer::Rejected { retry_after: wait.min(max_retry_after) }, ResponsePayload::Empty)
+        Reply::Rejected { retry_after } => {
+            let retry_after = retry_after.min(max_retry_after);
+            (FinalAnswer::Rejected { retry_after, may_run_elsewhere: true }, ResponsePayload::Empty)
         }
         Reply::Failed => (FinalAnswer::Failed, ResponsePayload::Empty),
     }
--- a/crates/router/tests/effects.rs
+++ b/crates/router/tests/effects.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::late_listener::LateListener;
@@ -12,7 +14,7 @@
 use common::slow_origin::{ReadPace, SlowOrigin};
 use common::*;
 use linnethook_quickstart::cache::array;
-use linnethook_quickstart::{Client, Journal};
+use linnethook_quickstart::{Answer, Cache, Client, Journal};
 use serde_json::json;
 use socket2::SockRef;
 
@@ -153,3 +155,72 @@
     assert!(answered_after < ANSWER_DUE, "answered after {answered_after:?}");
     router.wait_for_log("a repeat was not sent before the window of its key ended");
 }
+
+/// An address on which nothing listens now.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("it listens");
+    listener.local_addr().expect("a bound address")
+}
+
+/// Guards against a booking that is executed at two sites: the first one rejected it although its origin may
+/// have executed it, since its own endpoints recognise the key, and the second one took that for a proof that
+/// it never ran.
+#[test]
+fn a_booking_that_another_site_may_have_executed_is_not_sent_on_after_its_rejection_there() {
+    const GATEWAY: &str = "first = 1.0, window = 64, flapping = 1.0, retry_most = 0.1";
+    /// Bookings that show that the link is up, at most.
+    const MAX_WARM_UP: usize = 100;
+
+    let caches = [echo("south-a"), echo("south-b"), echo("south-parent")];
+    let north_caches = [echo("north-a"), echo("north-b"), echo("north-parent")];
+    let loses_answers = Arc::new(AtomicBool::new(false));
+    let is_lost = loses_answers.clone();
+    let south_origin = cache(move |_, _, _| (!is_lost.load(SeqCst)).then(|| Answer::data("booked")));
+    let north_origin = echo("north-origin");
+    let journal_of = |[a, b, parent]: &[Cache; 3], origin: &Cache| {
+        let targets = ready_endpoints(a.address, b.address, parent.address, origin.address);
+        Journal::start("127.0.0.1:0", vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})])
+            .expect("the journal listens")
+    };
+    let with_keys = |max_attempts: u32| {
+        move |config: &mut serde_json::Value| {
+            config["settings"]["allowed"]["max-attempts"] = json!(max_attempts);
+            let class = &mut config["settings"]["grades"][2];
+            class["effect"] = json!("idempotency_key");
+            class["dedup-scope"] = json!("all");
+            class["window"] = json!(3_000);
+        }
+    };
+    let link = free_address();
+    let south = format!("gateway(site = \"south\", listen = \"{link}\", {GATEWAY})\nsite(\"north\")\n");
+    let north = format!(
+        "gateway(site = \"north\", {GATEWAY})\nsite(\"south\", classes = [\"booking\"])\n\
+         link(\"south\", connect = \"{link}\")\n"
+    );
+    // The south rejects a booking after its only attempt, within the window of its key.
+    let south_journal = journal_of(&caches, &south_origin);
+    let _south = Router::start_with(&south_journal, with_keys(1), Some(&south), None);
+    let north_journal = journal_of(&north_caches, &north_origin);
+    let north = Router::start_with(&north_journal, with_keys(6), Some(&north), None);
+    let mut client = north.client();
+    let mut book = |n: usize| {
+        client.ask(n as u32 + 1, &booking(&id_of(n), "3000"), b"pay").expect("sent");
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    let is_up = (1..=MAX_WARM_UP).any(|n| {
+        book(n);
+        count_unread_requests(&south_origin) > 0
+    });
+    assert!(is_up, "bookings reach the south");
+    count_unread_requests(&north_origin);
+
+    loses_answers.store(true, SeqCst);
+    book(0);
+    let (connection, id, ..) = next_request(&south_origin);
+    assert_eq!(id, id_of(0));
+    south_origin.close(connection).expect("closed");
+    let answer = std::iter::from_fn(|| client.read().ok()).find(|answer| answer.stream == 1);
+    let code = answer.expect("an answer").code;
+    assert_eq!(count_unread_requests(&north_origin), 0, "the booking was executed at both sites");
+    assert_eq!(code, FAILED, "a rejection would be taken for a proof at the next site, too");
+}
--- a/crates/router/tests/unit/answers.rs
+++ b/crates/router/tests/unit/answers.rs
@@ -5,7 +5,7 @@
 const MAX_RETRY_AFTER: Ms = 1_000.0;
 
 fn rejected(retry_after: Ms) -> FinalAnswer {
-    FinalAnswer::Rejected { retry_after }
+    FinalAnswer::Rejected { retry_after, may_run_elsewhere: true }
 }
 
 fn frame(
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -71,6 +71,16 @@
     }
 }
 
+/// Where it is safe to retry a rejected request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryScope {
+    /// Everywhere: the request is idempotent, or no endpoint can have executed it.
+    Anywhere,
+    /// Only at the endpoints of this list: one of them may have executed the request, and they recognise its
+    /// key. A retry at another site could execute it again.
+    SameEndpoints,
+}
+
 /// An instruction to the program that carries out the decisions.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -108,6 +118,8 @@
         request: RequestId,
         /// Time after which the client should retry; 0 means unspecified.
         retry_after: Ms,
+        /// Where a retry is safe.
+        retry_scope: RetryScope,
         /// Why the request was not served.
         reason: RejectReason,
     },
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -11,7 +11,7 @@
 pub mod events;
 pub mod settings;
 
-pub use actions::{Action, FillInstruction, RejectReason};
+pub use actions::{Action, FillInstruction, RejectReason, RetryScope};
 pub use events::{
     AttemptId, AttemptOutcome, AttemptStatus, CacheStatus, Endpoint, EndpointId, EndpointPhase,
     EndpointUpdate, Event, FillSource, FillSources, LoadReport, ObjectId, Request, RequestId,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -2,7 +2,7 @@
 
 use super::Policy;
 use crate::interface::{
-    Action, DeduplicationScope, Endpoint, EndpointId, Idempotence, Ms, RejectReason, RequestId,
+    Action, DeduplicationScope, Endpoint, EndpointId, Idempotence, Ms, RejectReason, RequestId, RetryScope,
 };
 use crate::records::RequestRecord;
 
@@ -168,27 +168,30 @@
     /// failure.
     pub(super) fn give_up(&mut self, id: RequestId, reason: RejectReason) {
         let Some(request) = self.requests.get(&id) else { return };
-        let final_answer = if self.client_may_retry(request) {
-            Action::Reject { request: id, retry_after: self.retry_after(), reason }
-        } else {
-            Action::Fail { request: id, reason }
+        let final_answer = match self.client_retry_scope(request) {
+            Some(retry_scope) => {
+                Action::Reject { request: id, retry_after: self.retry_after(), retry_scope, reason }
+            }
+            None => Action::Fail { request: id, reason },
         };
         self.actions.push(final_answer);
         self.close_request(id);
     }
 
-    /// Whether a retry by the client is safe, whichever endpoint executes it: for idempotent requests, for
-    /// those of which no attempt can have been executed, and for those whose key all endpoints still
-    /// recognise when the client may retry.
-    fn client_may_retry(&self, request: &RequestRecord) -> bool {
+    /// Where a retry by the client is safe, whichever endpoint executes it; `None` if it is not. It is safe
+    /// for idempotent requests, for those of which no attempt can have been executed, and for those whose key
+    /// all endpoints still recognise when the client may retry.
+    fn client_retry_scope(&self, request: &RequestRecord) -> Option<RetryScope> {
         let never_executed = request.may_have_executed.is_none() && request.attempts_in_flight == 0;
         match self.settings.class(request.request.class).idempotence {
-            Idempotence::Idempotent => true,
+            Idempotence::Idempotent => Some(RetryScope::Anywhere),
+            _ if never_executed => Some(RetryScope::Anywhere),
             Idempotence::WithKey { scope: DeduplicationScope::All, .. } => {
                 let retry_at = self.now + self.retry_after();
-                self.repeat_deadline(request).is_none_or(|deadline| retry_at < deadline)
+                let is_recognised = self.repeat_deadline(request).is_none_or(|deadline| retry_at < deadline);
+                is_recognised.then_some(RetryScope::SameEndpoints)
             }
-            Idempotence::WithKey { .. } | Idempotence::NotIdempotent => never_executed,
+            Idempotence::WithKey { .. } | Idempotence::NotIdempotent => None,
         }
     }
 
--- a/tests/delivery_rules.rs
+++ b/tests/delivery_rules.rs
@@ -148,11 +148,29 @@
         harness.finish(sent, AttemptStatus::Reset, None);
         harness.final_answers.pop().expect("a final answer")
     };
-    assert!(matches!(answer_after(1_000.0), Action::Reject { .. }), "the key is still recognised");
+    let rejected = answer_after(1_000.0);
+    assert!(
+        matches!(rejected, Action::Reject { retry_scope: RetryScope::SameEndpoints, .. }),
+        "the endpoints, and only they, still recognise the key: {rejected:?}"
+    );
     assert!(matches!(answer_after(3_500.0), Action::Fail { .. }), "the window has ended");
     assert!(matches!(answer_after(2_980.0), Action::Fail { .. }), "it ends before the client may retry");
 }
 
+#[test]
+fn rule_2_a_rejected_request_that_was_never_executed_may_be_retried_anywhere() {
+    for class in [IDEMPOTENT, WITH_KEY, NOT_IDEMPOTENT] {
+        let mut harness = PolicyHarness::new(Settings { max_attempts: 1, ..settings() });
+        let sent = harness.request(class, 4).expect("an attempt");
+        harness.finish(sent, AttemptStatus::ConnectFailed, None);
+        let answer = harness.final_answers.pop().expect("a final answer");
+        assert!(
+            matches!(answer, Action::Reject { retry_scope: RetryScope::Anywhere, .. }),
+            "{class}: {answer:?}"
+        );
+    }
+}
+
 #[test]
 fn rule_2_a_request_of_an_unknown_class_is_not_retried() {
     let mut harness = PolicyHarness::new(settings());
