Discard queued writes to a link that is closed, since its unwritten requests are sent on

Callers would see: a booking that runs at two sites. Found by reading in the review; not seen on sockets. Cause: an order to write may precede the close of the same connection in the queue of actions, while the close has already counted what is unwritten as never run and sent it on. Change: closing a connection takes its queued writes back in the same step. Measured: nothing_is_written_to_a_connection_that_is_about_to_be_closed red before, with the queue Write(1), Close(1, Silent), ..., ServeLocally(1); green after.

--- a/crates/gateway/src/gateway/connections.rs
+++ b/crates/gateway/src/gateway/connections.rs
@@ -76,6 +76,7 @@
     /// Closes a connection from this side.
     pub(super) fn close_connection(&mut self, now: Ms, connection: ConnectionId, reason: CloseReason) {
         if self.links.connections.contains_key(&connection) {
+            self.links.discard_writes(connection);
             self.links.push(Action::Close(connection, reason.clone()));
             self.remove_connection(now, connection, reason);
         }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Takes back the queued writes to a connection that is about to be closed: what is not written by then
+    /// counts as never sent.
+    pub fn discard_writes(&mut self, connection: ConnectionId) {
+        self.actions.retain(|action| *action != Action::Write(connection));
+    }
+
     /// Cancels a request that was sent on a connection.
     pub fn cancel_request(&mut self, connection: ConnectionId, ticket: u64) {
         if let Some(session) = self.session_mut(connection) {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -12,6 +12,7 @@
 use linnethook_gateway::flow_control::Priority;
 use linnethook_gateway::forwarding::ForwardRequest;
 use linnethook_gateway::gateway::{Action, Gateway, GatewayConfig, GatewaySetup, Reply};
+use linnethook_gateway::local_capacity::RequestKind;
 use linnethook_gateway::site_state::{Fact, FactKey, FactValue, StatePosition, StateUpdate};
 use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
 use proptest::test_runner::RngSeed;
@@ -328,9 +329,7 @@
     config.routing.initial_share = 1.0;
     let mut gateway = connected(config);
     gateway.report_local_load(61.0, 0, 0.1);
-    (0..6).for_each(|_| {
-        gateway.record_local_outcome(61.0, linnethook_gateway::local_capacity::RequestKind::Write, true)
-    });
+    (0..6).for_each(|_| gateway.record_local_outcome(61.0, RequestKind::Write, true));
     sent_frames(&mut gateway);
     actions(&mut gateway);
     // Partly written: it never ran. It waits for a connection until its time is up, and is rejected since
@@ -345,9 +344,7 @@
     // Completely written: it is uncertain, and fails at its deadline.
     let mut gateway = connected(config);
     gateway.report_local_load(61.0, 0, 0.1);
-    (0..6).for_each(|_| {
-        gateway.record_local_outcome(61.0, linnethook_gateway::local_capacity::RequestKind::Write, true)
-    });
+    (0..6).for_each(|_| gateway.record_local_outcome(61.0, RequestKind::Write, true));
     sent_frames(&mut gateway);
     gateway.submit_request(62.0, 1, forward_request(true, 400.0));
     sent_frames(&mut gateway);
@@ -357,3 +354,31 @@
     gateway.on_timer(400.0);
     assert!(actions(&mut gateway).contains(&Action::Answer(1, Reply::Failed)));
 }
+
+/// Guards against a request that runs at two sites: its connection was closed as silent, so that the request
+/// counted as never sent and was sent on, but an earlier order to write still sent the rest of it.
+#[test]
+fn nothing_is_written_to_a_connection_that_is_about_to_be_closed() {
+    let mut config = GatewayConfig::default();
+    config.routing.initial_share = 1.0;
+    let silence = config.session.heartbeat.max_silence;
+    let mut gateway = connected(config);
+    sent_frames(&mut gateway);
+    gateway.report_local_load(61.0, 0, 0.1);
+    for _ in 0..6 {
+        gateway.record_local_outcome(61.0, RequestKind::Write, true);
+    }
+    let deadline = 61.0 + 10.0 * silence;
+    gateway.submit_request(61.0, 1, forward_request(true, deadline));
+    // The system does not accept the request yet.
+    let mut taken = BytesMut::new();
+    gateway.take_output(1, 1 << 24, &mut taken);
+    assert!(taken.windows(9).any(|bytes| bytes == b"a booking"), "it is to be sent to the other site");
+    actions(&mut gateway);
+    let now = 61.0 + 2.0 * silence;
+    gateway.report_local_load(now, 0, 0.9);
+    gateway.on_timer(now);
+    let actions = actions(&mut gateway);
+    assert!(actions.iter().any(|action| matches!(action, Action::Close(1, _))), "{actions:?}");
+    assert!(!actions.contains(&Action::Write(1)), "{actions:?}");
+}
