--- a/crates/router/src/discovery/client.rs
+++ b/crates/router/src/discovery/client.rs
@@ -1,14 +1,16 @@
 //! Long polls of the journal service over HTTP/1.1, one at a time.
 //!
-//! A failed poll is repeated from the position of the last event received, so that no event is lost.
+//! A failed poll is repeated from the position of the last event received, so that no event is lost. Where
+//! the response is late, the poll is repeated on another connection, and the late response is still taken: a
+//! service that takes longer than the timeout for each response would never be heard otherwise.
 
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use calloop::{LoopHandle, Readiness, RegistrationToken};
+use calloop::{LoopHandle, Readiness};
 
-use crate::buffers::{BufferChain, BufferPool};
+use crate::buffers::BufferPool;
 use crate::config::Limits;
 use crate::descriptors::{DescriptorPurpose, DescriptorReserve};
 use crate::event_handler::EventHandler;
@@ -16,8 +18,8 @@
 use crate::policy_adapter::Ms;
 use crate::sockets::{connect, register_stream};
 
-use super::event::WatchEvent;
-use super::http::decode_response;
+use super::connection::{Connection, ConnectionId, Received};
+use super::event::{EventPage, WatchEvent};
 
 #[derive(Debug)]
 enum PollState {
@@ -30,15 +32,6 @@
     },
 }
 
-#[derive(Debug)]
-struct Connection {
-    stream: Rc<TcpStream>,
-    token: RegistrationToken,
-    up: bool,
-    input: BufferChain,
-    output: BufferChain,
-}
-
 /// A client of the journal service.
 pub struct DiscoveryClient<W: EventHandler> {
     limits: Limits,
@@ -49,6 +42,9 @@
     position: u64,
     state: PollState,
     connection: Option<Connection>,
+    /// The connection of the last poll that got no response in time.
+    late_connection: Option<Connection>,
+    last_id: ConnectionId,
     /// The number of failed polls.
     pub failed_polls: u64,
     pub bytes_in: u64,
@@ -74,6 +70,8 @@
             position,
             state: PollState::Idle { next_poll: 0.0 },
             connection: None,
+            late_connection: None,
+            last_id: 0,
             failed_polls: 0,
             bytes_in: 0,
             bytes_out: 0,
@@ -88,6 +86,7 @@
     pub fn set_address(&mut self, now: Ms, address: SocketAddr) {
         self.address = address;
         self.drop_connection();
+        self.drop_late_connection();
         self.state = PollState::Idle { next_poll: now };
     }
 
@@ -113,14 +112,21 @@
     pub fn on_timer(&mut self, now: Ms) {
         match self.state {
             PollState::Idle { next_poll } if now >= next_poll => self.poll(now),
-            PollState::Polling { deadline } if now >= deadline => {
-                let up = self.connection.as_ref().is_some_and(|connection| connection.up);
-                self.fail_poll(now, if up { "response timed out" } else { "connect timed out" });
-            }
+            PollState::Polling { deadline } if now >= deadline => self.time_out_poll(now),
             _ => {}
         }
     }
 
+    /// Ends the poll in flight as failed, but keeps its connection for a late response if it was established.
+    fn time_out_poll(&mut self, now: Ms) {
+        let is_up = self.connection.as_ref().is_some_and(|connection| connection.is_up);
+        if is_up {
+            self.drop_late_connection();
+            self.late_connection = self.connection.take();
+        }
+        self.fail_poll(now, if is_up { "response timed out" } else { "connect timed out" });
+    }
+
     fn poll(&mut self, now: Ms) {
         self.await_response(now);
         if self.connection.is_none() {
@@ -128,7 +134,11 @@
             self.state = PollState::Polling { deadline: now + self.limits.discovery.connect_timeout_ms };
             match self.connect() {
                 Ok(connection) => self.connection = Some(connection),
-                Err(error) => return self.fail_poll(now, &error.to_string()),
+                Err(error) => {
+                    // The next connect may need its descriptor.
+                    self.drop_late_connection();
+                    return self.fail_poll(now, &error.to_string());
+                }
             }
         }
         let wait = self.limits.discovery.max_poll_wait_ms;
@@ -147,11 +157,13 @@
         self.state = PollState::Polling { deadline };
     }
 
-    fn connect(&self) -> io::Result<Connection> {
+    fn connect(&mut self) -> io::Result<Connection> {
         let stream = Rc::new(self.reserve.open(DescriptorPurpose::Discovery, || connect(self.address))?);
-        let token = register_stream(&self.handle, &stream, W::on_discovery_ready)?;
-        let (input, output) = (BufferChain::new(&self.buffers), BufferChain::new(&self.buffers));
-        Ok(Connection { stream, token, up: false, input, output })
+        self.last_id += 1;
+        let id = self.last_id;
+        let on_ready = move |handler: &mut W, readiness| handler.on_discovery_ready(id, readiness);
+        let token = register_stream(&self.handle, &stream, on_ready)?;
+        Ok(Connection::new(id, stream, token, &self.buffers))
     }
 
     /// Ends the poll in flight as failed; the next one starts from the same position after a pause.
@@ -168,54 +180,49 @@
         }
     }
 
+    fn drop_late_connection(&mut self) {
+        if let Some(connection) = self.late_connection.take() {
+            self.handle.remove(connection.token);
+        }
+    }
+
     fn flush(&mut self, now: Ms) {
-        let Some(connection) = self.connection.as_mut().filter(|connection| connection.up) else { return };
-        while !connection.output.is_empty() {
-            match connection.output.write_to(&*connection.stream) {
-                Ok(n) => self.bytes_out += n as u64,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return self.fail_poll(now, &error.to_string()),
-            }
+        let Some(connection) = self.connection.as_mut().filter(|connection| connection.is_up) else { return };
+        match connection.write() {
+            Ok(written) => self.bytes_out += written,
+            Err(error) => self.fail_poll(now, &error.to_string()),
         }
     }
 
-    /// Reads and writes the connection after it became ready; returns the events received.
-    pub fn on_ready(&mut self, now: Ms, readiness: Readiness) -> Vec<WatchEvent> {
+    /// Reads and writes a connection after it became ready; returns the events received.
+    pub fn on_ready(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) -> Vec<WatchEvent> {
+        if self.late_connection.as_ref().is_some_and(|connection| connection.id == id) {
+            return self.receive_late(now);
+        }
+        if self.connection.as_ref().is_none_or(|connection| connection.id != id) {
+            return Vec::new();
+        }
         let writable = readiness.writable || readiness.error;
         if !self.finish_connect(now, writable) {
             return Vec::new();
         }
         self.flush(now);
-        let Some(connection) = self.connection.as_mut().filter(|connection| connection.up) else {
+        self.receive(now)
+    }
+
+    /// Reads the connection of the poll in flight.
+    fn receive(&mut self, now: Ms) -> Vec<WatchEvent> {
+        let Some(connection) = self.connection.as_mut().filter(|connection| connection.is_up) else {
             return Vec::new();
         };
-        let mut failure = None;
-        while failure.is_none() {
-            match connection.input.read_from(&*connection.stream) {
-                Ok(0) => failure = Some("closed by the service".to_string()),
-                Ok(n) => {
-                    self.bytes_in += n as u64;
-                    if connection.input.len() > self.limits.discovery.max_response_bytes {
-                        failure = Some("response is longer than the limit".to_string());
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => failure = Some(error.to_string()),
-            }
-        }
+        let Received { bytes, page, failure } = connection.receive(self.limits.discovery.max_response_bytes);
+        self.bytes_in += bytes;
         let mut events = Vec::new();
-        match decode_response(&mut connection.input) {
-            Ok(None) => {}
-            Ok(Some(page)) => {
-                self.state = PollState::Idle { next_poll: now };
-                self.last_response = now;
-                // Events that were already received are dropped.
-                events = page.events.into_iter().filter(|event| event.position > self.position).collect();
-                self.position = self.position.max(page.position);
-            }
-            Err(error) => failure = Some(error.to_string()),
+        if let Some(page) = page {
+            self.state = PollState::Idle { next_poll: now };
+            // A response to an earlier poll has nothing that this one lacks.
+            self.drop_late_connection();
+            events = self.accept(now, page);
         }
         match failure {
             Some(reason) if matches!(self.state, PollState::Polling { .. }) => self.fail_poll(now, &reason),
@@ -225,13 +232,35 @@
         events
     }
 
+    /// Reads the connection of a poll that has timed out. The poll in flight goes on: its response may repeat
+    /// these events.
+    fn receive_late(&mut self, now: Ms) -> Vec<WatchEvent> {
+        let Some(connection) = &mut self.late_connection else { return Vec::new() };
+        let Received { bytes, page, failure } = connection.receive(self.limits.discovery.max_response_bytes);
+        self.bytes_in += bytes;
+        if page.is_some() || failure.is_some() {
+            self.drop_late_connection();
+        }
+        let Some(page) = page else { return Vec::new() };
+        log_line!("journal: response at position {} came after the timeout of its poll", page.position);
+        self.accept(now, page)
+    }
+
+    /// The events of a response that were not received before.
+    fn accept(&mut self, now: Ms, page: EventPage) -> Vec<WatchEvent> {
+        self.last_response = now;
+        let events = page.events.into_iter().filter(|event| event.position > self.position).collect();
+        self.position = self.position.max(page.position);
+        events
+    }
+
     /// Completes a connect in progress; returns false if it has failed.
     fn finish_connect(&mut self, now: Ms, writable: bool) -> bool {
-        let connecting = self.connection.as_mut().filter(|connection| !connection.up && writable);
+        let connecting = self.connection.as_mut().filter(|connection| !connection.is_up && writable);
         let Some(connection) = connecting else { return true };
         match connection.stream.take_error() {
             Ok(None) => {
-                connection.up = true;
+                connection.is_up = true;
                 self.await_response(now);
                 true
             }
--- a/crates/router/src/event_handler.rs
+++ b/crates/router/src/event_handler.rs
@@ -17,8 +17,8 @@
     fn on_client_ready(&mut self, id: u64, readiness: Readiness);
     /// A connection to an endpoint can be read or written.
     fn on_upstream_ready(&mut self, id: u64, readiness: Readiness);
-    /// The connection to the journal service can be read or written.
-    fn on_discovery_ready(&mut self, readiness: Readiness);
+    /// A connection to the journal service can be read or written.
+    fn on_discovery_ready(&mut self, id: u64, readiness: Readiness);
     /// The evaluation of the operator file has written output or has ended; returns false if there is nothing
     /// more to read.
     fn on_evaluation_ready(&mut self, output: &File) -> bool;
--- a/crates/router/src/router/readiness.rs
+++ b/crates/router/src/router/readiness.rs
@@ -26,8 +26,8 @@
         self.proxy.on_upstream_ready(id, readiness);
     }
 
-    fn on_discovery_ready(&mut self, readiness: Readiness) {
-        let events = self.discovery.on_ready(self.clock.now(), readiness);
+    fn on_discovery_ready(&mut self, id: u64, readiness: Readiness) {
+        let events = self.discovery.on_ready(self.clock.now(), id, readiness);
         self.on_watch_events(events);
         self.proxy.process_outcomes();
     }
--- a/examples/quickstart/src/journal.rs
+++ b/examples/quickstart/src/journal.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -14,6 +14,8 @@
     events: Vec<Value>,
     /// Number of polls to close without a response.
     polls_to_drop: usize,
+    /// The minimum time between a poll and its response.
+    response_delay: Duration,
 }
 
 type Shared = Arc<(Mutex<JournalState>, Condvar)>;
@@ -69,6 +71,13 @@
         }
     }
 
+    /// Delays each response until this long after its poll.
+    pub fn delay_responses(&self, delay: Duration) {
+        if let Ok(mut state) = self.state.0.lock() {
+            state.response_delay = delay;
+        }
+    }
+
     /// All events so far, in the form of the configuration's `known`.
     pub fn known(&self) -> Value {
         let events = self.state.0.lock().map(|state| state.events.clone()).unwrap_or_default();
@@ -93,6 +102,7 @@
             query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
         let (tail, wait) = (value("tail")?, value("max_wait")?);
+        let received_at = Instant::now();
         let _ = sender.send(tail);
         let position = usize::try_from(tail).ok()?;
         let (lock, changed) = &**state;
@@ -106,7 +116,9 @@
         }
         let later = state.events.get(position..).unwrap_or_default();
         let page = json!({"pos": state.events.len().max(position), "entries": later}).to_string();
+        let delay = state.response_delay;
         drop(state);
+        thread::sleep(delay.saturating_sub(received_at.elapsed()));
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", page.len());
         let mut output = stream;
         output.write_all(head.as_bytes()).and_then(|()| output.write_all(page.as_bytes())).ok()?;
