--- a/crates/router/tests/discovery.rs
+++ b/crates/router/tests/discovery.rs
@@ -13,7 +13,7 @@
 
 /// Guards against a router that never hears of a drain, as it gave up each poll before its response came.
 #[test]
-fn a_drain_is_heard_of_though_each_response_is_later_than_the_timeout_of_a_poll() {
+fn a_drain_is_received_though_each_response_is_later_than_the_timeout_of_a_poll() {
     const RESPONSE_DELAY: Duration = Duration::from_millis(3_000);
     /// Late responses are the rule by then.
     const SETTLED: Duration = Duration::from_millis(3_500);
