--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -371,9 +371,9 @@
     let deadline = 61.0 + 10.0 * silence;
     gateway.submit_request(61.0, 1, forward_request(true, deadline));
     // The system does not accept the request yet.
-    let mut taken = BytesMut::new();
-    gateway.take_output(1, 1 << 24, &mut taken);
-    assert!(taken.windows(9).any(|bytes| bytes == b"a booking"), "it is to be sent to the other site");
+    let mut unwritten = BytesMut::new();
+    gateway.take_output(1, 1 << 24, &mut unwritten);
+    assert!(unwritten.windows(9).any(|bytes| bytes == b"a booking"), "it is to be sent to the other site");
     actions(&mut gateway);
     let now = 61.0 + 2.0 * silence;
     gateway.report_local_load(now, 0, 0.9);
