Withdraw what is unsent of a request that ends by SIGTERM or by another site

Callers would see: a cache works for a request after its final answer, where attempts may not be cancelled. Cause: unsent attempts were taken back only where a client of this router ends a request; the end of the drain and a cancellation by another site told the policy alone, whose cancellations the settings may forbid. Change: the three share withdraw_unsent.

--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -119,10 +119,7 @@
         let now = self.clock.now();
         self.counters.cancelled_requests += 1;
         self.requests.remove(ticket);
-        self.upstreams.withdraw_request(now, ticket);
-        for order in self.parts.cancel_queued_fills(ticket) {
-            self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
-        }
+        self.withdraw_unsent(now, ticket);
         self.parts.take_retry_after(ticket);
         if let Some(remote_sites) = self.parts.remote_sites.as_mut().filter(|sites| sites.forwards_requests())
         {
@@ -132,6 +129,15 @@
         self.report_to_policy(now, PolicyInput::RequestCancelled(ticket));
     }
 
+    /// Withdraws the attempts of a request that has ended, as far as they were not sent, whether or not the
+    /// settings allow to cancel attempts.
+    pub(super) fn withdraw_unsent(&mut self, now: Ms, ticket: Ticket) {
+        self.upstreams.withdraw_request(now, ticket);
+        for order in self.parts.cancel_queued_fills(ticket) {
+            self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
+        }
+    }
+
     /// Checks for a disconnect or cancellations of a client before sending anything for it: they may have
     /// arrived during this turn of the event loop.
     pub(super) fn check_client(&mut self, ticket: Ticket) {
@@ -240,6 +246,7 @@
         for ticket in open {
             let now = self.clock.now();
             self.finish(ticket, FinalAnswer::Failed, ResponsePayload::Empty);
+            self.withdraw_unsent(now, ticket);
             if let Some(remote_sites) = &mut self.parts.remote_sites {
                 remote_sites.cancel(now, ticket);
             }
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -186,6 +186,7 @@
         }
         self.counters.cancelled_requests += 1;
         self.requests.remove(ticket);
+        self.withdraw_unsent(now, ticket);
         self.parts.take_retry_after(ticket);
         self.report_to_policy(now, PolicyInput::RequestCancelled(ticket));
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -105,6 +105,12 @@
     (socket, address.expect("an address"))
 }
 
+/// An address on which nothing listens now.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("it listens");
+    listener.local_addr().expect("a bound address")
+}
+
 /// A fleet whose servers answer at once.
 pub fn fleet() -> Fleet {
     fleet_of(echo("a"), echo("b"), echo("origin"))
--- a/crates/router/tests/effects.rs
+++ b/crates/router/tests/effects.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -156,12 +156,6 @@
     router.wait_for_log("a repeat was not sent before the window of its key ended");
 }
 
-/// An address on which nothing listens now.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("it listens");
-    listener.local_addr().expect("a bound address")
-}
-
 /// Guards against a booking that is executed at two sites: the first one rejected it although its origin may
 /// have executed it, since its own endpoints recognise the key, and the second one took that for a proof that
 /// it never ran.
