Leave the Retry-After of a rejection alone that holds only within a window

Callers would see: a client told to stay away past the window of its key, and to try again then. Cause: with hierarchy() each Retry-After was raised to that of the shield, also where the policy had chosen it so that it ends within the window. Change: only rejections that hold anywhere are raised. Measured: the_retry_after_of_a_rejection_for_the_same_endpoints_is_not_raised red before, green after.

--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -59,15 +59,19 @@
 }
 
 /// Raises the Retry-After of a rejection to that of the hierarchy, limited to `longest`. A rejection without
-/// a Retry-After and all other answers are unchanged. Times are in milliseconds.
+/// a Retry-After, or one that holds only while the endpoints remember the request's key, and all other answers
+/// are unchanged. Times are in milliseconds.
 pub fn with_hierarchy_retry_after(
     answer: FinalAnswer,
     from_hierarchy: Option<Ms>,
     longest: Ms,
 ) -> FinalAnswer {
     match (answer, from_hierarchy) {
-        (FinalAnswer::Rejected { retry_after, may_run_elsewhere }, Some(later)) if retry_after > 0.0 => {
-            FinalAnswer::Rejected { retry_after: retry_after.max(later.min(longest)), may_run_elsewhere }
+        (FinalAnswer::Rejected { retry_after, may_run_elsewhere: true }, Some(later))
+            if retry_after > 0.0 =>
+        {
+            let retry_after = retry_after.max(later.min(longest));
+            FinalAnswer::Rejected { retry_after, may_run_elsewhere: true }
         }
         _ => answer,
     }
--- a/crates/router/tests/unit/answers.rs
+++ b/crates/router/tests/unit/answers.rs
@@ -62,3 +62,12 @@
     assert_eq!(frame(FinalAnswer::Failed, ResponsePayload::Empty), failed);
     assert_eq!(frame(FinalAnswer::Served, ResponsePayload::Empty), failed);
 }
+
+/// Guards against a client that retries after the endpoints have forgotten the key: the Retry-After of such a
+/// rejection was chosen so that it ends within the window.
+#[test]
+fn the_retry_after_of_a_rejection_for_the_same_endpoints_is_not_raised() {
+    let keyed = FinalAnswer::Rejected { retry_after: 50.0, may_run_elsewhere: false };
+    assert_eq!(with_hierarchy_retry_after(keyed, Some(700.0), MAX_RETRY_AFTER), keyed);
+    assert_eq!(with_hierarchy_retry_after(rejected(50.0), Some(700.0), MAX_RETRY_AFTER), rejected(700.0));
+}
