Withdraw fills that wait at the shield when their object is purged

Callers would see: an answer from a copy that is older than a purge, where fills may wait for longer than its grace. Cause: a purge withdrew what waits for a connection and not what waits at the shield, whose order keeps the age limit of the time of the decision. Change: queued fills of a purged object or group are withdrawn, and the policy decides anew.

--- a/crates/router/src/hierarchy_adapter/fills.rs
+++ b/crates/router/src/hierarchy_adapter/fills.rs
@@ -26,6 +26,8 @@
     pub object: u64,
     /// The number of the object's part.
     pub part: u32,
+    /// The purge group of the object.
+    pub group: u32,
     /// Whether the request's class is a class of writes.
     pub is_write: bool,
     /// The size of the object in bytes, as far as it is known.
@@ -321,6 +323,24 @@
         orders
     }
 
+    /// Withdraws the queued fills of a purged object, or of a purged group if `object` is `None`, and returns
+    /// their attempts, each with the time at which it was queued: their age limits predate the purge.
+    pub fn withdraw_purged(&mut self, object: Option<u64>, group: u32) -> Vec<(AttemptOrder, Ms)> {
+        let is_purged = |profile: &RequestProfile| match object {
+            Some(object) => profile.object == object,
+            None => profile.group == group,
+        };
+        let purged = self.queued.iter().filter(|(_, queued)| is_purged(&queued.profile));
+        let mut attempts: Vec<AttemptKey> = purged.map(|(attempt, _)| *attempt).collect();
+        attempts.sort_unstable();
+        let mut withdrawn = Vec::new();
+        for attempt in attempts {
+            self.hierarchy.cancel_fill(shield_ticket(attempt));
+            withdrawn.extend(self.queued.remove(&attempt).map(|queued| (queued.order, queued.queued_at)));
+        }
+        withdrawn
+    }
+
     pub(super) fn reject_queued(&mut self, attempt: AttemptKey) -> Option<FillDecision> {
         let QueuedFill { order, queued_at, .. } = self.queued.remove(&attempt)?;
         Some(FillDecision::Reject { order, queued_at })
--- a/crates/router/src/proxy/endpoints.rs
+++ b/crates/router/src/proxy/endpoints.rs
@@ -84,6 +84,7 @@
         };
         if let PolicyInput::Purged { object, group, .. } = input {
             self.upstreams.withdraw_purged(now, object, group);
+            self.withdraw_purged_fills(now, object, group);
         }
         if let Some(remote_sites) = &mut self.parts.remote_sites {
             remote_sites.publish_purge(now, purge);
@@ -91,6 +92,14 @@
         self.report_to_policy(now, input);
     }
 
+    /// Withdraws fills of purged objects that are queued for admission.
+    fn withdraw_purged_fills(&mut self, now: Ms, object: Option<u64>, group: u32) {
+        let Some(hierarchy) = &mut self.parts.hierarchy else { return };
+        for (order, queued_at) in hierarchy.withdraw_purged(object, group) {
+            self.upstreams.withdraw_unsent(now, order.attempt, order.endpoint, queued_at);
+        }
+    }
+
     /// Applies a purge that another site, or another router, has announced.
     pub(super) fn apply_announced_purge(&mut self, purge: &PurgeEvent) {
         if let Some(input) = purge.policy_input() {
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -36,6 +36,7 @@
         let profile = RequestProfile {
             object: spec.object,
             part: spec.part,
+            group: spec.group,
             is_write,
             size_bytes: spec.size_kb * BYTES_PER_KB,
             latency_objective,
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -67,6 +67,11 @@
         self.complete(now, attempt, endpoint, now, AttemptEnd::Cancelled);
     }
 
+    /// Completes an attempt whose queued fill was withdrawn as not sent.
+    pub fn withdraw_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, queued_at: Ms) {
+        self.complete(now, attempt, endpoint, queued_at, AttemptEnd::NotSent);
+    }
+
     /// Completes an attempt whose queued fill was not admitted as rejected. It was never sent, and does not
     /// count as a fault of its endpoint.
     pub fn reject_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, queued_at: Ms) {
--- a/crates/router/tests/unit/requests.rs
+++ b/crates/router/tests/unit/requests.rs
@@ -20,6 +20,7 @@
     let profile = RequestProfile {
         object: 7,
         part: 0,
+        group: 0,
         is_write: false,
         size_bytes: 0.0,
         latency_objective: 100.0,
