Withdraw a waiting attempt if any endpoint on the path of its fill drains

Callers would see: a draining parent that is still asked for fills, with hierarchy(extended = True). Cause: what waits for a connection was withdrawn for its endpoint and its source, and not for the nodes in via. Change: a queued attempt has all endpoints that its fill may pass.

--- a/crates/router/src/hierarchy_adapter/fills.rs
+++ b/crates/router/src/hierarchy_adapter/fills.rs
@@ -257,9 +257,12 @@
         let source = order.fill.source.filter(|_| self.extended)?;
         let passed = loop_detection::FillPath::new(self.hierarchy.version());
         let hops = self.hierarchy.onward_path(now, node_id(order.endpoint), node_id(source), object);
-        let hops = hops.iter().filter(|hop| !is_cached_only || hop.cached_only);
-        let via = hops.map(|hop| self.hop_text(hop)).collect();
-        Some(FillPath { passed: passed.to_string(), via })
+        let hops: Vec<&Hop> = hops.iter().filter(|hop| !is_cached_only || hop.cached_only).collect();
+        Some(FillPath {
+            passed: passed.to_string(),
+            via: hops.iter().map(|hop| self.hop_text(hop)).collect(),
+            via_endpoints: hops.iter().map(|hop| EndpointKey::from_number(hop.node.0)).collect(),
+        })
     }
 
     fn hop_text(&self, hop: &Hop) -> String {
--- a/crates/router/src/upstream/attempt.rs
+++ b/crates/router/src/upstream/attempt.rs
@@ -42,6 +42,8 @@
     /// The nodes from which the source itself fills the object if it has no copy. A name that ends with `:h`
     /// is asked for a cached copy only.
     pub via: Vec<String>,
+    /// The endpoints of `via`.
+    pub via_endpoints: Vec<EndpointKey>,
 }
 
 /// The payload of a reply to an attempt.
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -37,9 +37,9 @@
 pub(super) struct QueuedMessage {
     /// The id that its reply will repeat; `None` for a cancellation, which has no reply.
     pub id: Option<String>,
-    /// The attempt, if the message is one; `source` is the endpoint that it fills from.
+    /// The attempt, if the message is one; `sources` are the endpoints that its fill may pass.
     pub attempt: Option<AttemptKey>,
-    pub source: Option<EndpointKey>,
+    pub sources: Vec<EndpointKey>,
     pub object: Option<RequestedObject>,
     pub queued_at: Ms,
     pub bytes: BufferChain,
@@ -48,7 +48,7 @@
 impl QueuedMessage {
     /// A cancellation or a health check.
     pub fn control(id: Option<String>, queued_at: Ms, bytes: BufferChain) -> Self {
-        Self { id, attempt: None, source: None, object: None, queued_at, bytes }
+        Self { id, attempt: None, sources: Vec::new(), object: None, queued_at, bytes }
     }
 }
 
--- a/crates/router/src/upstream/endpoints.rs
+++ b/crates/router/src/upstream/endpoints.rs
@@ -74,7 +74,7 @@
         let is_unusable = |entry: &&EndpointEntry| !entry.is_ready() || self.is_replaced(entry);
         unusable.extend(entries.iter().filter(is_unusable).map(|entry| EndpointKey::of(&entry.uid)));
         self.withdraw(now, AttemptEnd::TimedOut, |key, queued| {
-            unusable.contains(&key) || queued.source.is_some_and(|source| unusable.contains(&source))
+            unusable.contains(&key) || queued.sources.iter().any(|source| unusable.contains(source))
         });
     }
 
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -37,13 +37,14 @@
         let source_name =
             fill.source.and_then(|source| self.endpoints.get(&source)).map(|source| &*source.uid);
         let fields = request_fields(order, message, source_name, fill_path);
+        let via_endpoints = fill_path.into_iter().flat_map(|path| path.via_endpoints.iter().copied());
         let bytes = codec::encode_request(&self.buffers, &message.id, &fields, message.body.duplicate());
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let object = u64::from_str_radix(&message.object, 16).ok();
         let queued = QueuedMessage {
             id: Some(message.id.clone()),
             attempt: Some(attempt),
-            source: fill.source,
+            sources: fill.source.into_iter().chain(via_endpoints).collect(),
             object: object.map(|object| RequestedObject { object, group: message.group }),
             queued_at: now,
             bytes,
--- a/crates/router/tests/common/pending_connections.rs
+++ b/crates/router/tests/common/pending_connections.rs
@@ -56,6 +56,15 @@
 
 /// The same with another `cache-b`.
 pub fn pending_fleet_with(b: Cache, change: impl Fn(&mut Value)) -> PendingFleet {
+    pending_fleet_with_operator(b, change, None)
+}
+
+/// The same with an operator file.
+pub fn pending_fleet_with_operator(
+    b: Cache,
+    change: impl Fn(&mut Value),
+    operator: Option<&str>,
+) -> PendingFleet {
     let (listener, parent, origin) = (PendingListener::new(), echo("parent"), echo("origin"));
     let targets = ready_endpoints(listener.address, b.address, parent.address, origin.address);
     let events = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
@@ -64,7 +73,7 @@
         extend_timeouts(config);
         change(config);
     };
-    let router = Router::start_with(&journal, change, None, None);
+    let router = Router::start_with(&journal, change, operator, None);
     PendingFleet { a_address: listener.address, listener: Some(listener), b, parent, origin, journal, router }
 }
 
--- a/crates/router/tests/shield.rs
+++ b/crates/router/tests/shield.rs
@@ -56,3 +56,22 @@
         assert!(fields.contains_key("accept"), "by group: {by_group}, {fields:?}");
     }
 }
+
+/// Guards against a fill that passes a draining parent: the path was checked when the attempt was ordered, and
+/// the parent began to drain while the attempt waited for a connection.
+#[test]
+fn a_fill_that_waits_for_a_connection_does_not_pass_an_endpoint_that_drains_meanwhile() {
+    let mut fleet = pending_fleet_with_operator(echo("b"), |_| (), Some(&extended_operator()));
+    let _client = fleet.client_with_pending_request();
+    fleet.publish(json!({"hosts": {"rev": 2, "all": false, "targets": [
+        endpoint("origin", fleet.origin.address, "Terminating")
+    ]}}));
+    let sent = fleet.remaining_requests();
+    let via_origin = sent.iter().filter(|fields| fields.get("via").is_some_and(|via| via.contains("origin")));
+    assert_eq!(via_origin.count(), 0, "{sent:?}");
+}
+
+/// The operator file with paths in the fills.
+fn extended_operator() -> String {
+    OPERATOR.replace("wait = 2.0", "extended = True")
+}
