--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The router as a process, with servers of the test in place of everything that it connects to.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod faulty_origin;
 pub mod late_listener;
 pub mod pending_connections;
 pub mod slow_origin;
--- a/crates/router/tests/common/timestamped_server.rs
+++ b/crates/router/tests/common/timestamped_server.rs
@@ -24,11 +24,23 @@
 pub type RequestHandler = Arc<dyn Fn(Ms, &str, &Fields) -> Option<Answer> + Send + Sync>;
 
 /// A stream that remembers when the kernel received the bytes of the last read.
-struct TimestampedStream {
+pub struct TimestampedStream {
     stream: TcpStream,
     received_at: Cell<Ms>,
 }
 
+impl TimestampedStream {
+    /// Wraps a connection that was accepted from a listener with time stamps.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, received_at: Cell::new(0.0) }
+    }
+
+    /// When the bytes of the last read reached this machine, in Unix milliseconds.
+    pub fn received_at(&self) -> Ms {
+        self.received_at.get()
+    }
+}
+
 impl Read for TimestampedStream {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         let mut space = nix::cmsg_space!(TimeSpec);
@@ -62,13 +74,13 @@
 
 fn serve_connection(stream: TcpStream, handler: &RequestHandler) -> io::Result<()> {
     let mut output = stream.try_clone()?;
-    let mut input = BufReader::new(TimestampedStream { stream, received_at: Cell::new(0.0) });
+    let mut input = BufReader::new(TimestampedStream::new(stream));
     loop {
         let mut parts = array(&mut input)?.into_iter();
         let mut text = || parts.next().map(|part| String::from_utf8_lossy(&part).into_owned());
         let (command, id) = (text().unwrap_or_default(), text().unwrap_or_default());
         let answer = match command.as_str() {
-            "ASK" => handler(input.get_ref().received_at.get(), &id, &fields(&text().unwrap_or_default())),
+            "ASK" => handler(input.get_ref().received_at(), &id, &fields(&text().unwrap_or_default())),
             "QUIT" => None,
             _ => Some(Answer::with_status("well")),
         };
