Log what holds exhausted buffers, and what a connection had read when it is closed

Change: a line at most every 0.5 s with the bytes by owner, and fields on the line of a close: open requests, age and length of the half message, bytes read and unread.

--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -130,6 +130,13 @@
         self.clients.len()
     }
 
+    /// The bytes of received and not yet decoded input, and of unwritten output, of all connections.
+    pub fn buffered_bytes(&self) -> (usize, usize) {
+        let input = self.clients.values().map(|client| client.input.len()).sum();
+        let output = self.clients.values().map(|client| client.output.len()).sum();
+        (input, output)
+    }
+
     /// Whether a request is still open on its client's connection.
     pub fn is_open(&self, stream: ClientStream, ticket: Ticket) -> bool {
         let client = self.clients.get(&stream.client);
--- a/crates/router/src/downstream/writer.rs
+++ b/crates/router/src/downstream/writer.rs
@@ -81,7 +81,18 @@
     ) {
         let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) else { return };
         self.counts.malformed += 1;
-        log_line!(client = id, reason = %error, "closing a client's connection with an error");
+        log_line!(
+            client = id,
+            reason = %error,
+            open = client.open.len(),
+            partial_ms = client.partial_since.map_or(0.0, |since| now - since).round(),
+            frame_bytes = codec::peek_head(&client.input, 0, self.limits.clients.max_frame_bytes)
+                .map_or(0, |head| head.length),
+            read_bytes = client.input.len(),
+            unread_bytes = rustix::io::ioctl_fionread(&*client.stream).unwrap_or_default(),
+            buffers = self.buffers.in_use(),
+            "closing a client's connection with an error"
+        );
         client.phase = ConnectionPhase::Closing;
         client.partial_since = None;
         client.input = BufferChain::new(&self.buffers);
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -53,6 +53,7 @@
 
     /// Handles the deadlines of clients' connections, and reads clients whose reading was paused.
     pub fn on_client_timer(&mut self, now: Ms) {
+        self.log_exhausted_buffers(now);
         self.run_downstreams(|downstreams, events| {
             downstreams.on_timer(now, events);
             downstreams.read_paused(now, events);
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -4,12 +4,14 @@
 //! - [`clients`]: requests and cancellations of clients, and their final answers;
 //! - [`attempts`]: sending of attempts to caches, and their outcomes;
 //! - [`remote_sites`]: requests forwarded to other sites, and requests received from them;
+//! - [`buffer_usage`]: logging what holds the buffers while they are exhausted;
 //! - [`endpoints`]: updates of the endpoint list, fill sources and purges, from every source.
 //!
 //! This module makes no routing decisions. The policy issues commands through [`PolicyAdapter`];
 //! [`Downstreams`] and [`Upstreams`] read and write the bytes.
 
 mod attempts;
+mod buffer_usage;
 mod clients;
 mod endpoints;
 mod remote_sites;
@@ -60,6 +62,8 @@
     /// Set during shutdown: new requests are rejected.
     is_closing: bool,
     counters: Counters,
+    /// The earliest time of the next log line about exhausted buffers.
+    next_buffer_log: Ms,
 }
 
 impl<W: EventHandler> Proxy<W> {
@@ -80,6 +84,7 @@
             policy_timer: None,
             is_closing: false,
             counters: Counters::default(),
+            next_buffer_log: 0.0,
         }
     }
 
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -100,6 +100,11 @@
         self.by_ticket.len()
     }
 
+    /// The bytes of the bodies of all open requests.
+    pub fn body_bytes(&self) -> usize {
+        self.by_ticket.values().map(|request| request.message.body.len()).sum()
+    }
+
     /// The request with a ticket; `None` if it is not open.
     pub fn get(&self, ticket: Ticket) -> Option<&OpenRequest> {
         self.by_ticket.get(&ticket)
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -249,6 +249,17 @@
         is_writing_one || self.queue.iter().any(|queued| queued.id.is_none())
     }
 
+    /// The bytes of a reply that is not complete yet.
+    pub fn input_bytes(&self) -> usize {
+        self.input.len()
+    }
+
+    /// The bytes of the messages that are not written yet.
+    pub fn unwritten_bytes(&self) -> usize {
+        let queued: usize = self.queue.iter().map(|message| message.bytes.len()).sum();
+        self.output.len() + queued
+    }
+
     /// Whether a reply has begun although no exchange is open.
     pub fn has_unexpected_input(&self) -> bool {
         self.open.is_empty() && (!self.input.is_empty() || !self.decoder.is_idle())
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -119,6 +119,13 @@
         self.connections.len()
     }
 
+    /// The bytes of incomplete replies, and of unwritten messages, of all connections.
+    pub fn buffered_bytes(&self) -> (usize, usize) {
+        let input = self.connections.values().map(Connection::input_bytes).sum();
+        let output = self.connections.values().map(Connection::unwritten_bytes).sum();
+        (input, output)
+    }
+
     /// Reads and writes a connection that the event loop has reported as ready.
     pub fn on_ready(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) {
         let readable = readiness.readable || readiness.error;
