Read clients on while buffers are short, and refuse what can't be kept at once

Cause: with half of the memory in buffers no client was read, and the one with the longest half message was closed; the buffers were held by bodies of open requests (14.2 to 15.7 of 16.8 MB), and the other half lay unread in the router's own socket, with whole requests behind it. Change: clients are always read; from seven eighths of the buffers on, payloads over one block are discarded as they arrive (the oldest partial message first) and their requests are refused with a Retry-After, as are requests with a body; those without one only when all is in use. The error is gone, and with it its text. This works since nothing waits in the router's socket any more and a refusal takes no buffers.

--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -20,24 +20,37 @@
     max_free: usize,
     /// The number of blocks in use at which the pool counts as exhausted.
     max_in_use: usize,
+    /// The number of blocks in use at which the pool counts as short.
+    short_at: usize,
     in_use: usize,
 }
 
+/// The share of the blocks that may be in use before the pool counts as short.
+const SHORT_RATIO: f64 = 0.875;
+
 impl BufferPool {
     /// Creates a pool of blocks of `block_size` bytes that retains at most `max_free` unused ones. It counts
     /// as exhausted at `max_in_use` blocks in use.
     pub fn new(block_size: usize, max_free: usize, max_in_use: usize) -> Self {
         let size = block_size.max(1);
-        Self(Rc::new(RefCell::new(Blocks { free: Vec::new(), size, max_free, max_in_use, in_use: 0 })))
+        let short_at = (max_in_use as f64 * SHORT_RATIO).ceil() as usize;
+        let blocks = Blocks { free: Vec::new(), size, max_free, max_in_use, short_at, in_use: 0 };
+        Self(Rc::new(RefCell::new(blocks)))
     }
 
-    /// Whether reading should pause until blocks are released. This is advisory: blocks can still be
-    /// acquired.
+    /// Whether no blocks should be taken for new messages. This is advisory: blocks can still be acquired.
     pub fn is_exhausted(&self) -> bool {
         let blocks = self.0.borrow();
         blocks.in_use >= blocks.max_in_use
     }
 
+    /// Whether the remaining blocks are reserved for messages that use few of them. Always true for an
+    /// exhausted pool.
+    pub fn is_short(&self) -> bool {
+        let blocks = self.0.borrow();
+        blocks.in_use >= blocks.short_at
+    }
+
     /// The number of blocks in use.
     pub fn in_use(&self) -> usize {
         self.0.borrow().in_use
--- a/crates/router/src/downstream/codec.rs
+++ b/crates/router/src/downstream/codec.rs
@@ -21,9 +21,21 @@
 /// A message of a client.
 #[derive(Debug)]
 pub enum ClientMessage {
-    Request { stream: u32, fields: Fields, body: BufferChain },
-    Cancel { stream: u32 },
-    ReadinessCheck { stream: u32 },
+    Request {
+        stream: u32,
+        fields: Fields,
+        body: BufferChain,
+    },
+    /// A request whose payload was discarded, so that it can't be forwarded.
+    DiscardedRequest {
+        stream: u32,
+    },
+    Cancel {
+        stream: u32,
+    },
+    ReadinessCheck {
+        stream: u32,
+    },
 }
 
 /// The final result of a request, or of a readiness check.
@@ -85,49 +97,73 @@
 pub struct FrameHead {
     /// The size of the complete frame, in bytes.
     pub length: usize,
-    /// The stream that the frame cancels, if it is a cancellation.
-    pub cancels: Option<u32>,
+    kind: u8,
+    stream: u32,
 }
 
-/// The head of the frame at `offset` in `input`; `None` if it is incomplete or its length is invalid.
-/// `max_frame` is as for [`decode`].
-pub fn peek_head(input: &BufferChain, offset: usize, max_frame: usize) -> Option<FrameHead> {
-    let mut head = [0; LENGTH_BYTES + HEAD_BYTES];
-    if input.peek_at(offset, &mut head) < head.len() {
-        return None;
+impl FrameHead {
+    /// The stream that the frame cancels, if it is a cancellation.
+    pub fn cancels(self) -> Option<u32> {
+        (self.kind == frame_type::CANCEL).then_some(self.stream)
     }
-    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
-    if !(HEAD_BYTES..=max_frame).contains(&length) {
-        return None;
+
+    /// The message of a complete frame whose payload was discarded.
+    ///
+    /// # Errors
+    ///
+    /// A frame that violates the protocol.
+    pub fn without_payload(self) -> Result<ClientMessage, FrameError> {
+        let stream = self.stream;
+        match self.kind {
+            frame_type::REQUEST if stream == 0 => Err(FrameError::RequestOnStreamZero),
+            frame_type::REQUEST => Ok(ClientMessage::DiscardedRequest { stream }),
+            frame_type::CANCEL => Ok(ClientMessage::Cancel { stream }),
+            frame_type::READINESS_CHECK => Ok(ClientMessage::ReadinessCheck { stream }),
+            _ => Err(FrameError::UnknownType),
+        }
     }
-    let cancels = (head[4] == frame_type::CANCEL).then_some(stream);
-    Some(FrameHead { length: LENGTH_BYTES + length, cancels })
 }
 
-/// Decodes one message and removes it from `input`; `None` while it is incomplete. `max_frame` is the longest
-/// frame in bytes, without its length field.
+/// The head of the frame at `offset` in `input`; `None` if it is incomplete. `max_frame` is as for [`decode`].
 ///
 /// # Errors
 ///
-/// A frame that violates the protocol.
-pub fn decode(input: &mut BufferChain, max_frame: usize) -> Result<Option<ClientMessage>, FrameError> {
+/// An invalid length.
+pub fn decode_head(
+    input: &BufferChain,
+    offset: usize,
+    max_frame: usize,
+) -> Result<Option<FrameHead>, FrameError> {
     let mut head = [0; LENGTH_BYTES + HEAD_BYTES];
-    let seen = input.peek(&mut head);
+    let seen = input.peek_at(offset, &mut head);
     if seen < LENGTH_BYTES {
         return Ok(None);
     }
     let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    if length < HEAD_BYTES || length > max_frame {
+    if !(HEAD_BYTES..=max_frame).contains(&length) {
         return Err(FrameError::Length);
     }
-    if input.len() < LENGTH_BYTES + length {
+    if seen < head.len() {
         return Ok(None);
     }
     let stream = u32::from_be_bytes([head[5], head[6], head[7], head[8]]);
+    Ok(Some(FrameHead { length: LENGTH_BYTES + length, kind: head[4], stream }))
+}
+
+/// Decodes one message and removes it from `input`; `None` while it is incomplete. `max_frame` is the longest
+/// frame in bytes, without its length field.
+///
+/// # Errors
+///
+/// A frame that violates the protocol.
+pub fn decode(input: &mut BufferChain, max_frame: usize) -> Result<Option<ClientMessage>, FrameError> {
+    let Some(head) = decode_head(input, 0, max_frame)?.filter(|head| input.len() >= head.length) else {
+        return Ok(None);
+    };
+    let stream = head.stream;
     input.consume(LENGTH_BYTES + HEAD_BYTES);
-    let mut payload = input.split_to(length - HEAD_BYTES);
-    match head[4] {
+    let mut payload = input.split_to(head.length - LENGTH_BYTES - HEAD_BYTES);
+    match head.kind {
         frame_type::REQUEST if stream == 0 => Err(FrameError::RequestOnStreamZero),
         frame_type::REQUEST => {
             let fields = decode_fields(&mut payload)?;
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -11,6 +11,8 @@
 use crate::buffers::{BufferChain, BufferPool};
 use crate::policy_adapter::{Ms, Ticket};
 
+use super::codec::{self, ClientMessage, FrameError, FrameHead};
+
 /// The phases of a connection.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum ConnectionPhase {
@@ -53,11 +55,21 @@
     }
 }
 
+/// A frame whose payload is discarded as it arrives, so that it takes no buffers.
+#[derive(Debug, Clone, Copy)]
+struct DiscardedFrame {
+    head: FrameHead,
+    /// The number of bytes that have not arrived or are still in the input.
+    remaining: usize,
+}
+
 /// The state of one connection.
 pub(super) struct ClientConnection {
     pub stream: Rc<TcpStream>,
     pub token: RegistrationToken,
     pub input: BufferChain,
+    /// The current frame, if its payload is discarded.
+    discarded: Option<DiscardedFrame>,
     /// The number of input bytes that were already scanned for cancellations while reading is paused.
     pub scanned: usize,
     pub output: BufferChain,
@@ -85,6 +97,7 @@
             stream,
             token,
             input: BufferChain::new(buffers),
+            discarded: None,
             scanned: 0,
             output: BufferChain::new(buffers),
             open: HashMap::new(),
@@ -109,6 +122,72 @@
         !self.is_open() || (self.open.is_empty() && self.output.is_empty())
     }
 
+    /// Whether a message has been received in part.
+    pub fn has_partial_message(&self) -> bool {
+        !self.input.is_empty() || self.discarded.is_some()
+    }
+
+    /// The next complete message; `None` until one has been read. `max_frame` is as for [`codec::decode`].
+    ///
+    /// # Errors
+    ///
+    /// A frame that violates the protocol.
+    pub fn next_message(&mut self, max_frame: usize) -> Result<Option<ClientMessage>, FrameError> {
+        self.discard_input();
+        match self.discarded {
+            Some(frame) if frame.remaining > 0 => Ok(None),
+            Some(frame) => {
+                self.discarded = None;
+                frame.head.without_payload().map(Some)
+            }
+            None => codec::decode(&mut self.input, max_frame),
+        }
+    }
+
+    /// The size of the first frame if it is being received and its head has been read, in bytes.
+    pub fn partial_frame_bytes(&self, max_frame: usize) -> Option<usize> {
+        if self.discarded.is_some() {
+            return None;
+        }
+        let head = codec::decode_head(&self.input, 0, max_frame).ok()??;
+        (head.length > self.input.len()).then_some(head.length)
+    }
+
+    /// Whether a frame of more than `bytes` is being received, and its payload is kept.
+    pub fn is_receiving_more_than(&self, bytes: usize, max_frame: usize) -> bool {
+        self.partial_frame_bytes(max_frame).is_some_and(|frame_bytes| frame_bytes > bytes)
+    }
+
+    /// Since when a partially received message has been incomplete, or could not be read further.
+    pub fn receiving_since(&self) -> Ms {
+        self.partial_since.unwrap_or(self.last_used)
+    }
+
+    /// Discards the payload of the current frame from here on. Returns false if its head has not been read
+    /// completely.
+    ///
+    /// # Errors
+    ///
+    /// A head that violates the protocol.
+    pub fn discard_frame(&mut self, max_frame: usize) -> Result<bool, FrameError> {
+        if self.discarded.is_some() {
+            return Ok(true);
+        }
+        let Some(head) = codec::decode_head(&self.input, 0, max_frame)? else { return Ok(false) };
+        self.discarded = Some(DiscardedFrame { head, remaining: head.length });
+        self.scanned = 0;
+        self.discard_input();
+        Ok(true)
+    }
+
+    /// Removes the input that belongs to a discarded frame.
+    fn discard_input(&mut self) {
+        let Some(frame) = &mut self.discarded else { return };
+        let n = frame.remaining.min(self.input.len());
+        self.input.consume(n);
+        frame.remaining -= n;
+    }
+
     /// Whether the client has closed the connection, even if earlier input is still unread.
     fn is_closed_by_client(&self) -> bool {
         let mut fds = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
@@ -122,7 +201,7 @@
         while self.input.len() < max_input {
             match self.input.read_from(&*self.stream) {
                 Ok(0) => return true,
-                Ok(_) => {}
+                Ok(_) => self.discard_input(),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return true,
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -53,10 +53,22 @@
 pub enum ClientEvent {
     Request(Ticket, Box<ClientRequest>),
     Cancelled(Ticket),
+    /// A request that was not kept, since buffers were short.
+    Discarded(Ticket, ClientStream),
     /// An invalid request.
     Invalid(ClientStream),
 }
 
+impl ClientEvent {
+    /// The ticket of the valid request that the event reports.
+    fn opened_request(&self) -> Option<Ticket> {
+        match self {
+            Self::Request(ticket, _) | Self::Discarded(ticket, _) => Some(*ticket),
+            Self::Cancelled(_) | Self::Invalid(_) => None,
+        }
+    }
+}
+
 /// Counts of connections that were accepted or closed, for the counters.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConnectionCounts {
@@ -79,8 +91,8 @@
     handle: LoopHandle<'static, W>,
     clients: HashMap<ClientId, ClientConnection>,
     last_id: ClientId,
-    /// Clients whose reading is paused: they have too much unwritten output, have used up their read budget,
-    /// or buffers are exhausted.
+    /// Clients whose reading is paused: they have too much unwritten output, or have used up their read
+    /// budget.
     paused: BTreeSet<ClientId>,
     last_ticket: Ticket,
     next_sweep: Ms,
--- a/crates/router/src/downstream/protocol_error.rs
+++ b/crates/router/src/downstream/protocol_error.rs
@@ -24,8 +24,6 @@
     PartialMessageAtShutdown,
     /// The message was incomplete when the connection was evicted for another one.
     PartialMessageEvicted,
-    /// The message was incomplete when buffers were exhausted.
-    PartialMessageWithoutBuffers,
 }
 
 impl fmt::Display for ProtocolError {
@@ -39,7 +37,6 @@
             Self::MessageTimeout => f.write_str("a message that does not end"),
             Self::PartialMessageAtShutdown => f.write_str("half a message at the end"),
             Self::PartialMessageEvicted => f.write_str("half a message while places are short"),
-            Self::PartialMessageWithoutBuffers => f.write_str("half a message while buffers are short"),
         }
     }
 }
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use crate::event_handler::EventHandler;
-use crate::policy_adapter::Ms;
+use crate::policy_adapter::{Ms, Ticket};
 
 use super::codec::{self, ClientMessage, Fields};
 use super::connection::ConnectionPhase;
@@ -31,7 +31,7 @@
             }
             let output_is_full =
                 client.is_open() && client.output.len() > self.limits.clients.max_unwritten_bytes;
-            if output_is_full || budget == 0 || self.buffers.is_exhausted() {
+            if output_is_full || budget == 0 {
                 // Cancellations must still be found, so that cancelled requests are not forwarded.
                 self.paused.insert(id);
                 return self.scan_ahead(now, id, events);
@@ -59,16 +59,17 @@
                         return self.remove(id, events);
                     }
                 }
-                ConnectionPhase::Open | ConnectionPhase::Closing => self.decode_input(now, id, events),
+                ConnectionPhase::Open | ConnectionPhase::Closing => {
+                    self.decode_input(now, id, events);
+                }
             }
         }
     }
 
     /// Reads ahead from a paused client to detect a disconnect or cancellations; other input is buffered up
-    /// to a limit. While buffers are exhausted, each client may still use one block.
+    /// to a limit. While buffers are short, each client may still use one block.
     fn scan_ahead(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
-        let exhausted = self.buffers.is_exhausted();
-        let max_input = if exhausted {
+        let max_input = if self.buffers.is_short() {
             self.limits.buffers.block_bytes
         } else {
             self.limits.clients.max_read_ahead_bytes
@@ -78,11 +79,10 @@
         if client.read_ahead(max_input) {
             return self.remove(id, events);
         }
-        while let Some(head) =
-            codec::peek_head(&client.input, client.scanned, self.limits.clients.max_frame_bytes)
-        {
+        let max_frame = self.limits.clients.max_frame_bytes;
+        while let Ok(Some(head)) = codec::decode_head(&client.input, client.scanned, max_frame) {
             client.scanned += head.length;
-            if let Some(ticket) = head.cancels.and_then(|stream| client.open.remove(&stream)) {
+            if let Some(ticket) = head.cancels().and_then(|stream| client.open.remove(&stream)) {
                 self.counts.withdrawn += u64::from(withdraw_request(ticket, events));
             }
         }
@@ -105,22 +105,28 @@
 
     /// Resumes reading from paused clients.
     pub fn read_paused(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
-        self.relieve_buffers(now, events);
-        if !self.buffers.is_exhausted() {
-            for id in self.paused.clone() {
-                self.read(now, id, events);
-            }
+        self.discard_partial_messages();
+        for id in self.paused.clone() {
+            self.read(now, id, events);
         }
     }
 
-    /// While buffers are exhausted, closes the clients with the longest partially received messages, those
-    /// without any answered request first. Otherwise a few clients could keep all others from being read.
-    fn relieve_buffers(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
-        while self.buffers.is_exhausted() {
-            let partial = self.clients.iter().filter(|(_, client)| client.partial_since.is_some());
-            let longest = partial.max_by_key(|(_, client)| (!client.has_been_answered, client.input.len()));
-            let Some(id) = longest.map(|(id, _)| *id) else { return };
-            self.close_with_error(now, id, ProtocolError::PartialMessageWithoutBuffers, events);
+    /// While buffers are short, discards partially received messages that need several blocks: those of clients
+    /// without any answer before the others, and the oldest first. Otherwise a few clients that send slowly
+    /// could keep the buffers from all others. A request is rejected once the rest of it has arrived.
+    fn discard_partial_messages(&mut self) {
+        let block_bytes = self.limits.buffers.block_bytes;
+        let max_frame = self.limits.clients.max_frame_bytes;
+        while self.buffers.is_short() {
+            let clients = self.clients.values_mut();
+            let large = clients.filter(|client| client.is_receiving_more_than(block_bytes, max_frame));
+            let oldest = large.min_by(|a, b| {
+                let answered = a.has_been_answered.cmp(&b.has_been_answered);
+                answered.then(a.receiving_since().total_cmp(&b.receiving_since()))
+            });
+            if oldest.is_none_or(|client| client.discard_frame(max_frame).is_err()) {
+                return;
+            }
         }
     }
 
@@ -132,29 +138,35 @@
                 !client.is_open() || client.output.len() <= self.limits.clients.max_unwritten_bytes
             })
         };
-        !self.buffers.is_exhausted() && self.paused.iter().any(is_readable)
+        self.paused.iter().any(is_readable)
     }
 
     fn decode_input(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
         while let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) {
-            let message = match codec::decode(&mut client.input, self.limits.clients.max_frame_bytes) {
+            let max_frame = self.limits.clients.max_frame_bytes;
+            let message = match client.next_message(max_frame) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
                     client.scanned = 0;
-                    let is_partial = !client.input.is_empty();
+                    let is_partial = client.has_partial_message();
                     client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
-                    return;
+                    return self.discard_partial_messages();
                 }
                 Err(error) => return self.close_with_error(now, id, error.into(), events),
             };
             client.partial_since = None;
             client.last_used = now;
             match message {
-                ClientMessage::Request { stream, fields, body } => {
-                    if let Err(error) = self.add_request(id, stream, &fields, body, events) {
-                        return self.close_with_error(now, id, error, events);
+                ClientMessage::Request { stream, fields, body } => match self.open_request(id, stream) {
+                    Ok(ticket) => events.push(self.request_event(ticket, id, stream, &fields, body)),
+                    Err(error) => return self.close_with_error(now, id, error, events),
+                },
+                ClientMessage::DiscardedRequest { stream } => match self.open_request(id, stream) {
+                    Ok(ticket) => {
+                        events.push(ClientEvent::Discarded(ticket, ClientStream { client: id, stream }));
                     }
-                }
+                    Err(error) => return self.close_with_error(now, id, error, events),
+                },
                 ClientMessage::Cancel { stream } => {
                     let Some(ticket) = client.open.remove(&stream) else { continue };
                     self.counts.withdrawn += u64::from(withdraw_request(ticket, events));
@@ -168,29 +180,33 @@
         }
     }
 
-    /// Opens a request; an error means that the connection has to be closed.
-    fn add_request(
-        &mut self,
-        id: ClientId,
-        stream: u32,
-        fields: &Fields,
-        body: BufferChain,
-        events: &mut Vec<ClientEvent>,
-    ) -> Result<(), ProtocolError> {
-        let Some(client) = self.clients.get_mut(&id) else { return Ok(()) };
-        if !client.streams.insert(stream, self.limits.clients.max_streams_per_connection) {
+    /// Opens a request on a stream; an error means that the connection has to be closed.
+    fn open_request(&mut self, id: ClientId, stream: u32) -> Result<Ticket, ProtocolError> {
+        let max_streams = self.limits.clients.max_streams_per_connection;
+        self.last_ticket += 1;
+        let Some(client) = self.clients.get_mut(&id) else { return Ok(self.last_ticket) };
+        if !client.streams.insert(stream, max_streams) {
             return Err(ProtocolError::StreamReused);
         }
-        if client.open.len() >= self.limits.clients.max_streams_per_connection {
+        if client.open.len() >= max_streams {
             return Err(ProtocolError::TooManyOpenRequests);
         }
-        let client_stream = ClientStream { client: id, stream };
-        self.last_ticket += 1;
         client.open.insert(stream, self.last_ticket);
-        match parse_request(client_stream, fields, body, &self.limits) {
-            Some(request) => events.push(ClientEvent::Request(self.last_ticket, Box::new(request))),
-            None => events.push(ClientEvent::Invalid(client_stream)),
+        Ok(self.last_ticket)
+    }
+
+    fn request_event(
+        &self,
+        ticket: Ticket,
+        client: ClientId,
+        stream: u32,
+        fields: &Fields,
+        body: BufferChain,
+    ) -> ClientEvent {
+        let stream = ClientStream { client, stream };
+        match parse_request(stream, fields, body, &self.limits) {
+            Some(request) => ClientEvent::Request(ticket, Box::new(request)),
+            None => ClientEvent::Invalid(stream),
         }
-        Ok(())
     }
 }
--- a/crates/router/src/downstream/writer.rs
+++ b/crates/router/src/downstream/writer.rs
@@ -86,8 +86,7 @@
             reason = %error,
             open = client.open.len(),
             partial_ms = client.partial_since.map_or(0.0, |since| now - since).round(),
-            frame_bytes = codec::peek_head(&client.input, 0, self.limits.clients.max_frame_bytes)
-                .map_or(0, |head| head.length),
+            frame_bytes = client.partial_frame_bytes(self.limits.clients.max_frame_bytes).unwrap_or_default(),
             read_bytes = client.input.len(),
             unread_bytes = rustix::io::ioctl_fionread(&*client.stream).unwrap_or_default(),
             buffers = self.buffers.in_use(),
@@ -121,8 +120,7 @@
 
 /// Cancels one request; returns true if it was withdrawn from `events`, so that it is never handled.
 pub(super) fn withdraw_request(ticket: Ticket, events: &mut Vec<ClientEvent>) -> bool {
-    let is_request = |event: &ClientEvent| matches!(event, ClientEvent::Request(own, _) if *own == ticket);
-    let Some(position) = events.iter().rposition(is_request) else {
+    let Some(position) = events.iter().rposition(|event| event.opened_request() == Some(ticket)) else {
         events.push(ClientEvent::Cancelled(ticket));
         return false;
     };
@@ -132,7 +130,7 @@
 
 /// Cancels requests; those that are still in `events` are withdrawn.
 fn cancel_requests(mut open: HashSet<Ticket>, events: &mut Vec<ClientEvent>) {
-    events.retain(|event| !matches!(event, ClientEvent::Request(ticket, _) if open.remove(ticket)));
+    events.retain(|event| !event.opened_request().is_some_and(|ticket| open.remove(&ticket)));
     let mut open: Vec<Ticket> = open.into_iter().collect();
     open.sort_unstable();
     events.extend(open.into_iter().map(ClientEvent::Cancelled));
--- a/crates/router/src/policy_adapter/mod.rs
+++ b/crates/router/src/policy_adapter/mod.rs
@@ -200,6 +200,11 @@
         self.max_retry_after
     }
 
+    /// The Retry-After of a rejection for lack of resources, in milliseconds; 0 where it is not supported.
+    pub fn retry_after(&self) -> Ms {
+        self.policy.retry_after()
+    }
+
     /// Whether an endpoint is in this router's own zone.
     pub fn is_local(&self, endpoint: &EndpointInfo) -> bool {
         self.names.zone_number(&endpoint.zone) == Some(self.zone)
--- a/crates/router/src/proxy/buffer_usage.rs
+++ b/crates/router/src/proxy/buffer_usage.rs
@@ -1,4 +1,4 @@
-//! Logging what holds the buffers while they are exhausted.
+//! Logging what holds the buffers while they are short.
 
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
@@ -10,9 +10,10 @@
 const LOG_INTERVAL_MS: Ms = 500.0;
 
 impl<W: EventHandler> Proxy<W> {
-    /// Logs what holds the buffers, if they are exhausted.
-    pub(super) fn log_exhausted_buffers(&mut self, now: Ms) {
-        if !self.buffers.is_exhausted() || now < self.next_buffer_log {
+    /// Logs what holds the buffers, if they are short or requests were rejected for that reason.
+    pub(super) fn log_buffer_shortage(&mut self, now: Ms) {
+        let is_short = self.buffers.is_short() || self.rejections_without_buffers > 0;
+        if !is_short || now < self.next_buffer_log {
             return;
         }
         self.next_buffer_log = now + LOG_INTERVAL_MS;
@@ -26,7 +27,8 @@
             client_output_bytes = client_output,
             upstream_input_bytes = upstream_input,
             upstream_output_bytes = upstream_output,
-            "buffers are exhausted"
+            rejected = std::mem::take(&mut self.rejections_without_buffers),
+            "buffers are short"
         );
     }
 }
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -53,7 +53,7 @@
 
     /// Handles the deadlines of clients' connections, and reads clients whose reading was paused.
     pub fn on_client_timer(&mut self, now: Ms) {
-        self.log_exhausted_buffers(now);
+        self.log_buffer_shortage(now);
         self.run_downstreams(|downstreams, events| {
             downstreams.on_timer(now, events);
             downstreams.read_paused(now, events);
@@ -74,6 +74,7 @@
             match event {
                 ClientEvent::Request(ticket, request) => self.on_request(ticket, *request),
                 ClientEvent::Cancelled(ticket) => self.on_cancelled(ticket),
+                ClientEvent::Discarded(ticket, stream) => self.on_discarded(ticket, stream),
                 ClientEvent::Invalid(stream) => {
                     self.counters.record_request(0);
                     self.reject_invalid(stream);
@@ -82,6 +83,25 @@
         }
     }
 
+    /// Rejects a request that was not kept, since buffers were short.
+    fn on_discarded(&mut self, ticket: Ticket, stream: ClientStream) {
+        self.counters.record_request(0);
+        // An earlier event of the same batch may have closed the connection.
+        if !self.downstreams.is_open(stream, ticket) {
+            return;
+        }
+        self.rejections_without_buffers += 1;
+        let retry_after = self.policy.retry_after();
+        let answer = FinalAnswer::Rejected { retry_after, may_run_elsewhere: true };
+        self.send_answer(stream, answer, ResponsePayload::Empty);
+    }
+
+    /// Whether the buffers that are left are too few for the request. Requests without a body take none until
+    /// their answer arrives.
+    pub(super) fn lacks_buffers(&self, request: &ClientRequest) -> bool {
+        self.buffers.is_exhausted() || (self.buffers.is_short() && !request.message.body.is_empty())
+    }
+
     fn on_request(&mut self, ticket: Ticket, request: ClientRequest) {
         let now = self.clock.now();
         self.counters.record_request(request.message.body.len());
@@ -92,9 +112,12 @@
         if !self.is_valid(&request) {
             return self.reject_invalid(request.stream);
         }
+        let lacks_buffers = self.lacks_buffers(&request);
+        self.rejections_without_buffers += u64::from(lacks_buffers);
         let ClientRequest { stream, spec, message } = request;
-        let is_overloaded = self.is_closing || self.requests.is_full();
-        let rejection = self.reject_as_straggler(now, &spec).or(is_overloaded.then_some(0.0));
+        let is_full = self.is_closing || self.requests.is_full();
+        let overload = is_full.then_some(0.0).or(lacks_buffers.then(|| self.policy.retry_after()));
+        let rejection = self.reject_as_straggler(now, &spec).or(overload);
         let open = OpenRequest::new(now, &self.policy, stream, &spec, message);
         if self.parts.forwards_requests() {
             self.requests.insert(ticket, open.allow_forwarding(now, &self.policy, spec, Vec::new()));
@@ -186,13 +209,18 @@
             self.reply_to_site(ticket, reply_of(answer, payload));
             return self.run_remote_sites();
         }
-        if let Some(cluster) = &mut self.parts.cluster {
-            cluster.record_answer(self.clock.now(), answer);
-        }
         let answer = with_hierarchy_retry_after(answer, retry_after, self.policy.max_retry_after());
-        self.answer_client(request.stream, ClientAnswer::new(&self.buffers, answer, payload));
+        self.send_answer(request.stream, answer, payload);
+    }
+
+    /// Sends the final answer of a request to its client.
+    fn send_answer(&mut self, stream: ClientStream, answer: FinalAnswer, payload: ResponsePayload) {
         let now = self.clock.now();
-        self.run_downstreams(|downstreams, events| downstreams.flush(now, request.stream.client, events));
+        if let Some(cluster) = &mut self.parts.cluster {
+            cluster.record_answer(now, answer);
+        }
+        self.answer_client(stream, ClientAnswer::new(&self.buffers, answer, payload));
+        self.run_downstreams(|downstreams, events| downstreams.flush(now, stream.client, events));
     }
 
     /// Rejects a request that was not sent anywhere. `retry_after` is in milliseconds, 0 for none.
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -4,7 +4,7 @@
 //! - [`clients`]: requests and cancellations of clients, and their final answers;
 //! - [`attempts`]: sending of attempts to caches, and their outcomes;
 //! - [`remote_sites`]: requests forwarded to other sites, and requests received from them;
-//! - [`buffer_usage`]: logging what holds the buffers while they are exhausted;
+//! - [`buffer_usage`]: logging what holds the buffers while they are short;
 //! - [`endpoints`]: updates of the endpoint list, fill sources and purges, from every source.
 //!
 //! This module makes no routing decisions. The policy issues commands through [`PolicyAdapter`];
@@ -62,8 +62,10 @@
     /// Set during shutdown: new requests are rejected.
     is_closing: bool,
     counters: Counters,
-    /// The earliest time of the next log line about exhausted buffers.
+    /// The earliest time of the next log line about a shortage of buffers.
     next_buffer_log: Ms,
+    /// Requests rejected since that line because buffers were short.
+    rejections_without_buffers: u64,
 }
 
 impl<W: EventHandler> Proxy<W> {
@@ -85,6 +87,7 @@
             is_closing: false,
             counters: Counters::default(),
             next_buffer_log: 0.0,
+            rejections_without_buffers: 0,
         }
     }
 
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -155,7 +155,8 @@
         let ticket = remote.ticket;
         let request = parse_remote_request(remote, &self.buffers, &self.limits);
         let request = request.filter(|request| self.is_valid(request));
-        let is_overloaded = self.requests.is_full() || self.buffers.is_exhausted();
+        let lacks_buffers = request.as_ref().is_some_and(|request| self.lacks_buffers(request));
+        let is_overloaded = self.requests.is_full() || lacks_buffers;
         let Some(request) = request.filter(|_| !is_overloaded) else {
             self.counters.invalid_requests += u64::from(!is_overloaded);
             return self.reject_remote(now, ticket, 0.0);
--- a/crates/router/tests/unit/protocol_error.rs
+++ b/crates/router/tests/unit/protocol_error.rs
@@ -13,7 +13,6 @@
         (ProtocolError::MessageTimeout, "a message that does not end"),
         (ProtocolError::PartialMessageAtShutdown, "half a message at the end"),
         (ProtocolError::PartialMessageEvicted, "half a message while places are short"),
-        (ProtocolError::PartialMessageWithoutBuffers, "half a message while buffers are short"),
     ];
     for (error, text) in texts {
         assert_eq!(error.to_string(), text);
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -191,8 +191,8 @@
         }
     }
 
-    /// The `Retry-After` of a rejection; 0 where it is not supported.
-    fn retry_after(&self) -> Ms {
+    /// The `Retry-After` of a rejection, in milliseconds; 0 where it is not supported.
+    pub fn retry_after(&self) -> Ms {
         if self.settings.supports_retry_after {
             RETRY_AFTER.min(self.settings.max_retry_after)
         } else {
