Answer what has arrived whole before a connection is closed, for every reason

What callers saw: answers to their open requests and an error on stream 0, and none to requests that they had written whole behind the offending message. Cause: close_with_error dropped what was read behind it, and the linger threw away what lay unread.

--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -17,8 +17,12 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum ConnectionPhase {
     Open,
-    /// No more messages are read; the remaining output is being written.
-    Closing,
+    /// The remaining output is being written; requests that still arrive are rejected.
+    Closing {
+        /// The number of requests that are still rejected. Later ones get no answer: no client may have so
+        /// many open.
+        rejections_left: usize,
+    },
     /// All output is written, and the write side is shut down. Further input is read and discarded: closing
     /// with unread input would send a reset, by which the client could lose the last answers.
     Lingering {
@@ -180,6 +184,13 @@
         Ok(true)
     }
 
+    /// Discards all input that has been read.
+    pub fn discard_all_input(&mut self) {
+        self.input.consume(self.input.len());
+        self.discarded = None;
+        self.scanned = 0;
+    }
+
     /// Removes the input that belongs to a discarded frame.
     fn discard_input(&mut self) {
         let Some(frame) = &mut self.discarded else { return };
--- a/crates/router/src/downstream/drain.rs
+++ b/crates/router/src/downstream/drain.rs
@@ -6,7 +6,7 @@
 use crate::policy_adapter::Ms;
 
 use super::codec;
-use super::connection::{ClientConnection, ConnectionPhase};
+use super::connection::ClientConnection;
 use super::protocol_error::ProtocolError;
 use super::{ClientEvent, ClientId, Downstreams};
 
@@ -39,28 +39,35 @@
     }
 
     /// Starts to close the connections without open requests: the remaining output is written, and further
-    /// input is discarded, since a reset could lose the last answers. A client that has sent a part of a
-    /// message may finish it.
+    /// input is discarded after that, since a reset could lose the last answers. A client that has sent a part
+    /// of a message may finish it.
     pub fn close_finished(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
-        let is_finished = |client: &ClientConnection| {
-            client.is_open() && client.open.is_empty() && client.partial_since.is_none()
-        };
-        let mut ids = self.sorted_ids();
-        ids.retain(|id| self.clients.get(id).is_some_and(is_finished) && !self.paused.contains(id));
-        for id in ids {
-            if let Some(client) = self.clients.get_mut(&id) {
-                client.phase = ConnectionPhase::Closing;
+        for id in self.sorted_ids() {
+            if !self.is_finished(id) {
+                continue;
+            }
+            // What has arrived since the last turn may be a request, or a part of one.
+            self.read(now, id, events);
+            if self.is_finished(id) {
+                self.close_gracefully(now, id, events);
             }
-            self.flush(now, id, events);
         }
     }
 
+    /// Whether a connection is open without open requests, unread input, or a partially received message.
+    fn is_finished(&self, id: ClientId) -> bool {
+        let Some(client) = self.clients.get(&id) else { return false };
+        let has_no_request = client.open.is_empty() && client.partial_since.is_none();
+        client.is_open() && has_no_request && !self.paused.contains(&id)
+    }
+
     /// Shuts down the remaining connections; a client with a partially received message is sent an error.
     pub fn close_all(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
         for id in self.sorted_ids() {
             if self.clients.get(&id).is_some_and(|client| client.partial_since.is_some()) {
                 self.close_with_error(now, id, ProtocolError::PartialMessageAtShutdown, events);
             }
+            self.close_gracefully(now, id, events);
             if let Some(client) = self.clients.get(&id) {
                 // The shutdown fails if the client has closed the connection; that is not an error here.
                 let _ = client.stream.shutdown(Shutdown::Write);
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -6,13 +6,15 @@
 //! - [`listener`]: accepting connections, and evicting idle ones in favour of new ones;
 //! - [`reader`]: reading requests and cancellations;
 //! - [`protocol_error`]: why a connection is closed with an error;
-//! - [`writer`]: writing answers, and closing connections;
+//! - [`writer`]: writing answers;
+//! - [`closing`]: closing connections;
 //! - [`timers`]: deadlines of connections;
 //! - [`drain`]: graceful shutdown.
 //!
 //! Each request gets exactly one final answer. Nothing here blocks on a client, and no single client can
 //! starve the others.
 
+mod closing;
 pub mod codec;
 mod connection;
 mod drain;
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -5,11 +5,11 @@
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::{Ms, Ticket};
 
+use super::closing::withdraw_request;
 use super::codec::{self, ClientMessage, Fields};
 use super::connection::ConnectionPhase;
 use super::protocol_error::ProtocolError;
 use super::request::parse_request;
-use super::writer::withdraw_request;
 use super::{ClientEvent, ClientId, ClientStream, Downstreams};
 use crate::buffers::BufferChain;
 
@@ -26,7 +26,7 @@
         let mut has_unread_input = self.paused.remove(&id);
         let mut budget = self.limits.clients.max_read_bytes_per_turn;
         while let Some(client) = self.clients.get_mut(&id) {
-            if client.phase == ConnectionPhase::Closing {
+            if matches!(client.phase, ConnectionPhase::Closing { .. }) {
                 return;
             }
             let output_is_full =
@@ -59,7 +59,7 @@
                         return self.remove(id, events);
                     }
                 }
-                ConnectionPhase::Open | ConnectionPhase::Closing => {
+                ConnectionPhase::Open | ConnectionPhase::Closing { .. } => {
                     self.decode_input(now, id, events);
                 }
             }
@@ -158,7 +158,10 @@
             client.last_used = now;
             match message {
                 ClientMessage::Request { stream, fields, body } => match self.open_request(id, stream) {
-                    Ok(ticket) => events.push(self.request_event(ticket, id, stream, &fields, body)),
+                    Ok(ticket) => {
+                        let stream = ClientStream { client: id, stream };
+                        events.push(self.request_event(ticket, stream, &fields, body));
+                    }
                     Err(error) => return self.close_with_error(now, id, error, events),
                 },
                 ClientMessage::DiscardedRequest { stream } => match self.open_request(id, stream) {
@@ -195,18 +198,17 @@
         Ok(self.last_ticket)
     }
 
+    /// The event of a request that was opened on a stream.
     fn request_event(
         &self,
         ticket: Ticket,
-        client: ClientId,
-        stream: u32,
+        stream: ClientStream,
         fields: &Fields,
         body: BufferChain,
     ) -> ClientEvent {
-        let stream = ClientStream { client, stream };
-        match parse_request(stream, fields, body, &self.limits) {
-            Some(request) => ClientEvent::Request(ticket, Box::new(request)),
-            None => ClientEvent::Invalid(stream),
-        }
+        let Some(request) = parse_request(stream, fields, body, &self.limits) else {
+            return ClientEvent::Invalid(stream);
+        };
+        ClientEvent::Request(ticket, Box::new(request))
     }
 }
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -29,26 +29,37 @@
             return;
         }
         self.next_sweep = now + self.limits.clients.sweep_interval_ms;
-        let mut removed = Vec::new();
-        let mut failed = Vec::new();
-        for (&id, client) in &self.clients {
-            match self.sweep_action(now, id, client) {
-                SweepAction::Keep => {}
-                SweepAction::Remove => removed.push(id),
-                SweepAction::CloseWithError(error) => failed.push((id, error)),
-            }
-        }
-        for id in removed {
-            self.remove(id, events);
-        }
-        for (id, error) in failed {
-            self.counts.timed_out += 1;
-            self.close_with_error(now, id, error, events);
+        let due: Vec<ClientId> = self
+            .clients
+            .iter()
+            .filter(|(id, client)| self.is_due(now, **id, client))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            // What arrived in this turn may be a request, or the rest of one.
+            self.read(now, id, events);
+            self.sweep(now, id, events);
         }
         self.refill_reserve(now, events);
         self.resume_accepting(now);
     }
 
+    fn is_due(&self, now: Ms, id: ClientId, client: &ClientConnection) -> bool {
+        !matches!(self.sweep_action(now, id, client), SweepAction::Keep)
+    }
+
+    fn sweep(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
+        let Some(client) = self.clients.get(&id) else { return };
+        match self.sweep_action(now, id, client) {
+            SweepAction::Keep => {}
+            SweepAction::Remove => self.remove(id, events),
+            SweepAction::CloseWithError(error) => {
+                self.counts.timed_out += 1;
+                self.close_with_error(now, id, error, events);
+            }
+        }
+    }
+
     fn sweep_action(&self, now: Ms, id: ClientId, client: &ClientConnection) -> SweepAction {
         let limits = &self.limits;
         let passed = |since: Ms, span: Ms| now - since > span;
--- /dev/null
+++ b/crates/router/tests/closing.rs
@@ -0,0 +1,98 @@
+//! Connections of clients that the router closes: each request that was written completely before has its
+//! answer. With the built program.
+
+mod common;
+
+use std::io::Write;
+use std::thread;
+use std::time::Duration;
+
+use common::pending_connections::*;
+use common::*;
+use linnethook_quickstart::client::request;
+use linnethook_quickstart::Client;
+use nix::sys::signal::Signal;
+
+const UNKNOWN_TYPE_FRAME: [u8; 9] = [0, 0, 0, 5, 99, 0, 0, 0, 1];
+
+/// The streams and codes of all answers until the connection ends.
+fn answers_until_close(client: &mut Client) -> Vec<(u32, u8)> {
+    std::iter::from_fn(|| client.read().ok())
+        .filter(|frame| frame.kind == 66)
+        .map(|frame| (frame.stream, frame.code))
+        .collect()
+}
+
+/// A valid read on this stream.
+fn read_request(stream: u32) -> Vec<u8> {
+    request(stream, &small_object(&format!("{stream:016x}")), b"")
+}
+
+/// Guards against requests that are lost behind a message that ends their connection: they were read in the
+/// same turn, and dropped.
+#[test]
+fn requests_read_together_with_a_malformed_or_repeated_message_are_answered() {
+    let fleet = fleet();
+    for bad in
+        [UNKNOWN_TYPE_FRAME.to_vec(), request(0, &small_object("00000000000000e1"), b""), read_request(1)]
+    {
+        let mut client = fleet.router.client();
+        let bytes = [read_request(1), bad, read_request(2), read_request(3)].concat();
+        client.stream.write_all(&bytes).expect("sent");
+        let expected = [(1, FAILED), (2, REJECTED), (3, REJECTED), (0, FAILED)];
+        assert_eq!(answers_until_close(&mut client), expected);
+    }
+}
+
+/// Guards against requests that are lost behind too many invalid ones: they lay in the router's socket when it
+/// closed the connection.
+#[test]
+fn unread_requests_behind_too_many_invalid_ones_are_answered() {
+    const INVALID: u32 = 16;
+    const VALID: u32 = 8;
+    /// The invalid requests take nearly all that is read of a client in one turn.
+    const INVALID_BODY_BYTES: usize = 15_800;
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    let mut bytes = Vec::new();
+    for stream in 1..=INVALID {
+        bytes.extend(request(stream, &[("c", "video")], &[7; INVALID_BODY_BYTES]));
+    }
+    for stream in INVALID + 1..=INVALID + VALID {
+        let id = format!("{stream:016x}");
+        bytes.extend(request(stream, &booking(&id, "3000"), &[7; 48_000]));
+    }
+    client.stream.write_all(&bytes).expect("sent");
+    let mut answers = answers_until_close(&mut client);
+    assert_eq!(answers.pop(), Some((0, FAILED)), "the reason comes last");
+    let streams: Vec<u32> = answers.iter().map(|(stream, _)| *stream).collect();
+    assert_eq!(streams, (1..=INVALID + VALID).collect::<Vec<u32>>());
+}
+
+/// Guards against a request that is lost by a timeout although it was complete: after a pause of the process,
+/// a sweep closed its connection without reading it again.
+#[test]
+fn requests_completed_while_the_process_was_paused_past_a_timeout_are_answered() {
+    /// A part of a message is accepted for 1.5 s, and a connection without a request for 2 s.
+    const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+    const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_000);
+    /// The process is paused from this long before the timeout until this long after it.
+    const PAUSED_AROUND: Duration = Duration::from_millis(300);
+    const STEP: Duration = Duration::from_millis(100);
+
+    let fleet = fleet();
+    for (sent_before, timeout) in [(40, MESSAGE_TIMEOUT), (0, FIRST_REQUEST_TIMEOUT)] {
+        let bytes = request(1, &video("00000000000000e1", OBJECT_OF_A), b"");
+        let mut client = fleet.router.client();
+        client.stream.write_all(&bytes[..sent_before]).expect("sent");
+        thread::sleep(timeout - PAUSED_AROUND);
+        fleet.router.signal(Signal::SIGSTOP);
+        thread::sleep(STEP);
+        client.stream.write_all(&bytes[sent_before..]).expect("sent");
+        thread::sleep(2 * PAUSED_AROUND - STEP);
+        fleet.router.signal(Signal::SIGCONT);
+        let answer = client.read().expect("an answer");
+        let reason = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!((answer.stream, answer.code), (1, SERVED), "{reason}");
+    }
+}
