Let a closing connection make room only once its answers are written

What callers saw: with all places taken, a client whose connection ended by an error got some of its answers and then the end. Cause: is_idle took every closing connection as idle, and evict_idle prefers those. Change: idle means nothing open and nothing to be written. Evidence: the test got 27 of 32 frames on, and gets all of them now.

--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -123,7 +123,7 @@
 
     /// Whether the connection can be closed without losing an answer.
     pub fn is_idle(&self) -> bool {
-        !self.is_open() || (self.open.is_empty() && self.output.is_empty())
+        self.open.is_empty() && self.output.is_empty()
     }
 
     /// Whether a message has been received in part.
--- a/crates/router/tests/closing.rs
+++ b/crates/router/tests/closing.rs
@@ -10,8 +10,9 @@
 use common::pending_connections::*;
 use common::*;
 use linnethook_quickstart::client::request;
-use linnethook_quickstart::Client;
+use linnethook_quickstart::{Answer, Client};
 use nix::sys::signal::Signal;
+use socket2::SockRef;
 
 const UNKNOWN_TYPE_FRAME: [u8; 9] = [0, 0, 0, 5, 99, 0, 0, 0, 1];
 
@@ -69,6 +70,48 @@
     assert_eq!(streams, (1..=INVALID + VALID).collect::<Vec<u32>>());
 }
 
+/// Guards against answers that are lost with a connection that is being closed: another client took its place
+/// before they were written.
+#[test]
+fn a_closing_connection_is_not_displaced_before_its_answers_are_written() {
+    /// More than the system holds for a connection.
+    const REQUESTS: u32 = 31;
+    const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+    let b = cache(|_, _, _| Some(Answer::data(vec![7; 240_000])));
+    // One connection of a client.
+    let fleet = fleet_with_socket_limit_of(34, echo("a"), b);
+    let mut client = fleet.router.client();
+    SockRef::from(&client.stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a small buffer");
+    for stream in 1..=REQUESTS {
+        client.stream.write_all(&read_request(stream)).expect("sent");
+    }
+    wait_for_counters(&fleet.router, |counters| {
+        let count = |name: &str| counters.split(name).nth(1)?.split(' ').next()?.parse::<u32>().ok();
+        count(" served=").unwrap_or_default() + count(" refused=").unwrap_or_default() == REQUESTS
+    });
+    client.stream.write_all(&UNKNOWN_TYPE_FRAME).expect("sent");
+    // The router reads the malformed frame once enough of the answers are written.
+    let mut answers = Vec::new();
+    let counters = loop {
+        let frame = client.read().expect("an answer");
+        answers.push((frame.stream, frame.code));
+        thread::sleep(Duration::from_millis(20));
+        let (counters, _) = fleet.router.counters();
+        if counters["malformed"] == 1 {
+            break counters;
+        }
+    };
+    assert!(counters["buffers"] > 0, "answers are still to be written");
+    thread::sleep(Duration::from_millis(200));
+    let mut other = fleet.router.client();
+    other.ask_ready(1).expect("sent");
+    thread::sleep(Duration::from_millis(400));
+    answers.extend(answers_until_close(&mut client));
+    assert_eq!(answers.len() as u32, REQUESTS + 1, "{answers:?}");
+    drop(client);
+    assert_eq!(other.read().expect("an answer").kind, 81, "the other client is served next");
+}
+
 /// Guards against a request that is lost by a timeout although it was complete: after a pause of the process,
 /// a sweep closed its connection without reading it again.
 #[test]
