Close no client over unread answers while it waits for requests, unless others need room

What callers saw: a client that read nothing for more than 4 s found its connection ended, with requests that it had given longer. Change: the connection knows until when its client waits; before, only a shortage of buffers or places ends it.

--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -83,6 +83,8 @@
     pub accepted_at: Ms,
     /// When a message was last received or bytes were last sent.
     pub last_used: Ms,
+    /// Until when the client waits for the answers to its requests.
+    pub answers_awaited_until: Ms,
     /// When the connection was last read until it would block or the read-ahead limit was reached.
     pub last_read: Ms,
     /// Since when a message has been partially received.
@@ -108,6 +110,7 @@
             streams: UsedStreams::default(),
             accepted_at: now,
             last_used: now,
+            answers_awaited_until: now,
             last_read: now,
             partial_since: None,
             has_been_answered: false,
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -160,7 +160,7 @@
                 ClientMessage::Request { stream, fields, body } => match self.open_request(id, stream) {
                     Ok(ticket) => {
                         let stream = ClientStream { client: id, stream };
-                        events.push(self.request_event(ticket, stream, &fields, body));
+                        events.push(self.request_event(now, ticket, stream, &fields, body));
                     }
                     Err(error) => return self.close_with_error(now, id, error, events),
                 },
@@ -200,7 +200,8 @@
 
     /// The event of a request that was opened on a stream.
     fn request_event(
-        &self,
+        &mut self,
+        now: Ms,
         ticket: Ticket,
         stream: ClientStream,
         fields: &Fields,
@@ -209,6 +210,10 @@
         let Some(request) = parse_request(stream, fields, body, &self.limits) else {
             return ClientEvent::Invalid(stream);
         };
+        if let Some(client) = self.clients.get_mut(&stream.client) {
+            let until = now + request.spec.budget + self.limits.requests.network_allowance_ms;
+            client.answers_awaited_until = client.answers_awaited_until.max(until);
+        }
         ClientEvent::Request(ticket, Box::new(request))
     }
 }
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -63,8 +63,10 @@
     fn sweep_action(&self, now: Ms, id: ClientId, client: &ClientConnection) -> SweepAction {
         let limits = &self.limits;
         let passed = |since: Ms, span: Ms| now - since > span;
-        let stalled =
-            !client.output.is_empty() && passed(client.last_used, limits.clients.write_stall_timeout_ms);
+        let is_awaited = now < client.answers_awaited_until && !self.lacks_resources();
+        let stalled = !client.output.is_empty()
+            && passed(client.last_used, limits.clients.write_stall_timeout_ms)
+            && !is_awaited;
         let idle = client.is_idle() && passed(client.last_used, limits.clients.idle_timeout_ms);
         let ended = matches!(client.phase, ConnectionPhase::Lingering { until, .. } if now >= until);
         if stalled || idle || ended {
@@ -84,6 +86,11 @@
         SweepAction::Keep
     }
 
+    /// Whether other clients need the buffers or the place of a client that reads none of its answers.
+    fn lacks_resources(&self) -> bool {
+        self.buffers.is_short() || self.clients.len() >= self.max_clients
+    }
+
     fn resume_accepting(&mut self, now: Ms) {
         // Descriptors may have become available again after that time.
         if self.descriptors_short_since.is_some_and(|since| now - since > self.limits.clients.idle_timeout_ms)
--- a/crates/router/tests/closing.rs
+++ b/crates/router/tests/closing.rs
@@ -139,3 +139,21 @@
         assert_eq!((answer.stream, answer.code), (1, SERVED), "{reason}");
     }
 }
+
+/// Guards against requests that are lost with their client's connection, which was closed because its answers
+/// had not been read for some seconds, although their clients still waited.
+#[test]
+fn a_client_that_reads_no_answers_for_a_while_loses_no_request_that_it_still_waits_for() {
+    /// Longer than the time after which a client that reads nothing is closed.
+    const PAUSE: Duration = Duration::from_millis(9_000);
+    let mut fleet = pending_fleet_with(cache(|_, _, _| Some(Answer::data(vec![7; 240_000]))), |_| ());
+    let mut client = fleet.client_with_pending_request();
+    leave_answers_unread(&fleet.router, &mut client, 3);
+    thread::sleep(PAUSE);
+    for _ in 0..SMALL_REQUESTS {
+        assert_eq!(client.read().expect("an answer").code, SERVED);
+    }
+    let _a = fleet.accept_connections();
+    let answer = client.read().expect("the answer to the pending request");
+    assert_eq!((answer.stream, answer.code), (1, SERVED));
+}
