Write the answers of a closing connection to a client that has shut its sending side

Cause: since requests that have arrived are refused before a close, the end of the client's input was taken for the end of the connection, and the answers to a client that had only shut its sending side were dropped. Change: the end of input ends the refusals, and what is queued is written.

--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -131,7 +131,8 @@
                 return PeerState::Connected;
             }
             match self.input.read_from(&*self.stream) {
-                Ok(0) => return PeerState::Disconnected,
+                // The client sends no more; it may still read its answers.
+                Ok(0) => self.end_rejections(),
                 Ok(n) => budget = budget.saturating_sub(n),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return PeerState::Connected,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/router/tests/closing.rs
+++ b/crates/router/tests/closing.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::io::Write;
+use std::net::Shutdown;
 use std::thread;
 use std::time::Duration;
 
@@ -45,6 +46,21 @@
     }
 }
 
+/// Guards against answers that are lost since their client has shut its sending side: the router took the end
+/// of its input for the end of the connection.
+#[test]
+fn a_client_that_has_shut_its_sending_side_gets_the_answers_of_a_closing_connection() {
+    let fleet = fleet();
+    let mut client = fleet.router.client();
+    // Both arrive before the router reads them.
+    fleet.router.signal(Signal::SIGSTOP);
+    let bytes = [read_request(1), UNKNOWN_TYPE_FRAME.to_vec(), read_request(2)].concat();
+    client.stream.write_all(&bytes).expect("sent");
+    client.stream.shutdown(Shutdown::Write).expect("shut");
+    fleet.router.signal(Signal::SIGCONT);
+    assert_eq!(answers_until_close(&mut client), [(1, FAILED), (2, REJECTED), (0, FAILED)]);
+}
+
 /// Guards against requests that are lost behind too many invalid ones: they lay in the router's socket when it
 /// closed the connection.
 #[test]
