--- a/crates/router/tests/buffers.rs
+++ b/crates/router/tests/buffers.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -40,19 +40,19 @@
 
 /// Writes as many of the largest bookings as a client may have open, and reads their answers. Returns an error
 /// of the connection, or the longest time between a booking and its answer.
-fn book(mut client: Client, number: u32) -> Result<Duration, String> {
+fn book(mut client: Client, number: u32) -> io::Result<Duration> {
     let body = vec![7; MAX_BODY_BYTES];
     let mut written = Vec::new();
     for stream in 1..=MAX_OPEN_REQUESTS {
         let id = id_of(number, stream);
-        client.ask(stream, &booking(&id, DEADLINE_MS), &body).map_err(|error| error.to_string())?;
+        client.ask(stream, &booking(&id, DEADLINE_MS), &body)?;
         written.push(Instant::now());
     }
     let mut longest = Duration::ZERO;
-    for n in 0..MAX_OPEN_REQUESTS {
-        let answer = client.read().map_err(|error| format!("{error} after {n} answers"))?;
+    for _ in 0..MAX_OPEN_REQUESTS {
+        let answer = client.read()?;
         if answer.stream == 0 {
-            return Err(String::from_utf8_lossy(&answer.body).into_owned());
+            return Err(io::Error::other(String::from_utf8_lossy(&answer.body)));
         }
         longest = longest.max(written[answer.stream as usize - 1].elapsed());
     }
--- a/crates/router/tests/client_departures.rs
+++ b/crates/router/tests/client_departures.rs
@@ -91,8 +91,8 @@
     }
 }
 
-/// While the buffers are nearly full the router reads requests of no client, whichever of them fills the
-/// buffers; cancellations and disconnects still take effect.
+/// While the buffers are nearly full, whichever client fills them, cancellations and disconnects of others
+/// still take effect.
 #[test]
 fn requests_abandoned_while_buffers_are_nearly_full_are_not_sent() {
     for how in DISCONNECTS {
