Count the unread bytes of a closing connection by reading them, not by a system call

Change: the line is written after what has arrived was read, and counts that. Behind a frame whose end is unknown nothing is read, and the count is 0.

--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -22,6 +22,13 @@
     Disconnected,
 }
 
+/// What a closing connection had still to be read.
+#[derive(Debug, Clone, Copy)]
+struct Arrived {
+    bytes: usize,
+    peer: PeerState,
+}
+
 impl<W: EventHandler> Downstreams<W> {
     /// Closes a connection after a protocol error: its open requests are answered as failed and reported as
     /// cancelled, those that arrive until the connection is shut down are rejected, and the client is sent the
@@ -35,17 +42,10 @@
     ) {
         let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) else { return };
         self.counts.malformed += 1;
-        log_line!(
-            client = id,
-            reason = %error,
-            open = client.open.len(),
-            partial_ms = client.partial_since.map_or(0.0, |since| now - since).round(),
-            frame_bytes = client.partial_frame_bytes(self.limits.clients.max_frame_bytes).unwrap_or_default(),
-            read_bytes = client.input.len(),
-            unread_bytes = rustix::io::ioctl_fionread(&*client.stream).unwrap_or_default(),
-            buffers = self.buffers.in_use(),
-            "closing a client's connection with an error"
-        );
+        let open_requests = client.open.len();
+        let partial_ms = client.partial_since.map_or(0.0, |since| now - since).round();
+        let frame_bytes = client.partial_frame_bytes(self.limits.clients.max_frame_bytes).unwrap_or_default();
+        let read_bytes = client.input.len();
         let rejections_left = match error {
             // The end of the frame is unknown, so that nothing behind it can be decoded.
             ProtocolError::Frame(FrameError::Length) => 0,
@@ -59,7 +59,19 @@
         }
         let open: HashSet<Ticket> = client.open.drain().map(|(_, ticket)| ticket).collect();
         cancel_requests(open, events);
-        if client.reject_arrived(&self.limits, &self.buffers) == PeerState::Disconnected {
+        let arrived = client.reject_arrived(&self.limits, &self.buffers);
+        log_line!(
+            client = id,
+            reason = %error,
+            open = open_requests,
+            partial_ms,
+            frame_bytes,
+            read_bytes,
+            unread_bytes = arrived.bytes,
+            buffers = self.buffers.in_use(),
+            "closing a client's connection with an error"
+        );
+        if arrived.peer == PeerState::Disconnected {
             return self.remove(id, events);
         }
         // In one write with the answers: none of them invites another request before the error.
@@ -84,7 +96,7 @@
         if !matches!(client.phase, ConnectionPhase::Closing { .. }) {
             return false;
         }
-        if client.reject_arrived(&self.limits, &self.buffers) == PeerState::Disconnected {
+        if client.reject_arrived(&self.limits, &self.buffers).peer == PeerState::Disconnected {
             self.remove(id, events);
             return false;
         }
@@ -121,22 +133,23 @@
 
     /// Rejects the requests that have arrived, as many as a client may have open. Their payloads take no
     /// buffers.
-    fn reject_arrived(&mut self, limits: &Limits, buffers: &BufferPool) -> PeerState {
-        let mut budget = limits.clients.max_streams_per_connection * limits.clients.max_frame_bytes;
+    fn reject_arrived(&mut self, limits: &Limits, buffers: &BufferPool) -> Arrived {
+        let max_bytes = limits.clients.max_streams_per_connection * limits.clients.max_frame_bytes;
+        let mut arrived = Arrived { bytes: 0, peer: PeerState::Connected };
         loop {
             if self.reject_read(limits, buffers).is_err() {
                 self.end_rejections();
             }
-            if budget == 0 || !self.may_reject() {
-                return PeerState::Connected;
+            if arrived.bytes >= max_bytes || !self.may_reject() {
+                return arrived;
             }
             match self.input.read_from(&*self.stream) {
                 // The client sends no more; it may still read its answers.
                 Ok(0) => self.end_rejections(),
-                Ok(n) => budget = budget.saturating_sub(n),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return PeerState::Connected,
+                Ok(read) => arrived.bytes += read,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return arrived,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return PeerState::Disconnected,
+                Err(_) => return Arrived { peer: PeerState::Disconnected, ..arrived },
             }
         }
     }
