Let an excluded router without a hierarchy request cached copies only

Cause: OperatorParts::admit restricted a fill through the hierarchy alone. Evidence: the request that the cache got named a source without the hint for cached copies. Change: the attempt itself is restricted, by the same function that the hierarchy uses now. Measured: the new test in tests/stragglers.rs was red on the parent commit and passes.

--- a/crates/router/src/hierarchy_adapter/fills.rs
+++ b/crates/router/src/hierarchy_adapter/fills.rs
@@ -189,12 +189,7 @@
         profile: RequestProfile,
         retry_after: Ms,
     ) -> FillDecision {
-        let fill = &mut order.fill;
-        fill.only_if_cached = true;
-        fill.revalidate = false;
-        if fill.max_stale_age > 0.0 {
-            fill.max_age = fill.max_stale_age;
-        }
+        order.fill.restrict_to_cached_copies();
         self.retry_after.insert(order.attempt.ticket, retry_after);
         self.send(now, order, profile, true)
     }
--- a/crates/router/src/operator_parts.rs
+++ b/crates/router/src/operator_parts.rs
@@ -127,7 +127,12 @@
     }
 
     /// Decides on an attempt; returns `None` if its fill is queued.
-    pub fn admit(&mut self, now: Ms, order: AttemptOrder, profile: RequestProfile) -> Option<FillDecision> {
+    pub fn admit(
+        &mut self,
+        now: Ms,
+        mut order: AttemptOrder,
+        profile: RequestProfile,
+    ) -> Option<FillDecision> {
         // A straggler starts no fills; it serves cached copies only.
         let may_fill = !profile.is_write && order.fill.source.is_some();
         let cluster = self.cluster.as_mut().filter(|_| may_fill);
@@ -137,7 +142,11 @@
                 Some(hierarchy.admit_from_cache_only(now, order, profile, retry_after))
             }
             (Some(hierarchy), _) => hierarchy.admit(now, order, profile),
-            (None, _) => Some(FillDecision::Send { order, fill_path: None }),
+            (None, Some(_)) => {
+                order.fill.restrict_to_cached_copies();
+                Some(FillDecision::Send { order, fill_path: None })
+            }
+            (None, None) => Some(FillDecision::Send { order, fill_path: None }),
         }
     }
 
--- a/crates/router/src/policy_adapter/actions.rs
+++ b/crates/router/src/policy_adapter/actions.rs
@@ -47,6 +47,15 @@
             revalidate: fill.revalidate,
         }
     }
+
+    /// Excludes a fill: the endpoint and its source serve cached copies only, including stale ones.
+    pub fn restrict_to_cached_copies(&mut self) {
+        self.only_if_cached = true;
+        self.revalidate = false;
+        if self.max_stale_age > 0.0 {
+            self.max_age = self.max_stale_age;
+        }
+    }
 }
 
 /// The final answer to a request.
