Keep a read to one attempt at a time over a link that only one of its ends has lost

Cause: a read has no token, and was retried as soon as its connection was lost, however that ended. Change: the router tells a connection that the other gateway has closed from one that the network has lost; after the latter, a read whose response has not begun waits until the other site must have noticed, has started again, or is asked again, and a gateway that gets a read again on another connection cancels the earlier attempt.

--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -3,22 +3,25 @@
 //! - this file: the choice of a site, and attempts;
 //! - `pending`: the requests that have no reply yet;
 //! - `responses`: the handling of responses;
-//! - `recovery`: retries, lost connections, resumed bodies and timeouts.
+//! - `recovery`: retries, lost connections and timeouts;
+//! - `waiting`: interrupted requests that wait.
 //!
-//! A request never has two open attempts. A request that is not idempotent is sent again only after its
-//! previous attempt is proven not to have run.
+//! A request never has two open attempts, unless it allows that: a further one is sent only after the previous
+//! one has ended at the other site. A request that is not idempotent is sent again only after its previous
+//! attempt is proven not to have run.
 
 mod config;
 mod pending;
 mod recovery;
 mod responses;
+mod waiting;
 
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use linnethook::interface::Ms;
 
-use crate::actions::{Action, Reply};
+use crate::actions::{Action, ConnectionId, Reply};
 use crate::attempt_ledger::{SentAttempts, Ticket, Token};
 use crate::codec::{Fields, ForwardedRequest, ResumePoint};
 use crate::concurrency_window::ConcurrencyWindow;
@@ -31,6 +34,8 @@
 use pending::{ForwardState, PendingRequest, PendingRequests};
 
 pub use config::ForwardingConfig;
+pub(crate) use pending::UnconfirmedEnd;
+pub(crate) use recovery::LostConnection;
 pub(crate) use responses::Rejection;
 
 /// A request for which a site has to be chosen.
@@ -42,6 +47,8 @@
     pub write: bool,
     /// Whether it must not be executed twice.
     pub not_idempotent: bool,
+    /// Whether it may have two attempts at the same time.
+    pub parallel_attempts: bool,
     /// The site that its class is bound to; `None` for the local site.
     pub home_site: Option<SiteId>,
     /// Its priority on a link.
@@ -254,11 +261,23 @@
         now: Ms,
         ticket: Ticket,
         site: SiteId,
+        request: PendingRequest,
+    ) {
+        match links.connection_to(site) {
+            Some(connection) => self.send_attempt_on(links, now, ticket, (connection, site), request),
+            None => self.reject_request(links, ticket, &request),
+        }
+    }
+
+    /// Sends an attempt on a connection to a site, under the same conditions.
+    fn send_attempt_on(
+        &mut self,
+        links: &mut Links,
+        now: Ms,
+        ticket: Ticket,
+        (connection, site): (ConnectionId, SiteId),
         mut request: PendingRequest,
     ) {
-        let Some(connection) = links.connection_to(site) else {
-            return self.reject_request(links, ticket, &request);
-        };
         let deadline = request.spec.deadline;
         if request.spec.not_idempotent {
             let start = links.start_of_peer(connection);
@@ -279,6 +298,8 @@
         }
         request.state = ForwardState::InFlight(connection, site);
         request.last_site = Some(site);
+        request.has_response = false;
+        request.unconfirmed_end = None;
         self.pending.insert(ticket, request);
         links.request_write(connection);
     }
--- a/crates/gateway/src/forwarding/pending.rs
+++ b/crates/gateway/src/forwarding/pending.rs
@@ -23,6 +23,18 @@
     Waiting(Ms),
 }
 
+/// The end of an attempt at another gateway that is not confirmed: the network has lost its connection before
+/// the response began.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct UnconfirmedEnd {
+    /// The name of the gateway.
+    pub peer: String,
+    /// The start time of its process, in Unix microseconds.
+    pub epoch: u64,
+    /// By then the gateway has noticed the loss, and has cancelled the attempt.
+    pub latest: Ms,
+}
+
 #[derive(Debug)]
 pub(super) struct PendingRequest {
     pub spec: ForwardRequest,
@@ -30,6 +42,10 @@
     pub state: ForwardState,
     pub token: Option<Token>,
     pub transfer: Transfer,
+    /// Whether the response of the current attempt has begun: the attempt has ended at the other site.
+    pub has_response: bool,
+    /// Set while the last attempt may still run at another site.
+    pub unconfirmed_end: Option<UnconfirmedEnd>,
     /// Whether the response names the version of the object.
     pub has_version: bool,
     /// Whether the response head announces that the request was served.
@@ -51,6 +67,8 @@
             state: ForwardState::Waiting(now),
             token: None,
             transfer: Transfer::new(spec.deadline, max_retries),
+            has_response: false,
+            unconfirmed_end: None,
             has_version: false,
             served: false,
             fields: Vec::new(),
--- a/crates/gateway/src/forwarding/recovery.rs
+++ b/crates/gateway/src/forwarding/recovery.rs
@@ -1,19 +1,28 @@
-//! Recovery of interrupted requests: retries, lost connections, resumed bodies and timeouts.
+//! Recovery of interrupted requests: retries, lost connections and timeouts.
 
 use std::collections::BTreeSet;
 
 use linnethook::interface::Ms;
 
-use super::pending::{ForwardState, PendingRequest};
+use super::pending::{ForwardState, PendingRequest, UnconfirmedEnd};
 use super::{answer_request, cancel_stream, serve_locally, Forwarder};
 use crate::actions::{ConnectionId, Reply};
 use crate::attempt_ledger::{Resolution, Ticket};
 use crate::codec::Message;
-use crate::flow_control::Priority;
 use crate::links::Links;
-use crate::routing::{Route, SiteId};
+use crate::routing::Route;
 use crate::transfer::{Resumption, Transfer};
 
+/// A connection that was lost, or closed by either side.
+#[derive(Debug)]
+pub(crate) struct LostConnection {
+    pub id: ConnectionId,
+    /// The requests with streams on it.
+    pub tickets: Vec<Ticket>,
+    /// Set if the peer may still run these requests.
+    pub unconfirmed_end: Option<UnconfirmedEnd>,
+}
+
 impl Forwarder {
     /// Retries a request that is idempotent or proven not to have run, if there is time and a site for it. A
     /// request whose attempt `was_interrupted` may wait for a connection instead.
@@ -33,6 +42,9 @@
         if let Resumption::GiveUp = request.transfer.resume(now, self.config.min_retry_time) {
             return self.reject_request(links, ticket, &request);
         }
+        if request.unconfirmed_end.is_some() {
+            return self.await_end(links, now, ticket, request);
+        }
         links.counts.retries += 1;
         match self.route_again(now, &request) {
             Route::Local => serve_locally(links, ticket),
@@ -49,35 +61,35 @@
         }
     }
 
-    fn route_again(&mut self, now: Ms, request: &PendingRequest) -> Route {
+    pub(super) fn route_again(&mut self, now: Ms, request: &PendingRequest) -> Route {
         self.choose_route(now, &request.spec, &request.tried_sites, true, request.last_site)
     }
 
     fn may_wait(&self, request: &PendingRequest) -> bool {
-        self.config.max_wait > 0.0
-            && self.pending.waiting().len() < self.config.max_waiting
+        self.config.max_wait > 0.0 && self.has_room_to_wait(request)
+    }
+
+    pub(super) fn has_room_to_wait(&self, request: &PendingRequest) -> bool {
+        self.pending.waiting().len() < self.config.max_waiting
             && self.pending.buffered_bytes() + request.body.len() < self.config.max_buffered_bytes
     }
 
-    /// Handles the loss of a connection. `tickets` are the requests with streams on it; it also affects
-    /// attempts whose outcome was reported on it as running.
-    pub fn handle_lost_connection(
-        &mut self,
-        links: &mut Links,
-        now: Ms,
-        connection: ConnectionId,
-        tickets: Vec<Ticket>,
-    ) {
-        let mut affected: BTreeSet<Ticket> = self.pending.with_token_on(connection).collect();
-        affected.extend(tickets);
-        let resolutions = self.sent_attempts.connection_lost(connection);
+    /// Handles the loss of a connection. It affects the requests with streams on it, and attempts whose outcome
+    /// was reported on it as running.
+    pub fn handle_lost_connection(&mut self, links: &mut Links, now: Ms, lost: LostConnection) {
+        let mut affected: BTreeSet<Ticket> = self.pending.with_token_on(lost.id).collect();
+        affected.extend(lost.tickets);
+        let resolutions = self.sent_attempts.connection_lost(lost.id);
         for ticket in affected {
             let Some(request) = self.pending.get_mut(ticket) else { continue };
             let ForwardState::InFlight(_, site) = request.state else { continue };
             if request.token.is_none() {
                 // The loss of the connection has no bearing on the capacity of the site.
-                let Some(request) = self.pending.remove(ticket) else { continue };
+                let Some(mut request) = self.pending.remove(ticket) else { continue };
                 self.record_outcome(now, &request, None);
+                if !request.has_response && !request.spec.parallel_attempts {
+                    request.unconfirmed_end.clone_from(&lost.unconfirmed_end);
+                }
                 self.retry_request(links, now, ticket, request, true);
                 continue;
             }
@@ -128,42 +140,4 @@
             }
         }
     }
-
-    /// Resumes requests that wait for a connection, a few at a time.
-    pub fn resume_waiting(&mut self, links: &mut Links, now: Ms) {
-        // Choosing a route that is then not used would waste a retry of the budget.
-        let may_send = |site: &SiteId| self.may_send(links, *site, Priority::LaterPart);
-        if self.pending.waiting().is_empty() || !self.routing.reachable_sites().iter().any(may_send) {
-            return;
-        }
-        let mut remaining = self.config.max_resumed_per_check;
-        let waiting: Vec<Ticket> = self.pending.waiting().iter().copied().collect();
-        for ticket in waiting {
-            if remaining == 0 {
-                return;
-            }
-            remaining -= usize::from(self.resume_request(links, now, ticket));
-        }
-    }
-
-    /// Tries to resume a waiting request, here or at another site. Returns whether that succeeded.
-    fn resume_request(&mut self, links: &mut Links, now: Ms, ticket: Ticket) -> bool {
-        let Some(request) = self.pending.get(ticket) else { return false };
-        let (spec, tried_sites) = (request.spec.clone(), request.tried_sites.clone());
-        let last_site = request.last_site;
-        match self.choose_route(now, &spec, &tried_sites, true, last_site) {
-            Route::Remote(site) if self.may_send(links, site, spec.priority) => {
-                if let Some(request) = self.pending.remove(ticket) {
-                    self.send_attempt(links, now, ticket, site, request);
-                }
-                true
-            }
-            Route::Local => {
-                self.pending.remove(ticket);
-                serve_locally(links, ticket);
-                true
-            }
-            _ => false,
-        }
-    }
 }
--- a/crates/gateway/src/forwarding/responses.rs
+++ b/crates/gateway/src/forwarding/responses.rs
@@ -30,6 +30,7 @@
             return Ok(());
         }
         let Some(request) = self.pending.get_mut(ticket) else { return Ok(()) };
+        request.has_response = true;
         request.served = head.served;
         request.fields = head.fields;
         request.has_version = head.version.is_some();
--- a/crates/gateway/src/gateway/connections.rs
+++ b/crates/gateway/src/gateway/connections.rs
@@ -5,7 +5,7 @@
 use super::{Action, ConnectionId, Gateway};
 use crate::attempt_ledger::ReceivedAttempts;
 use crate::codec::{Hello, Message, SUPPORTED_VERSIONS};
-use crate::forwarding::Rejection;
+use crate::forwarding::{LostConnection, Rejection, UnconfirmedEnd};
 use crate::links::{peer_start_id, Peer, SiteConnection};
 use crate::remote_requests::StreamId;
 use crate::session::{CloseReason, Session, SessionEvent};
@@ -73,6 +73,11 @@
         self.remove_connection(now, connection, CloseReason::Closed);
     }
 
+    /// Records that the network has lost a connection: the peer may still consider it open.
+    pub fn connection_lost(&mut self, now: Ms, connection: ConnectionId) {
+        self.remove_connection(now, connection, CloseReason::Lost);
+    }
+
     /// Closes a connection from this side.
     pub(super) fn close_connection(&mut self, now: Ms, connection: ConnectionId, reason: CloseReason) {
         if self.links.connections.contains_key(&connection) {
@@ -92,11 +97,27 @@
             Some(peer) => self.remove_from_peer(connection, peer),
             None => false,
         };
+        // A peer that has closed its connection has cancelled the requests that it received on it.
+        let may_still_run = reason != CloseReason::Closed;
         self.log_closed(&removed, reason, was_last);
         self.refresh_site_views(now);
         self.remote_requests.handle_lost_connection(&mut self.links, connection);
-        let tickets = removed.session.open_tickets();
-        self.forwarder.handle_lost_connection(&mut self.links, now, connection, tickets);
+        let lost = LostConnection {
+            id: connection,
+            tickets: removed.session.open_tickets(),
+            unconfirmed_end: removed
+                .peer
+                .filter(|_| may_still_run)
+                .and_then(|peer| self.unconfirmed_end(now, peer)),
+        };
+        self.forwarder.handle_lost_connection(&mut self.links, now, lost);
+    }
+
+    /// Until when a peer may still run requests of a connection that has just been lost.
+    fn unconfirmed_end(&self, now: Ms, peer: String) -> Option<UnconfirmedEnd> {
+        let epoch = self.links.peers.get(&peer)?.epoch;
+        let latest = now + self.config.session.heartbeat.max_detection_time();
+        Some(UnconfirmedEnd { peer, epoch, latest })
     }
 
     /// Removes a connection from its peer. Returns whether it was the last connection to that peer.
@@ -119,7 +140,7 @@
 
     fn log_closed(&mut self, removed: &SiteConnection, reason: CloseReason, was_last: bool) {
         let Some(peer) = &removed.peer else {
-            if reason != CloseReason::Closed {
+            if !matches!(reason, CloseReason::Closed | CloseReason::Lost) {
                 self.links.log(format!("gateway: connection with an unidentified peer closed: {reason}"));
             }
             return;
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -32,6 +32,15 @@
     pub flap_window: Ms,
 }
 
+impl HeartbeatConfig {
+    /// The longest time from the last receipt until a gateway notices that nothing more arrives, in
+    /// milliseconds.
+    pub fn max_detection_time(&self) -> Ms {
+        // The health is checked at least once per interval.
+        self.max_silence + self.interval
+    }
+}
+
 impl Default for HeartbeatConfig {
     fn default() -> Self {
         Self {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -160,7 +160,15 @@
     /// The connection for the next request to a site: the one with the fewest queued bytes.
     pub fn connection_to(&self, site: SiteId) -> Option<ConnectionId> {
         let peers = self.peers.values().filter(|peer| peer.site == site);
-        let connections = peers.flat_map(|peer| peer.connections.iter().copied());
+        self.least_queued(peers.flat_map(|peer| peer.connections.iter().copied()))
+    }
+
+    /// The connection for the next request to one gateway: the one with the fewest queued bytes.
+    pub fn connection_to_peer(&self, name: &str) -> Option<ConnectionId> {
+        self.least_queued(self.peers.get(name)?.connections.iter().copied())
+    }
+
+    fn least_queued(&self, connections: impl Iterator<Item = ConnectionId>) -> Option<ConnectionId> {
         let usable = connections.filter(|connection| {
             self.connections.get(connection).is_some_and(SiteConnection::may_carry_request)
         });
--- a/crates/gateway/src/remote_requests.rs
+++ b/crates/gateway/src/remote_requests.rs
@@ -3,11 +3,15 @@
 //! Each request is passed to the caller once and gets one reply. The reply is sent on the request's stream
 //! or, if that has ended, retained with the request's token until the sender queries it. A token never runs
 //! twice, and a token that ran is never reported as not run.
+//!
+//! A request without a token that a peer sends again on another connection replaces the earlier one: the peer has
+//! lost that connection, which may not have been noticed here yet.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use linnethook::interface::Ms;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::actions::{Action, ConnectionId, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
 use crate::attempt_ledger::{Admission, AttemptOutcome, Ticket, Token};
@@ -30,6 +34,8 @@
     reply_to: Option<StreamId>,
     peer: String,
     token: Option<Token>,
+    /// Identifies its content, and its peer; `None` for a request with a token.
+    content: Option<u64>,
     resume_from: Option<ResumePoint>,
     priority: Priority,
 }
@@ -52,6 +58,8 @@
     last_number: Ticket,
     requests: BTreeMap<Ticket, ServedRequest>,
     by_stream: BTreeMap<StreamId, Ticket>,
+    /// The latest request of each content.
+    by_content: BTreeMap<u64, Ticket>,
     /// Streams whose answers are being written, with the deadline of each, in milliseconds.
     write_deadlines: BTreeSet<(u64, StreamId)>,
 }
@@ -86,6 +94,7 @@
             last_number: 0,
             requests: BTreeMap::new(),
             by_stream: BTreeMap::new(),
+            by_content: BTreeMap::new(),
             write_deadlines: BTreeSet::new(),
         }
     }
@@ -157,17 +166,25 @@
     }
 
     fn serve(&mut self, links: &mut Links, stream: StreamId, peer: String, request: ForwardedRequest) {
+        let content = request.token.is_none().then(|| content_id(&peer, &request));
+        if let Some(content) = content {
+            self.replace_earlier(links, stream, content);
+        }
         self.last_number += 1;
         let ticket = FIRST_REMOTE_TICKET + self.last_number;
         let served = ServedRequest {
             reply_to: Some(stream),
             peer,
             token: request.token,
+            content,
             resume_from: request.resume_from,
             priority: priority_from_wire(request.priority),
         };
         self.requests.insert(ticket, served);
         self.by_stream.insert(stream, ticket);
+        if let Some(content) = content {
+            self.by_content.insert(content, ticket);
+        }
         links.push(Action::ServeRemote(RemoteRequest {
             ticket,
             fields: request.fields,
@@ -177,9 +194,29 @@
         }));
     }
 
+    /// Cancels the request of the same content that is open on another connection.
+    fn replace_earlier(&mut self, links: &mut Links, stream: StreamId, content: u64) {
+        let Some(earlier) = self.by_content.get(&content) else { return };
+        let reply_to = self.requests.get(earlier).and_then(|request| request.reply_to);
+        if let Some(earlier) = reply_to.filter(|earlier| earlier.connection != stream.connection) {
+            self.handle_cancellation(links, earlier);
+            reject_stream(links, earlier, RejectReason::Unusable);
+            links.request_write(earlier.connection);
+        }
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<ServedRequest> {
+        let request = self.requests.remove(&ticket)?;
+        let content = request.content.filter(|content| self.by_content.get(content) == Some(&ticket));
+        if let Some(content) = content {
+            self.by_content.remove(&content);
+        }
+        Some(request)
+    }
+
     /// Completes a request with its only reply. A rejected request must not have run.
     pub fn complete(&mut self, links: &mut Links, now: Ms, ticket: Ticket, reply: Reply) {
-        let Some(request) = self.requests.remove(&ticket) else { return };
+        let Some(request) = self.remove(ticket) else { return };
         if let Some(stream) = request.reply_to {
             self.by_stream.remove(&stream);
         }
@@ -250,7 +287,7 @@
         match self.requests.get_mut(&ticket) {
             Some(request) if request.token.is_some() => request.reply_to = None,
             Some(_) => {
-                self.requests.remove(&ticket);
+                self.remove(ticket);
                 links.push(Action::CancelServe(ticket));
             }
             None => {}
@@ -281,6 +318,13 @@
     }
 }
 
+/// Identifies the content of a request from a peer.
+fn content_id(peer: &str, request: &ForwardedRequest) -> u64 {
+    // Postcard can encode every request.
+    let content = postcard::to_stdvec(&(peer, &request.fields, &request.body)).unwrap_or_default();
+    xxh3_64(&content)
+}
+
 fn reject_stream(links: &mut Links, stream: StreamId, reason: RejectReason) {
     links.counts.remote_rejected += 1;
     links.counts.remote_rejected_for_old_state += u64::from(reason == RejectReason::StateTooOld);
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -342,6 +342,14 @@
         Ok(site)
     }
 
+    /// Uses one retry of the budget of a site, if it is reachable and not drained. Returns whether there was
+    /// one.
+    pub fn take_retry(&mut self, site: SiteId) -> bool {
+        let may_retry =
+            self.sites.get(&site).is_some_and(|route| route.view.reachable && !route.view.drained);
+        may_retry && self.use_retry_budget(site, true).is_ok()
+    }
+
     fn use_retry_budget(&mut self, site: SiteId, is_retry: bool) -> Result<(), RouteRejection> {
         let config = self.config;
         let Some(route) = self.sites.get_mut(&site) else { return Err(RouteRejection::NoCapacity) };
--- a/crates/gateway/src/session/close_reason.rs
+++ b/crates/gateway/src/session/close_reason.rs
@@ -71,9 +71,12 @@
     /// Data is received, but pings are not answered.
     #[error("peer sends data but does not answer pings")]
     HalfOpen,
-    /// The peer closed the connection, or the network failed.
-    #[error("connection closed by the peer or lost by the network")]
+    /// The peer closed the connection.
+    #[error("connection closed by the peer")]
     Closed,
+    /// The network failed: the peer may still consider the connection open.
+    #[error("connection lost by the network")]
+    Lost,
     /// This gateway no longer needs the connection.
     #[error("connection is no longer needed by this gateway")]
     Stopped,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,124 +1,21 @@
 //! A gateway with peers that violate the protocol or stop responding: memory stays within its limits, no
 //! request is answered twice, and rejections carry a reason.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use bytes::{Bytes, BytesMut};
 use linnethook_gateway::attempt_ledger::{AttemptOutcome, Token};
-use linnethook_gateway::codec::{
-    encode_frame, ForwardedRequest, Frame, FrameDecoder, Hello, Message, RejectReason, ResponseHead,
-    SUPPORTED_VERSIONS,
-};
-use linnethook_gateway::flow_control::Priority;
-use linnethook_gateway::forwarding::ForwardRequest;
-use linnethook_gateway::gateway::{Action, Gateway, GatewayConfig, GatewaySetup, Reply};
+use linnethook_gateway::codec::{Frame, Message, RejectReason, ResponseHead};
+use linnethook_gateway::gateway::{Action, GatewayConfig, Reply};
 use linnethook_gateway::local_capacity::RequestKind;
 use linnethook_gateway::site_state::{Fact, FactKey, FactValue, StatePosition, StateUpdate};
 use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest, ProptestConfig};
 use proptest::test_runner::RngSeed;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-
-fn gateway(config: GatewayConfig) -> Gateway {
-    let setup = GatewaySetup {
-        site: "here".to_string(),
-        other_sites: vec!["there".to_string()],
-        node: "g".to_string(),
-        epoch: 7,
-        seed: 1,
-        dial_sites: Vec::new(),
-        accepts_cluster_peers: false,
-        config,
-    };
-    Gateway::new(0.0, setup)
-}
-
-fn hello(epoch: u64) -> Message {
-    Message::Hello(Hello {
-        versions: SUPPORTED_VERSIONS,
-        site: "there".to_string(),
-        node: "h".to_string(),
-        epoch,
-        known_state: StatePosition::default(),
-        proof: Vec::new(),
-    })
-}
-
-fn request(token: Option<Token>) -> Message {
-    Message::Request(Box::new(ForwardedRequest {
-        token,
-        remaining_ms: 1_000,
-        priority: 0,
-        passed_sites: vec!["there".to_string()],
-        resume_from: None,
-        fields: Vec::new(),
-        body: Bytes::new(),
-    }))
-}
-
-fn send(gateway: &mut Gateway, now: f64, stream: u32, message: Message) {
-    gateway.receive(now, 1, &encode_frame(&Frame { stream, message }));
-}
-
-/// Takes the output of the gateway on its connection and decodes it.
-fn sent_frames(gateway: &mut Gateway) -> Vec<Frame> {
-    let (mut bytes, mut decoder, mut frames) = (BytesMut::new(), FrameDecoder::default(), Vec::new());
-    gateway.take_output(1, 1 << 24, &mut bytes);
-    gateway.mark_written(1, bytes.len());
-    decoder.push_bytes(&bytes);
-    while let Ok(Some(frame)) = decoder.next_frame(1 << 24) {
-        frames.push(frame);
-    }
-    frames
-}
-
-/// Answers the pings among these frames, so that the received state counts as recent.
-fn answer_pings(gateway: &mut Gateway, now: f64, frames: &[Frame]) {
-    for frame in frames {
-        if let Message::Ping(number) = frame.message {
-            send(gateway, now, 0, Message::Pong(number));
-        }
-    }
-}
-
-/// Creates a gateway with an established session and recent state.
-fn connected(config: GatewayConfig) -> Gateway {
-    let mut gateway = gateway(config);
-    gateway.connection_opened(0.0, 1, None);
-    send(&mut gateway, 0.0, 0, hello(5));
-    gateway.on_timer(1.0);
-    let frames = sent_frames(&mut gateway);
-    answer_pings(&mut gateway, 2.0, &frames);
-    let load =
-        Fact::new(FactKey::Site, FactValue::Load { utilization: 0.1, caches: 3, origin_reachable: true });
-    send(
-        &mut gateway,
-        2.0,
-        0,
-        Message::StateUpdate(StateUpdate { epoch: 5, since: 0, version: 1, facts: vec![load] }),
-    );
-    gateway.on_timer(60.0);
-    gateway
-}
-
-fn forward_request(not_idempotent: bool, deadline: f64) -> ForwardRequest {
-    ForwardRequest {
-        object: 1,
-        write: not_idempotent,
-        not_idempotent,
-        home_site: None,
-        priority: Priority::Booking,
-        latency_objective: 500.0,
-        deadline,
-        passed_sites: Vec::new(),
-        fields: Vec::new(),
-        body: Bytes::from_static(b"a booking"),
-    }
-}
-
-fn actions(gateway: &mut Gateway) -> Vec<Action> {
-    std::iter::from_fn(|| gateway.next_action()).collect()
-}
+use support::*;
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -194,7 +91,7 @@
                     gateway.receive(now, 1, &garbage);
                 }
                 let frames = sent_frames(&mut gateway);
-                answer_pings(&mut gateway, now, &frames);
+                answer_pings(&mut gateway, FIRST_CONNECTION, now, &frames);
             }
             gateway.on_timer(now);
             for action in actions(&mut gateway) {
@@ -273,7 +170,7 @@
         now += 50.0;
         gateway.on_timer(now);
         let frames = sent_frames(&mut gateway);
-        answer_pings(&mut gateway, now, &frames);
+        answer_pings(&mut gateway, FIRST_CONNECTION, now, &frames);
     }
     let connection = &gateway.status(now).sites[0].gateways[0].connections[0];
     assert!(connection.queued_bytes < 1_000 && connection.incoming == 0, "{connection:?}");
@@ -300,11 +197,11 @@
     send(&mut gateway, 261.0, 0, Message::OutcomeQuery(late));
     let report = Frame { stream: 0, message: Message::OutcomeReport(late, AttemptOutcome::NeverRan) };
     assert!(sent_frames(&mut gateway).contains(&report));
-    answer_pings(&mut gateway, 262.0, &[]);
+    answer_pings(&mut gateway, FIRST_CONNECTION, 262.0, &[]);
     // A drain that is received before a request is reported before the request.
     gateway.on_timer(270.0);
     let frames = sent_frames(&mut gateway);
-    answer_pings(&mut gateway, 271.0, &frames);
+    answer_pings(&mut gateway, FIRST_CONNECTION, 271.0, &frames);
     actions(&mut gateway);
     let facts = vec![Fact::new(FactKey::Cache("c".to_string()), FactValue::Cache { ready: false })];
     send(&mut gateway, 272.0, 0, Message::StateUpdate(StateUpdate { epoch: 5, since: 1, version: 2, facts }));
--- a/crates/model/src/simulation/sites.rs
+++ b/crates/model/src/simulation/sites.rs
@@ -156,6 +156,7 @@
             object: client.object,
             write: client.is_booking,
             not_idempotent: client.is_booking,
+            parallel_attempts: false,
             home_site: None,
             priority,
             latency_objective: self.latency_objective(client.size),
--- a/crates/router/src/policy_adapter/mod.rs
+++ b/crates/router/src/policy_adapter/mod.rs
@@ -131,6 +131,7 @@
     flow_kb_per_s: f64,
     zone: u16,
     max_retry_after: Ms,
+    parallel_attempts: bool,
     pending: BTreeMap<Ticket, PendingRequest>,
     /// Timers as pairs of their time in microseconds and their token.
     timers: BTreeSet<(u64, u32)>,
@@ -151,6 +152,7 @@
             flow_kb_per_s: settings.settings.flow_kb_per_s,
             zone: settings.settings.zone,
             max_retry_after: settings.settings.max_retry_after,
+            parallel_attempts: settings.settings.parallel_attempts,
             policy: Policy::new(settings.settings, seed),
             names,
             pending: BTreeMap::new(),
@@ -195,6 +197,11 @@
         self.class(spec).is_none_or(|class| class.idempotence != Idempotence::Idempotent)
     }
 
+    /// Whether a request may have two attempts at the same time.
+    pub fn allows_parallel_attempts(&self) -> bool {
+        self.parallel_attempts
+    }
+
     /// The maximum Retry-After of a client's answer, in milliseconds.
     pub fn max_retry_after(&self) -> Ms {
         self.max_retry_after
--- a/crates/router/src/remote_sites/links.rs
+++ b/crates/router/src/remote_sites/links.rs
@@ -175,7 +175,10 @@
                 return;
             }
             match (&*connection.stream).read(&mut self.read_buffer) {
-                Ok(0) => return self.on_lost(now, conn, gateway),
+                Ok(0) => {
+                    self.close(conn);
+                    return gateway.connection_closed(now, conn);
+                }
                 Ok(n) => {
                     budget = budget.saturating_sub(n);
                     self.bytes_in += n as u64;
@@ -225,7 +228,7 @@
 
     fn on_lost(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
         self.close(conn);
-        gateway.connection_closed(now, conn);
+        gateway.connection_lost(now, conn);
     }
 
     /// Closes a connection without notifying the gateway.
--- a/crates/router/src/remote_sites/requests.rs
+++ b/crates/router/src/remote_sites/requests.rs
@@ -26,6 +26,8 @@
     pub spec: RequestSpec,
     /// Whether it must not be executed twice.
     pub not_idempotent: bool,
+    /// Whether it may have two attempts at the same time.
+    pub parallel_attempts: bool,
     /// Whether it is a write, which runs at the origin.
     pub write: bool,
     /// The latency objective, in milliseconds.
@@ -62,6 +64,7 @@
         object: request.spec.object,
         write: request.write,
         not_idempotent: request.not_idempotent,
+        parallel_attempts: request.parallel_attempts,
         home_site: home,
         priority,
         latency_objective: request.objective,
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -55,6 +55,7 @@
     ) -> Self {
         self.cross_site = Some(Box::new(CrossSiteRequest {
             not_idempotent: policy.needs_repeat_protection(&spec),
+            parallel_attempts: policy.allows_parallel_attempts(),
             write: self.profile.is_write,
             objective: self.profile.latency_objective,
             deadline: now + spec.budget,
--- a/crates/testbed/src/bin/link-speed.rs
+++ b/crates/testbed/src/bin/link-speed.rs
@@ -149,6 +149,7 @@
         object,
         write: false,
         not_idempotent: false,
+        parallel_attempts: false,
         home_site: None,
         priority: Priority::LaterPart,
         latency_objective: 10_000.0,
--- a/crates/testbed/src/fault_proxy/mod.rs
+++ b/crates/testbed/src/fault_proxy/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::recording::Recording;
 use relay::relay_connection;
+use socket2::SockRef;
 
 pub use two_sites::{TwoSites, NORTH, SOUTH};
 
@@ -68,6 +69,8 @@
     cut: bool,
     target: Option<SocketAddr>,
     streams: BTreeMap<u64, [TcpStream; 2]>,
+    /// Ends towards the acceptor of connections that the dialer has lost: open, and silent.
+    half_open: BTreeMap<u64, TcpStream>,
     passed: Passed,
 }
 
@@ -149,6 +152,21 @@
         reset(&mut state);
     }
 
+    /// Resets all connections at the dialer's end only: the acceptor's end stays open and silent. New connections
+    /// are not affected.
+    ///
+    /// # Errors
+    /// A socket that fails.
+    pub fn reset_dialer_ends(&self) -> io::Result<()> {
+        let mut state = lock(&self.state);
+        for (n, [dialer, acceptor]) in std::mem::take(&mut state.streams) {
+            // The system sends a reset once the relay has dropped its handles, too.
+            SockRef::from(&dialer).set_linger(Some(Duration::ZERO))?;
+            state.half_open.insert(n, acceptor);
+        }
+        Ok(())
+    }
+
     /// Clears all faults.
     pub fn clear_faults(&self) {
         let mut state = lock(&self.state);
--- a/crates/testbed/src/fault_proxy/relay.rs
+++ b/crates/testbed/src/fault_proxy/relay.rs
@@ -78,6 +78,9 @@
     let (mut bytes, mut ended) = (0, false);
     let mut free = Instant::now();
     while !stopped.load(Ordering::Acquire) {
+        if lock(state).half_open.contains_key(&observer.connection) {
+            return;
+        }
         let conditions = lock(state).conditions[direction];
         if bytes < MAX_BUFFERED_BYTES && !ended && !conditions.silent {
             match from.read(&mut block) {
--- a/crates/testbed/src/two_sites/link.rs
+++ b/crates/testbed/src/two_sites/link.rs
@@ -20,6 +20,7 @@
             dialer: (n, dialer),
             pipes: Default::default(),
             tokens: BTreeMap::new(),
+            cut: false,
             open: [true; 2],
             announced: [false; 2],
         };
@@ -95,10 +96,7 @@
                         && connection.open[to]
                 });
                 if over {
-                    if let Some(connection) = self.connections.get_mut(&conn) {
-                        connection.open[to] = false;
-                    }
-                    self.sides[to].gateway.connection_closed(self.now, conn);
+                    self.end_connection(to, conn);
                     self.run_actions(to);
                 }
             }
@@ -108,6 +106,18 @@
         }
     }
 
+    /// Notifies the gateway of a side of the end of a connection.
+    fn end_connection(&mut self, side: usize, conn: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        connection.open[side] = false;
+        let gateway = &mut self.sides[side].gateway;
+        if connection.cut {
+            gateway.connection_lost(self.now, conn);
+        } else {
+            gateway.connection_closed(self.now, conn);
+        }
+    }
+
     pub(super) fn bring_up(&mut self, conn: ConnectionId) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         if connection.announced[connection.dialer.0] || self.now < connection.up {
@@ -191,6 +201,7 @@
                     if !connection.announced[0] {
                         continue;
                     }
+                    connection.cut = true;
                     for pipe in &mut connection.pipes {
                         pipe.ended = true;
                         if !late {
--- a/crates/testbed/src/two_sites/mod.rs
+++ b/crates/testbed/src/two_sites/mod.rs
@@ -66,6 +66,8 @@
     pipes: [Pipe; 2],
     /// Fencing tokens by the side that opened the stream, and its number.
     tokens: BTreeMap<(usize, u32), (u64, u64)>,
+    /// Whether the network has cut it; otherwise one of its ends has closed it.
+    cut: bool,
     /// Whether each end still has the connection open.
     open: [bool; 2],
     /// Whether each end has been notified that it is open.
--- a/crates/testbed/src/two_sites/requests.rs
+++ b/crates/testbed/src/two_sites/requests.rs
@@ -232,6 +232,7 @@
         object: pending.object,
         write: pending.booking,
         not_idempotent: pending.booking,
+        parallel_attempts: false,
         home_site: None,
         priority: if pending.booking { Priority::Booking } else { Priority::LaterPart },
         latency_objective: aim,
