--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The router as a process, with servers of the test in place of everything that it connects to.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod fault_plan;
 pub mod faulty_origin;
 pub mod late_listener;
 pub mod pending_connections;
@@ -18,6 +19,7 @@
 use std::thread;
 use std::time::Duration;
 
+use fault_plan::FaultPlan;
 use linnethook_quickstart::{Answer, Cache, CacheEvent, Client, Journal};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -219,6 +221,28 @@
         change: impl FnOnce(&mut Value),
         operator: Option<&str>,
         descriptors: Option<u32>,
+    ) -> Result<Self, Vec<String>> {
+        Self::try_start_in(journal, change, operator, descriptors, &[])
+    }
+
+    /// Starts a router whose system calls fail as planned.
+    pub fn start_with_faults(
+        journal: &Journal,
+        change: impl FnOnce(&mut Value),
+        operator: Option<&str>,
+        plan: &FaultPlan,
+    ) -> Self {
+        Self::try_start_in(journal, change, operator, None, &plan.environment())
+            .unwrap_or_else(|log_lines| panic!("{log_lines:?}"))
+    }
+
+    /// Like [`Self::try_start`], with environment variables.
+    pub fn try_start_in(
+        journal: &Journal,
+        change: impl FnOnce(&mut Value),
+        operator: Option<&str>,
+        descriptors: Option<u32>,
+        environment: &[(&str, PathBuf)],
     ) -> Result<Self, Vec<String>> {
         let example = include_str!("../../../../examples/config.json");
         let mut config: Value = serde_json::from_str(example).expect("the example configuration");
@@ -246,6 +270,7 @@
         }
         let mut child = command
             .env("LB_CONFIG", &path)
+            .envs(environment.iter().map(|(name, value)| (*name, value)))
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
