Repeat reads and writes of clients that fail by an error of this machine

Seen: a client's answers, and its requests, were lost when one read or write on its connection failed by ENOBUFS or ENOMEM. Cause: each error but EWOULDBLOCK and EINTR was taken for the end of the connection (reader.rs, writer.rs, closing.rs, read_ahead); a failed poll was taken for a client that is still there.

--- a/crates/router/src/descriptors.rs
+++ b/crates/router/src/descriptors.rs
@@ -10,17 +10,14 @@
 
 use nix::sys::resource::{getrlimit, Resource};
 
+use crate::system_error::is_out_of_descriptors;
+
 /// The soft limit of descriptors of this process; `usize::MAX` if the system does not report one.
 pub fn soft_limit() -> usize {
     getrlimit(Resource::RLIMIT_NOFILE)
         .map_or(usize::MAX, |(soft, _)| usize::try_from(soft).unwrap_or(usize::MAX))
 }
 
-/// Whether something failed for lack of a descriptor.
-pub fn is_out_of_descriptors(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
-}
-
 /// The purpose of a descriptor. Purposes that need many descriptors leave the last reserved ones to purposes
 /// that need only one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -9,6 +9,7 @@
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::policy_adapter::{Ms, Ticket};
+use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
 
 use super::codec::{self, AnswerCode, ClientMessage, FrameError};
 use super::connection::{ClientConnection, ConnectionPhase};
@@ -20,6 +21,8 @@
 enum PeerState {
     Connected,
     Disconnected,
+    /// A read failed by an error of this machine.
+    Unknown,
 }
 
 /// What a closing connection had still to be read.
@@ -96,9 +99,17 @@
         if !matches!(client.phase, ConnectionPhase::Closing { .. }) {
             return false;
         }
-        if client.reject_arrived(&self.limits, &self.buffers).peer == PeerState::Disconnected {
-            self.remove(id, events);
-            return false;
+        match client.reject_arrived(&self.limits, &self.buffers).peer {
+            PeerState::Connected => {}
+            PeerState::Disconnected => {
+                self.remove(id, events);
+                return false;
+            }
+            // Requests that have arrived must be read before the connection is shut down.
+            PeerState::Unknown => {
+                self.retries.insert(now, id);
+                return false;
+            }
         }
         if !client.output.is_empty() {
             return true;
@@ -115,10 +126,25 @@
         false
     }
 
+    /// Handles an error of a read or write: one of this machine is repeated later, any other ends the connection.
+    pub(super) fn on_transfer_error(
+        &mut self,
+        now: Ms,
+        id: ClientId,
+        error: &io::Error,
+        events: &mut Vec<ClientEvent>,
+    ) {
+        match source_of_transfer_error(error) {
+            ErrorSource::Local => self.retries.insert(now, id),
+            ErrorSource::Peer => self.remove(id, events),
+        }
+    }
+
     /// Closes and removes a connection; its open requests are reported as cancelled.
     pub(super) fn remove(&mut self, id: ClientId, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.remove(&id) else { return };
         self.paused.remove(&id);
+        self.retries.remove(id);
         self.handle.remove(client.token);
         cancel_requests(client.open.into_values().collect(), events);
     }
@@ -148,8 +174,14 @@
                 Ok(0) => self.end_rejections(),
                 Ok(read) => arrived.bytes += read,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return arrived,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Arrived { peer: PeerState::Disconnected, ..arrived },
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => {
+                    let peer = match source_of_transfer_error(&error) {
+                        ErrorSource::Local => PeerState::Unknown,
+                        ErrorSource::Peer => PeerState::Disconnected,
+                    };
+                    return Arrived { peer, ..arrived };
+                }
             }
         }
     }
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -7,9 +7,11 @@
 
 use calloop::RegistrationToken;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::retry_on_intr;
 
 use crate::buffers::{BufferChain, BufferPool};
 use crate::policy_adapter::{Ms, Ticket};
+use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
 
 use super::codec::{self, ClientMessage, FrameError, FrameHead};
 
@@ -67,6 +69,17 @@
     remaining: usize,
 }
 
+/// How reading ahead has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReadAheadEnd {
+    /// Nothing more can be read, or the limit is reached.
+    Connected,
+    /// The client has closed the connection, or it is lost.
+    Disconnected,
+    /// By an error of this machine.
+    Repeat,
+}
+
 /// The state of one connection.
 pub(super) struct ClientConnection {
     pub stream: Rc<TcpStream>,
@@ -203,24 +216,36 @@
     }
 
     /// Whether the client has closed the connection, even if earlier input is still unread.
-    fn is_closed_by_client(&self) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Errors of this machine, by which it is not known.
+    fn is_closed_by_client(&self) -> io::Result<bool> {
         let mut fds = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
         let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
         let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        poll(&mut fds, Some(&no_wait)).is_ok() && fds[0].revents().intersects(ends)
+        retry_on_intr(|| poll(&mut fds, Some(&no_wait)))?;
+        Ok(fds[0].revents().intersects(ends))
     }
 
-    /// Reads until the input holds `max_input` bytes; returns true if the client has closed the connection.
-    pub fn read_ahead(&mut self, max_input: usize) -> bool {
+    /// Reads until the input holds `max_input` bytes.
+    pub fn read_ahead(&mut self, max_input: usize) -> ReadAheadEnd {
         while self.input.len() < max_input {
             match self.input.read_from(&*self.stream) {
-                Ok(0) => return true,
+                Ok(0) => return ReadAheadEnd::Disconnected,
                 Ok(_) => self.discard_input(),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return ReadAheadEnd::Connected,
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => match source_of_transfer_error(&error) {
+                    ErrorSource::Local => return ReadAheadEnd::Repeat,
+                    ErrorSource::Peer => return ReadAheadEnd::Disconnected,
+                },
             }
         }
-        self.is_closed_by_client()
+        match self.is_closed_by_client() {
+            Ok(true) => ReadAheadEnd::Disconnected,
+            Ok(false) => ReadAheadEnd::Connected,
+            Err(_) => ReadAheadEnd::Repeat,
+        }
     }
 }
--- a/crates/router/src/downstream/drain.rs
+++ b/crates/router/src/downstream/drain.rs
@@ -28,7 +28,8 @@
     pub fn has_no_pending_work(&self) -> bool {
         let has_no_pending_work =
             |client: &ClientConnection| client.output.is_empty() && client.partial_since.is_none();
-        !self.accept_pending && self.paused.is_empty() && self.clients.values().all(has_no_pending_work)
+        let is_read = self.paused.is_empty() && self.retries.is_empty();
+        !self.accept_pending && is_read && self.clients.values().all(has_no_pending_work)
     }
 
     /// Reads all received input, from every client.
@@ -58,7 +59,7 @@
     fn is_finished(&self, id: ClientId) -> bool {
         let Some(client) = self.clients.get(&id) else { return false };
         let has_no_request = client.open.is_empty() && client.partial_since.is_none();
-        client.is_open() && has_no_request && !self.paused.contains(&id)
+        client.is_open() && has_no_request && !self.has_unread_input(id)
     }
 
     /// Shuts down the remaining connections; a client with a partially received message is sent an error.
@@ -75,6 +76,11 @@
         }
     }
 
+    /// Whether a client may have sent more than was read.
+    pub(super) fn has_unread_input(&self, id: ClientId) -> bool {
+        self.paused.contains(&id) || self.retries.contains(id)
+    }
+
     fn sorted_ids(&self) -> Vec<ClientId> {
         let mut ids: Vec<ClientId> = self.clients.keys().copied().collect();
         ids.sort_unstable();
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -4,11 +4,11 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-use crate::descriptors::is_out_of_descriptors;
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::policy_adapter::Ms;
 use crate::sockets;
+use crate::system_error::is_out_of_descriptors;
 
 use super::codec;
 use super::connection::ClientConnection;
@@ -167,7 +167,7 @@
     /// transit.
     fn may_be_evicted(&self, now: Ms, id: &ClientId, client: &ClientConnection) -> bool {
         let spared_since = now - self.limits.clients.eviction_grace_ms;
-        let unread = client.is_open() && self.paused.contains(id);
+        let unread = client.is_open() && self.has_unread_input(*id);
         let partial_is_old = client.partial_since.is_none_or(|since| since <= spared_since);
         client.is_idle() && !unread && client.last_used <= spared_since && partial_is_old
     }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -34,6 +34,7 @@
 use crate::descriptors::DescriptorReserve;
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::{Ms, Ticket};
+use crate::retry_queue::RetryQueue;
 
 use connection::ClientConnection;
 
@@ -96,6 +97,8 @@
     /// Clients whose reading is paused: they have too much unwritten output, or have used up their read
     /// budget.
     paused: BTreeSet<ClientId>,
+    /// Clients with a read or write that failed by an error of this machine.
+    retries: RetryQueue<ClientId>,
     last_ticket: Ticket,
     next_sweep: Ms,
     listener: Option<RegistrationToken>,
@@ -127,6 +130,7 @@
             clients: HashMap::new(),
             last_id: 0,
             paused: BTreeSet::new(),
+            retries: RetryQueue::default(),
             last_ticket: 0,
             next_sweep: 0.0,
             listener: None,
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -7,11 +7,12 @@
 
 use super::closing::withdraw_request;
 use super::codec::{self, ClientMessage, Fields};
-use super::connection::ConnectionPhase;
+use super::connection::{ConnectionPhase, ReadAheadEnd};
 use super::protocol_error::ProtocolError;
 use super::request::parse_request;
 use super::{ClientEvent, ClientId, ClientStream, Downstreams};
 use crate::buffers::BufferChain;
+use crate::system_error::is_interrupted;
 
 impl<W: EventHandler> Downstreams<W> {
     /// Reads what a client has sent, and writes pending output. Open requests of a client that has
@@ -47,8 +48,8 @@
                     client.last_read = now;
                     return;
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(_) => return self.remove(id, events),
+                Err(error) if is_interrupted(&error) => continue,
+                Err(error) => return self.on_transfer_error(now, id, &error, events),
             };
             budget = budget.saturating_sub(read);
             match &mut client.phase {
@@ -76,9 +77,12 @@
         };
         let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) else { return };
         client.last_read = now;
-        if client.read_ahead(max_input) {
-            return self.remove(id, events);
+        match client.read_ahead(max_input) {
+            ReadAheadEnd::Connected => {}
+            ReadAheadEnd::Disconnected => return self.remove(id, events),
+            ReadAheadEnd::Repeat => self.retries.insert(now, id),
         }
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let max_frame = self.limits.clients.max_frame_bytes;
         while let Ok(Some(head)) = codec::decode_head(&client.input, client.scanned, max_frame) {
             client.scanned += head.length;
@@ -103,6 +107,13 @@
         }
     }
 
+    /// Repeats the reads and writes that failed by errors of this machine.
+    pub(super) fn retry_transfers(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
+        for id in self.retries.take_due(now) {
+            self.read(now, id, events);
+        }
+    }
+
     /// Resumes reading from paused clients.
     pub fn read_paused(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
         self.discard_partial_messages();
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -17,14 +17,15 @@
 }
 
 impl<W: EventHandler> Downstreams<W> {
-    /// When the next sweep is due, in milliseconds.
+    /// When [`Self::on_timer`] has work, in milliseconds.
     pub fn next_deadline(&self) -> Ms {
-        self.next_sweep
+        self.retries.next_deadline().map_or(self.next_sweep, |due| due.min(self.next_sweep))
     }
 
     /// Closes connections that exceeded a timeout: for the rest of a message, for the first request, for idle
     /// connections, for unread answers, and for lingering.
     pub fn on_timer(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
+        self.retry_transfers(now, events);
         if now < self.next_sweep {
             return;
         }
@@ -62,6 +63,9 @@
 
     fn sweep_action(&self, now: Ms, id: ClientId, client: &ClientConnection) -> SweepAction {
         let limits = &self.limits;
+        if client.is_open() && self.retries.contains(id) {
+            return SweepAction::Keep;
+        }
         let passed = |since: Ms, span: Ms| now - since > span;
         let is_awaited = now < client.answers_awaited_until && !self.lacks_resources();
         let stalled = !client.output.is_empty()
@@ -72,8 +76,8 @@
         if stalled || idle || ended {
             return SweepAction::Remove;
         }
-        // A paused client is not at fault: its input is unread.
-        if self.paused.contains(&id) || !client.is_open() {
+        // A client whose input is unread is not at fault.
+        if self.has_unread_input(id) || !client.is_open() {
             return SweepAction::Keep;
         }
         if client.partial_since.is_some_and(|since| passed(since, limits.clients.message_timeout_ms)) {
--- a/crates/router/src/downstream/writer.rs
+++ b/crates/router/src/downstream/writer.rs
@@ -5,6 +5,7 @@
 use crate::buffers::BufferChain;
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::Ms;
+use crate::system_error::is_interrupted;
 
 use super::codec::{self, AnswerCode};
 use super::protocol_error::ProtocolError;
@@ -65,9 +66,9 @@
             match client.output.write_to(&*client.stream) {
                 Ok(_) => client.last_used = now,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.remove(id, events);
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => {
+                    self.on_transfer_error(now, id, &error, events);
                     return false;
                 }
             }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -48,11 +48,13 @@
 mod proxy;
 mod remote_sites;
 mod requests;
+mod retry_queue;
 mod router;
 mod run_phase;
 mod shadow_policy;
 mod sockets;
 mod start_error;
+mod system_error;
 mod upstream;
 
 use std::io::Write;
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -6,11 +6,12 @@
 
 use socket2::SockRef;
 
-use crate::descriptors::{is_out_of_descriptors, DescriptorPurpose};
+use crate::descriptors::DescriptorPurpose;
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::policy_adapter::{AttemptEnd, EndpointKey, Ms};
 use crate::sockets;
+use crate::system_error::is_out_of_descriptors;
 
 use super::connection::{Connection, ConnectionId, Exchange, ExchangeOwner};
 use super::endpoints::Endpoint;
