Blame no endpoint for connects and transfers that fail on this machine

Cause: a connect that this machine could not begin ended its attempt as one that the endpoint did not accept (pool.rs, sending.rs). The policy avoided and ejected the endpoint, and treated an ejected one as just restarted (connect_failed_at), so that slow start limited it for seconds. A read or write that failed by ENOBUFS or ENOMEM lost the connection with all on it. Change: an attempt whose connect fails locally waits in its connection's queue, where all that withdraws queued attempts finds it; the connect is tried again every 5 ms for 250 ms. After that the attempt ends as NotSentLocally (policy: NotSent), which counts for or against nobody. Reads and writes are repeated as for clients. A refused connect is still the endpoint's. Counters ended_unsent and repeated_calls come after journal_lost; the golden list of counters and a unit test that spells the line out have them.

--- a/crates/model/src/simulation/hierarchy.rs
+++ b/crates/model/src/simulation/hierarchy.rs
@@ -45,7 +45,9 @@
         (AttemptStatus::Cancelled | AttemptStatus::NotExecuted, _) | (_, Some(CacheStatus::NoCapacity)) => {
             FillResult::Abandoned
         }
-        (AttemptStatus::ConnectFailed, _) | (AttemptStatus::Rejected, None) => FillResult::Abandoned,
+        (AttemptStatus::ConnectFailed | AttemptStatus::NotSent, _) | (AttemptStatus::Rejected, None) => {
+            FillResult::Abandoned
+        }
         _ => FillResult::Failed,
     }
 }
--- a/crates/router/src/config/limits.rs
+++ b/crates/router/src/config/limits.rs
@@ -281,6 +281,9 @@
     /// The timeout of a connect, and of a queued message until its first byte is written. Connects to other
     /// sites have the same timeout.
     pub connect_timeout_ms: Ms,
+    /// How long a connect is tried again that this machine can't begin. Shorter than the silence after which an
+    /// endpoint is ejected.
+    pub local_retry_timeout_ms: Ms,
     /// The timeout of a health check.
     pub health_check_timeout_ms: Ms,
     /// A connection that was not used for this time is closed.
@@ -298,6 +301,7 @@
             max_string_bytes: 256 * KIB,
             send_buffer_bytes: 128 * KIB,
             connect_timeout_ms: connections.connect_timeout,
+            local_retry_timeout_ms: 250.0,
             health_check_timeout_ms: 250.0,
             idle_timeout_ms: connections.idle_timeout * IDLE_TIMEOUT_RATIO,
         }
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -88,6 +88,10 @@
         watch_events: u64 = "journal_events",
         /// Failed polls of the journal service.
         failed_polls: u64 = "journal_lost",
+        /// Attempts that could not be sent for lack of this router's own resources.
+        ended_not_sent_locally: u64 = "ended_unsent",
+        /// Calls that failed by an error of this machine, and were to be repeated.
+        repeated_calls: u64 = "repeated_calls",
     }
 }
 
@@ -110,6 +114,7 @@
             AttemptEnd::NotExecuted => &mut self.ended_not_executed,
             AttemptEnd::TimedOut => &mut self.ended_timed_out,
             AttemptEnd::NotSent => &mut self.ended_not_sent,
+            AttemptEnd::NotSentLocally => &mut self.ended_not_sent_locally,
             AttemptEnd::ConnectionLost => &mut self.ended_connection_lost,
             AttemptEnd::Cancelled => &mut self.ended_cancelled,
         };
@@ -136,6 +141,7 @@
             timed_out_clients: connections.timed_out,
             evicted_clients: connections.evicted,
             withdrawn: connections.withdrawn,
+            repeated_calls: connections.repeated_calls,
             ..self
         }
     }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -84,6 +84,8 @@
     pub evicted: u64,
     /// Requests that were cancelled before they were handled, in the same batch of events.
     pub withdrawn: u64,
+    /// Calls that failed by an error of this machine, and were to be repeated.
+    pub repeated_calls: u64,
 }
 
 /// All connections of clients.
@@ -111,7 +113,7 @@
     /// Whether connections may be waiting to be accepted.
     accept_pending: bool,
     draining: bool,
-    pub counts: ConnectionCounts,
+    counts: ConnectionCounts,
 }
 
 impl<W: EventHandler> Downstreams<W> {
@@ -143,6 +145,11 @@
         }
     }
 
+    /// The counts since the start.
+    pub fn counts(&self) -> ConnectionCounts {
+        ConnectionCounts { repeated_calls: self.retries.failed_calls(), ..self.counts }
+    }
+
     /// The number of connections.
     pub fn len(&self) -> usize {
         self.clients.len()
--- a/crates/router/src/hierarchy_adapter/fills.rs
+++ b/crates/router/src/hierarchy_adapter/fills.rs
@@ -115,7 +115,9 @@
         (AttemptEnd::Cancelled | AttemptEnd::NotExecuted, _)
         | (_, Some(CacheResult::NoCapacity | CacheResult::FillLoop)) => FillResult::Abandoned,
         // The attempt did not reach the cache, or the cache rejected it: the source was not requested.
-        (AttemptEnd::NotSent, _) | (AttemptEnd::Rejected, None) => FillResult::Abandoned,
+        (AttemptEnd::NotSent | AttemptEnd::NotSentLocally, _) | (AttemptEnd::Rejected, None) => {
+            FillResult::Abandoned
+        }
         _ => FillResult::Failed,
     }
 }
--- a/crates/router/src/policy_adapter/events.rs
+++ b/crates/router/src/policy_adapter/events.rs
@@ -65,6 +65,8 @@
     TimedOut,
     /// The attempt was not sent completely.
     NotSent,
+    /// The same, for lack of this router's own resources.
+    NotSentLocally,
     /// The connection was closed after the attempt was sent.
     ConnectionLost,
     /// Cancelled by the policy, or because its client cancelled the request.
@@ -82,6 +84,7 @@
             Self::NotExecuted => "moot",
             Self::TimedOut => "timedout",
             Self::NotSent => "unreached",
+            Self::NotSentLocally => "unsent",
             Self::ConnectionLost => "broken",
             Self::Cancelled => "cancelled",
         }
@@ -97,6 +100,7 @@
             Self::TimedOut => AttemptStatus::TimedOut,
             // The policy does not distinguish a failed connect from an attempt that was not written.
             Self::NotSent => AttemptStatus::ConnectFailed,
+            Self::NotSentLocally => AttemptStatus::NotSent,
             Self::ConnectionLost => AttemptStatus::Reset,
             Self::Cancelled => AttemptStatus::Cancelled,
         }
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -163,8 +163,9 @@
 
     /// Counters since the start.
     pub fn counters(&self) -> Counters {
-        let counters = self.counters.with_connections(self.downstreams.counts);
-        Counters { upstream_connects: self.upstreams.connects, ..counters }
+        let counters = self.counters.with_connections(self.downstreams.counts());
+        let repeated_calls = counters.repeated_calls + self.upstreams.repeated_calls();
+        Counters { upstream_connects: self.upstreams.connects, repeated_calls, ..counters }
     }
 
     /// The current numbers of connections, requests, attempts and buffers.
--- a/crates/router/src/retry_queue.rs
+++ b/crates/router/src/retry_queue.rs
@@ -13,21 +13,29 @@
 pub struct RetryQueue<Id> {
     waiting: BTreeSet<Id>,
     due: Option<Ms>,
+    /// How many calls have failed.
+    failed_calls: u64,
 }
 
 impl<Id> Default for RetryQueue<Id> {
     fn default() -> Self {
-        Self { waiting: BTreeSet::new(), due: None }
+        Self { waiting: BTreeSet::new(), due: None, failed_calls: 0 }
     }
 }
 
 impl<Id: Ord + Copy> RetryQueue<Id> {
     /// Adds a connection.
     pub fn insert(&mut self, now: Ms, id: Id) {
+        self.failed_calls += 1;
         self.waiting.insert(id);
         self.due.get_or_insert(now + RETRY_PAUSE_MS);
     }
 
+    /// How many calls have failed since the start.
+    pub fn failed_calls(&self) -> u64 {
+        self.failed_calls
+    }
+
     /// Removes a connection.
     pub fn remove(&mut self, id: Id) {
         self.waiting.remove(&id);
--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -12,7 +12,7 @@
 
 use super::attempt_table::InFlightAttempt;
 use super::codec;
-use super::connection::{ConnectionId, QueuedMessage, RequestedObject, SendProgress};
+use super::connection::{Connection, ConnectionId, QueuedMessage, RequestedObject, SendProgress};
 use super::Upstreams;
 
 /// A writable connection whose next attempt has been queued for longer than the client check interval.
@@ -129,9 +129,11 @@
     /// Ends an attempt in flight, and returns its connection; `None` if the attempt is not in flight.
     fn end_without_reply(&mut self, now: Ms, attempt: AttemptKey, end: AttemptEnd) -> Option<ConnectionId> {
         let in_flight = self.attempts.remove(attempt)?;
+        let connection = self.connections.get(&in_flight.connection);
+        let unsent_end = connection.map_or(AttemptEnd::NotSent, Connection::unsent_end);
         let progress = self.take_off(now, attempt, &in_flight);
         let end = match end {
-            AttemptEnd::TimedOut if progress != SendProgress::Sent => AttemptEnd::NotSent,
+            AttemptEnd::TimedOut if progress != SendProgress::Sent => unsent_end,
             end => end,
         };
         if let SendProgress::Partial { unwritten_bytes } = progress {
@@ -196,7 +198,7 @@
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let endpoint = connection.endpoint;
         for exchange in connection.take_unwritable() {
-            self.end_exchange(now, endpoint, &exchange);
+            self.end_exchange(now, endpoint, &exchange, AttemptEnd::NotSent);
         }
         self.close_if_drained(id);
     }
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -8,7 +8,8 @@
 use calloop::RegistrationToken;
 
 use crate::buffers::{BufferChain, BufferPool};
-use crate::policy_adapter::{AttemptKey, EndpointKey, Ms};
+use crate::policy_adapter::{AttemptEnd, AttemptKey, EndpointKey, Ms};
+use crate::system_error::is_interrupted;
 
 use super::codec::{Reply, ReplyDecoder, ReplyError, StringLimits};
 
@@ -18,6 +19,10 @@
 /// The state of a connect.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum ConnectionState {
+    /// This machine could not begin the connect yet; it is tried again until the deadline.
+    Waiting {
+        deadline: Ms,
+    },
     /// The connect is abandoned at the deadline.
     Connecting {
         deadline: Ms,
@@ -96,12 +101,19 @@
     Stalled,
 }
 
+/// The socket of a connection, and its registration with the event loop.
+#[derive(Debug)]
+pub(super) struct UpstreamSocket {
+    pub stream: Rc<TcpStream>,
+    pub token: RegistrationToken,
+}
+
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub endpoint: EndpointKey,
-    pub stream: Rc<TcpStream>,
-    pub token: RegistrationToken,
+    /// `None` while the connect waits to be begun.
+    socket: Option<UpstreamSocket>,
     state: ConnectionState,
     input: BufferChain,
     decoder: ReplyDecoder,
@@ -123,20 +135,12 @@
 }
 
 impl Connection {
-    /// Creates the state of a connect in progress that is abandoned at `deadline`.
-    pub fn new(
-        endpoint: EndpointKey,
-        stream: Rc<TcpStream>,
-        token: RegistrationToken,
-        buffers: &BufferPool,
-        now: Ms,
-        deadline: Ms,
-    ) -> Self {
+    /// Creates the state of a connect that is begun until `deadline`.
+    pub fn new(endpoint: EndpointKey, buffers: &BufferPool, now: Ms, deadline: Ms) -> Self {
         Self {
             endpoint,
-            stream,
-            token,
-            state: ConnectionState::Connecting { deadline },
+            socket: None,
+            state: ConnectionState::Waiting { deadline },
             input: BufferChain::new(buffers),
             decoder: ReplyDecoder::default(),
             queue: VecDeque::new(),
@@ -150,6 +154,31 @@
         }
     }
 
+    /// Begins the connect, which is abandoned at `deadline`.
+    pub fn begin_connect(&mut self, socket: UpstreamSocket, deadline: Ms) {
+        self.socket = Some(socket);
+        self.state = ConnectionState::Connecting { deadline };
+    }
+
+    /// Takes the socket off, to be closed.
+    pub fn take_socket(&mut self) -> Option<UpstreamSocket> {
+        self.socket.take()
+    }
+
+    /// Whether this machine could not begin the connect yet.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self.state, ConnectionState::Waiting { .. })
+    }
+
+    /// How an attempt ends that was not sent completely.
+    pub fn unsent_end(&self) -> AttemptEnd {
+        if self.is_waiting() {
+            AttemptEnd::NotSentLocally
+        } else {
+            AttemptEnd::NotSent
+        }
+    }
+
     /// Whether the connect has succeeded.
     pub fn is_up(&self) -> bool {
         self.state == ConnectionState::Up
@@ -160,9 +189,14 @@
         self.state = ConnectionState::Up;
     }
 
+    fn stream(&self) -> io::Result<Rc<TcpStream>> {
+        let socket = self.socket.as_ref().ok_or(io::ErrorKind::NotConnected)?;
+        Ok(socket.stream.clone())
+    }
+
     /// The error of a connect that has failed. `Ok` does not mean that it has succeeded.
     pub fn connect_result(&self) -> io::Result<()> {
-        match self.stream.take_error() {
+        match self.stream()?.take_error() {
             Ok(None) => Ok(()),
             Ok(Some(error)) | Err(error) => Err(error),
         }
@@ -171,7 +205,9 @@
     /// The deadline of the connect; `None` once the connection is up.
     pub fn connect_deadline(&self) -> Option<Ms> {
         match self.state {
-            ConnectionState::Connecting { deadline } => Some(deadline),
+            ConnectionState::Waiting { deadline } | ConnectionState::Connecting { deadline } => {
+                Some(deadline)
+            }
             ConnectionState::Up => None,
         }
     }
@@ -271,7 +307,8 @@
     ///
     /// Errors of the system.
     pub fn read(&mut self) -> io::Result<usize> {
-        self.input.read_from(&*self.stream)
+        let stream = self.stream()?;
+        self.input.read_from(&*stream)
     }
 
     /// The next complete reply; `None` until one is read.
@@ -289,6 +326,7 @@
     ///
     /// Errors of the system.
     pub fn write(&mut self, oldest: Ms) -> io::Result<WriteProgress> {
+        let stream = self.stream()?;
         if self.is_write_stopped {
             return Ok(WriteProgress::Done);
         }
@@ -303,10 +341,10 @@
                 self.output = next.bytes;
                 self.writing_id = next.id;
             }
-            match self.output.write_to(&*self.stream) {
+            match self.output.write_to(&*stream) {
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(WriteProgress::Done),
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if is_interrupted(&error) => {}
                 Err(error) => return Err(error),
             }
         }
--- a/crates/router/src/upstream/health_check.rs
+++ b/crates/router/src/upstream/health_check.rs
@@ -85,7 +85,10 @@
             if connection.open.remove(&check.id).is_some() {
                 connection.draining = true;
                 let endpoint = connection.endpoint;
-                self.health_checks.fail(endpoint);
+                // A check that this machine could not send says nothing about the endpoint.
+                if !connection.is_waiting() {
+                    self.health_checks.fail(endpoint);
+                }
                 self.close_if_drained(check.connection);
             }
         }
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -41,6 +41,8 @@
 use crate::descriptors::DescriptorReserve;
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::{EndpointKey, Ms};
+use crate::retry_queue::RetryQueue;
+use crate::system_error::{source_of_transfer_error, ErrorSource};
 
 use attempt_table::AttemptTable;
 use connection::Connection;
@@ -68,6 +70,8 @@
     /// Connections that are writable again, with a next attempt that was queued longer than the client check
     /// interval: its client is checked before the attempt is written.
     stalled: BTreeSet<ConnectionId>,
+    /// Connections on which a connect, read or write failed by an error of this machine.
+    retries: RetryQueue<ConnectionId>,
     /// Whether completed attempts carry the version of the copy that was served.
     pub reports_versions: bool,
     /// Connections opened since the start.
@@ -94,6 +98,7 @@
             health_checks: HealthChecks::default(),
             completed: VecDeque::new(),
             stalled: BTreeSet::new(),
+            retries: RetryQueue::default(),
             reports_versions: false,
             connects: 0,
         }
@@ -119,6 +124,11 @@
         self.connections.len()
     }
 
+    /// The number of calls that failed by an error of this machine, and were to be repeated.
+    pub fn repeated_calls(&self) -> u64 {
+        self.retries.failed_calls()
+    }
+
     /// The bytes of incomplete replies, and of unwritten messages, of all connections.
     pub fn buffered_bytes(&self) -> (usize, usize) {
         let input = self.connections.values().map(Connection::input_bytes).sum();
@@ -138,6 +148,9 @@
                     self.note_activity(now, id);
                 }
                 Ok(()) => return,
+                Err(error) if source_of_transfer_error(&error) == ErrorSource::Local => {
+                    return self.retries.insert(now, id);
+                }
                 Err(error) => return self.close(now, id, &error.to_string()),
             }
         }
@@ -148,4 +161,16 @@
             self.read(now, id);
         }
     }
+
+    /// Repeats the connects, reads and writes that failed by errors of this machine.
+    fn retry(&mut self, now: Ms) {
+        let all = Readiness { readable: true, writable: true, error: false };
+        for id in self.retries.take_due(now) {
+            let Some(connection) = self.connections.get(&id) else { continue };
+            match connection.is_waiting() {
+                true => self.retry_connect(now, id),
+                false => self.on_ready(now, id, all),
+            }
+        }
+    }
 }
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -11,9 +11,9 @@
 use crate::log::log_line;
 use crate::policy_adapter::{AttemptEnd, EndpointKey, Ms};
 use crate::sockets;
-use crate::system_error::is_out_of_descriptors;
+use crate::system_error::{is_out_of_descriptors, source_of_connect_error, ErrorSource};
 
-use super::connection::{Connection, ConnectionId, Exchange, ExchangeOwner};
+use super::connection::{Connection, ConnectionId, Exchange, ExchangeOwner, UpstreamSocket};
 use super::endpoints::Endpoint;
 use super::Upstreams;
 
@@ -38,19 +38,65 @@
         if is_full && !self.close_longest_idle() {
             return least_loaded;
         }
-        let mut opened = self.open_connection(now, key, address);
-        if opened.as_ref().is_err_and(is_out_of_descriptors) && self.close_longest_idle() {
-            opened = self.open_connection(now, key, address);
+        let id = self.last_id + 1;
+        let mut socket = self.open_socket(id, address);
+        if socket.as_ref().is_err_and(is_out_of_descriptors) && self.close_longest_idle() {
+            socket = self.open_socket(id, address);
         }
-        match opened {
-            Ok(opened) => Some(opened),
+        let deadline = now + self.limits.upstreams.local_retry_timeout_ms;
+        let mut connection = Connection::new(key, &self.buffers, now, deadline);
+        match socket {
+            Ok(socket) => {
+                connection.begin_connect(socket, now + self.limits.upstreams.connect_timeout_ms);
+            }
             Err(error) => {
-                log_line!(
-                    upstream = %self.endpoint_label(key),
-                    reason = %error,
-                    "connect to an upstream failed"
-                );
-                least_loaded
+                self.log_failed_connect(key, &error);
+                if least_loaded.is_some() || source_of_connect_error(&error) == ErrorSource::Peer {
+                    return least_loaded;
+                }
+                self.retries.insert(now, id);
+            }
+        }
+        self.last_id = id;
+        self.connections.insert(id, connection);
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            endpoint.connections.push(id);
+        }
+        Some(id)
+    }
+
+    fn log_failed_connect(&self, key: EndpointKey, error: &io::Error) {
+        log_line!(
+            upstream = %self.endpoint_label(key),
+            reason = %error,
+            "connect to an upstream failed"
+        );
+    }
+
+    /// Tries again to begin a connect that failed by an error of this machine.
+    pub(super) fn retry_connect(&mut self, now: Ms, id: ConnectionId) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        if connection.open.is_empty() {
+            _ = self.remove(id);
+            return;
+        }
+        let Some(address) = self.endpoints.get(&connection.endpoint).map(|endpoint| endpoint.address) else {
+            return self.close(now, id, "endpoint was removed");
+        };
+        let key = connection.endpoint;
+        match self.open_socket(id, address) {
+            Ok(socket) => {
+                let deadline = now + self.limits.upstreams.connect_timeout_ms;
+                if let Some(connection) = self.connections.get_mut(&id) {
+                    connection.begin_connect(socket, deadline);
+                }
+            }
+            Err(error) if source_of_connect_error(&error) == ErrorSource::Local => {
+                self.retries.insert(now, id);
+            }
+            Err(error) => {
+                self.log_failed_connect(key, &error);
+                self.close(now, id, &error.to_string());
             }
         }
     }
@@ -90,35 +136,23 @@
         oldest.is_some_and(|id| self.remove(id).is_some())
     }
 
-    fn open_connection(
-        &mut self,
-        now: Ms,
-        key: EndpointKey,
-        address: SocketAddr,
-    ) -> io::Result<ConnectionId> {
+    /// Begins a connect for the connection with this id.
+    fn open_socket(&mut self, id: ConnectionId, address: SocketAddr) -> io::Result<UpstreamSocket> {
         let stream = Rc::new(self.reserve.open(DescriptorPurpose::Cache, || sockets::connect(address))?);
         // A small send buffer: bytes in the system's buffer can no longer be withdrawn.
         if let Err(error) =
             SockRef::from(&*stream).set_send_buffer_size(self.limits.upstreams.send_buffer_bytes)
         {
             log_line!(
-                upstream = %self.endpoint_label(key),
+                upstream = %address,
                 reason = %error,
                 "setting the send buffer size of a connection to an upstream failed"
             );
         }
         self.connects += 1;
-        self.last_id += 1;
-        let id = self.last_id;
         let on_ready = move |handler: &mut W, readiness| handler.on_upstream_ready(id, readiness);
         let token = sockets::register_stream(&self.handle, &stream, on_ready)?;
-        let deadline = now + self.limits.upstreams.connect_timeout_ms;
-        let connection = Connection::new(key, stream, token, &self.buffers, now, deadline);
-        self.connections.insert(id, connection);
-        if let Some(endpoint) = self.endpoints.get_mut(&key) {
-            endpoint.connections.push(id);
-        }
-        Ok(id)
+        Ok(UpstreamSocket { stream, token })
     }
 
     /// Closes idle connections to an endpoint from which nothing was received since `sent_at`: they may be as
@@ -153,8 +187,11 @@
 
     /// Removes and closes a connection. The caller ends its open exchanges.
     pub(super) fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
-        let connection = self.connections.remove(&id)?;
-        self.handle.remove(connection.token);
+        let mut connection = self.connections.remove(&id)?;
+        self.retries.remove(id);
+        if let Some(socket) = connection.take_socket() {
+            self.handle.remove(socket.token);
+        }
         if let Some(endpoint) = self.endpoints.get_mut(&connection.endpoint) {
             endpoint.connections.retain(|&other| other != id);
         }
@@ -166,6 +203,7 @@
     pub(super) fn close(&mut self, now: Ms, id: ConnectionId, reason: &str) {
         let Some(connection) = self.remove(id) else { return };
         let key = connection.endpoint;
+        let unsent_end = connection.unsent_end();
         if !connection.open.is_empty() {
             log_line!(
                 upstream = %self.endpoint_label(key),
@@ -180,18 +218,27 @@
             ExchangeOwner::HealthCheck => None,
         });
         for exchange in open {
-            self.end_exchange(now, key, &exchange);
+            self.end_exchange(now, key, &exchange, unsent_end);
         }
     }
 
     /// Ends an exchange whose connection is closed, or is not written any more.
-    pub(super) fn end_exchange(&mut self, now: Ms, key: EndpointKey, exchange: &Exchange) {
+    ///
+    /// `unsent_end` is how an attempt ends that was not sent completely.
+    pub(super) fn end_exchange(
+        &mut self,
+        now: Ms,
+        key: EndpointKey,
+        exchange: &Exchange,
+        unsent_end: AttemptEnd,
+    ) {
         let attempt = match exchange.owner {
+            ExchangeOwner::HealthCheck if unsent_end == AttemptEnd::NotSentLocally => return,
             ExchangeOwner::HealthCheck => return self.health_checks.fail(key),
             ExchangeOwner::Attempt(attempt) => attempt,
         };
         let Some(in_flight) = self.attempts.remove(attempt) else { return };
-        let end = if exchange.fully_sent { AttemptEnd::ConnectionLost } else { AttemptEnd::NotSent };
+        let end = if exchange.fully_sent { AttemptEnd::ConnectionLost } else { unsent_end };
         self.complete(now, attempt, key, in_flight.sent_at, end);
     }
 }
--- a/crates/router/src/upstream/timers.rs
+++ b/crates/router/src/upstream/timers.rs
@@ -19,12 +19,15 @@
         let queues = up.filter_map(|connection| {
             connection.queue.front().map(|queued| queued.queued_at + self.limits.upstreams.connect_timeout_ms)
         });
-        attempts.into_iter().chain(health_checks).chain(connections).chain(queues).reduce(Ms::min)
+        let retries = self.retries.next_deadline();
+        let single = attempts.into_iter().chain(health_checks).chain(retries);
+        single.chain(connections).chain(queues).reduce(Ms::min)
     }
 
     /// Ends attempts, health checks and connects that timed out, withdraws attempts that were queued too
     /// long, and closes idle connections.
     pub fn on_timer(&mut self, now: Ms) {
+        self.retry(now);
         let overdue = std::iter::from_fn(|| self.attempts.pop_overdue(now)).collect();
         self.abandon_all(now, overdue, AttemptEnd::TimedOut);
         self.withdraw_unsendable(now);
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -5,6 +5,7 @@
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::policy_adapter::Ms;
+use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
 
 use super::codec::StringLimits;
 use super::connection::{Connection, ConnectionId, WriteProgress};
@@ -21,8 +22,8 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return self.close_if_unsolicited_input(now, id);
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) => return self.close(now, id, &error.to_string()),
+                Err(error) if is_interrupted(&error) => continue,
+                Err(error) => return self.on_transfer_error(now, id, &error),
             }
             let limits = self.string_limits();
             loop {
@@ -78,7 +79,15 @@
         match connection.write(oldest) {
             Ok(WriteProgress::Done) => {}
             Ok(WriteProgress::Stalled) => _ = self.stalled.insert(id),
-            Err(error) => self.close(now, id, &error.to_string()),
+            Err(error) => self.on_transfer_error(now, id, &error),
+        }
+    }
+
+    /// Handles an error of a read or write: one of this machine is repeated later, any other ends the connection.
+    fn on_transfer_error(&mut self, now: Ms, id: ConnectionId, error: &io::Error) {
+        match source_of_transfer_error(error) {
+            ErrorSource::Local => self.retries.insert(now, id),
+            ErrorSource::Peer => self.close(now, id, &error.to_string()),
         }
     }
 
--- a/crates/router/tests/unit/counters.rs
+++ b/crates/router/tests/unit/counters.rs
@@ -19,6 +19,7 @@
         (AttemptEnd::NotExecuted, "ended_moot=1"),
         (AttemptEnd::TimedOut, "ended_timed_out=1"),
         (AttemptEnd::NotSent, "ended_unreached=1"),
+        (AttemptEnd::NotSentLocally, "ended_unsent=1"),
         (AttemptEnd::ConnectionLost, "ended_broken=1"),
         (AttemptEnd::Cancelled, "ended_cancelled=1"),
     ];
@@ -56,8 +57,8 @@
     };
     let plain = report.to_string();
     assert!(plain.starts_with("counters taken_in=0 taken_in_bytes=0 "), "{plain}");
-    let rest = " journal_lost=0 journal_number=3 journal_bytes_in=2 journal_bytes_out=1 held_clients=0 \
-                held_caches=0 held_connections=0 open=0 out=0 buffers=0";
+    let rest = " journal_lost=0 ended_unsent=0 repeated_calls=0 journal_number=3 journal_bytes_in=2 \
+                journal_bytes_out=1 held_clients=0 held_caches=0 held_connections=0 open=0 out=0 buffers=0";
     assert!(plain.ends_with(rest), "{plain}");
     report.links = Some("links=2".to_string());
     assert_eq!(report.to_string(), format!("{plain} links=2"));
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -100,6 +100,8 @@
     TimedOut,
     /// No connection could be established.
     ConnectFailed,
+    /// This router could not send it, for lack of its own resources. This says nothing about the endpoint.
+    NotSent,
     /// The connection was closed or reset after the request had been sent.
     Reset,
     /// Cancelled by this router or by the client.
@@ -113,12 +115,18 @@
 impl AttemptStatus {
     /// Whether the endpoint itself responded.
     pub fn endpoint_responded(self) -> bool {
-        !matches!(self, Self::TimedOut | Self::Cancelled | Self::NotExecuted | Self::ConnectFailed)
+        !matches!(
+            self,
+            Self::TimedOut | Self::Cancelled | Self::NotExecuted | Self::ConnectFailed | Self::NotSent
+        )
     }
 
     /// Whether it is certain that the attempt was not executed.
     pub fn never_executed(self) -> bool {
-        matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotExecuted | Self::CacheMiss)
+        matches!(
+            self,
+            Self::Rejected | Self::ConnectFailed | Self::NotSent | Self::NotExecuted | Self::CacheMiss
+        )
     }
 }
 
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -110,7 +110,10 @@
             self.record_verdict(parent, attribution.source);
         }
         match outcome.status {
-            AttemptStatus::Ok | AttemptStatus::CacheMiss | AttemptStatus::NotExecuted => None,
+            AttemptStatus::Ok
+            | AttemptStatus::CacheMiss
+            | AttemptStatus::NotSent
+            | AttemptStatus::NotExecuted => None,
             _ if attribution.source == Some(false) && parent.is_some() => parent,
             AttemptStatus::Cancelled if attempt.fills_from_upstream && was_healthy => parent,
             _ => Some(attempt.endpoint),
@@ -169,6 +172,7 @@
             AttemptStatus::Ok
             | AttemptStatus::CacheMiss
             | AttemptStatus::Cancelled
+            | AttemptStatus::NotSent
             | AttemptStatus::NotExecuted => Attribution::NONE,
         }
     }
