Keep the router running when waiting for events or reading a signal fails

Seen: one failed read of a signal ended the process, and all its open requests were lost. Cause: run() returned each error of dispatch (event_loop.rs), and so did the main loop of several routers. Events of the same turn would be lost too, since readiness is edge-triggered. Change: such an error is logged; after 5 ms all connections are read and written once, and the loop goes on. On links between sites, reads and writes that fail by an error of this machine are repeated, accepts are told apart, and enabling the listener is repeated, as for clients. polling makes raw system calls that no preload sees: the failing read of the signal takes the same way out of dispatch.

--- a/crates/router/src/discovery/client.rs
+++ b/crates/router/src/discovery/client.rs
@@ -210,6 +210,15 @@
         self.receive(now)
     }
 
+    /// Reads and writes all connections, whether or not they are ready; returns the events received.
+    pub fn poll_connections(&mut self, now: Ms) -> Vec<WatchEvent> {
+        let all = Readiness { readable: true, writable: false, error: false };
+        let late = self.late_connection.as_ref().map(|connection| connection.id);
+        let current = self.connection.as_ref().map(|connection| connection.id);
+        let ids = late.into_iter().chain(current);
+        ids.flat_map(|id| self.on_ready(now, id, all)).collect()
+    }
+
     /// Reads the connection of the poll in flight.
     fn receive(&mut self, now: Ms) -> Vec<WatchEvent> {
         let Some(connection) = self.connection.as_mut().filter(|connection| connection.is_up) else {
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -63,6 +63,20 @@
     serve(events, &path, config, operator)
 }
 
+/// The pause after a wait for events has failed.
+pub const WAIT_ERROR_PAUSE: Duration = Duration::from_millis(5);
+
+/// Waits for events and handles them. Where waiting, or reading a signal, fails, the router goes on: events that
+/// were reported in the same turn are lost, so that all connections are read and written instead.
+fn run_turn(events: &mut EventLoop<'static, Router>, timeout: Duration, router: &mut Router) {
+    if let Err(error) = events.dispatch(timeout, router) {
+        log_line!(reason = %error, "waiting for events failed");
+        std::thread::sleep(WAIT_ERROR_PAUSE);
+        router.poll_all();
+    }
+    router.on_timer();
+}
+
 /// Runs a router on the current thread until it has shut down. `events` must already deliver its signals.
 ///
 /// # Errors
@@ -78,21 +92,18 @@
     log::limit_rate(log_settings.map_or(config.limits.max_log_lines_per_second, |log| log.lines_per_second));
     let mut router = Router::new(path, config, operator, &events.handle())?;
     while !router.is_drained() {
-        events.dispatch(router.time_to_deadline(), &mut router)?;
-        router.on_timer();
+        run_turn(&mut events, router.time_to_deadline(), &mut router);
     }
     router.begin_close();
     while !router.is_closed() {
-        events.dispatch(router.time_to_deadline(), &mut router)?;
-        router.on_timer();
+        run_turn(&mut events, router.time_to_deadline(), &mut router);
     }
     // No request is accepted from here on, so that nothing follows the last record of the audit log.
     router.close_clients();
     if router.has_cluster() {
         router.end_audit_log();
         for _ in 0..SHUTDOWN_NOTICE_TURNS {
-            events.dispatch(SHUTDOWN_NOTICE_TURN_TIMEOUT, &mut router)?;
-            router.on_timer();
+            run_turn(&mut events, SHUTDOWN_NOTICE_TURN_TIMEOUT, &mut router);
         }
     }
     router.print_counters();
--- a/crates/router/src/multi_router.rs
+++ b/crates/router/src/multi_router.rs
@@ -14,8 +14,8 @@
 use linnethook_operator_config::OperatorConfig;
 
 use crate::config::Config;
-use crate::event_loop::{read_operator, serve, SIGNALS};
-use crate::log;
+use crate::event_loop::{read_operator, serve, SIGNALS, WAIT_ERROR_PAUSE};
+use crate::log::{self, log_line};
 use crate::router::Router;
 use crate::start_error::StartError;
 
@@ -119,7 +119,10 @@
         start(&mut routers, &sender, setup);
     }
     while routers.running > 0 {
-        events.dispatch(None, &mut routers)?;
+        if let Err(error) = events.dispatch(None, &mut routers) {
+            log_line!(reason = %error, "waiting for events failed");
+            thread::sleep(WAIT_ERROR_PAUSE);
+        }
     }
     routers.first_failure.map_or(Ok(()), |error| Err(StartError::Router(Box::new(error))))
 }
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -51,6 +51,13 @@
         self.process_outcomes();
     }
 
+    /// Reads and writes the connections of all clients.
+    pub(super) fn poll_clients(&mut self) {
+        let now = self.clock.now();
+        self.run_downstreams(|downstreams, events| downstreams.read_all(now, events));
+        self.process_outcomes();
+    }
+
     /// Handles the deadlines of clients' connections, and reads clients whose reading was paused.
     pub fn on_client_timer(&mut self, now: Ms) {
         self.log_buffer_shortage(now);
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -159,6 +159,14 @@
         self.process_outcomes();
     }
 
+    /// Reads and writes all connections, whether or not they were reported as ready.
+    pub fn poll_all(&mut self) {
+        self.poll_clients();
+        self.upstreams.poll_all(self.clock.now());
+        self.process_outcomes();
+        self.poll_links();
+    }
+
     // ---- Counters.
 
     /// Counters since the start.
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -36,6 +36,15 @@
         self.process_outcomes();
     }
 
+    /// Reads and writes all links.
+    pub(super) fn poll_links(&mut self) {
+        let now = self.clock.now();
+        let Some(remote_sites) = &mut self.parts.remote_sites else { return };
+        remote_sites.poll_links(now);
+        self.run_remote_sites();
+        self.process_outcomes();
+    }
+
     /// Handles the deadlines of links; returns false without a gateway.
     pub fn on_remote_sites_timer(&mut self) -> bool {
         let (now, open_ratio) = (self.clock.now(), self.requests.open_ratio());
--- a/crates/router/src/remote_sites/links.rs
+++ b/crates/router/src/remote_sites/links.rs
@@ -14,7 +14,11 @@
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::policy_adapter::Ms;
+use crate::retry_queue::RetryQueue;
 use crate::sockets;
+use crate::system_error::{
+    is_interrupted, source_of_accept_error, source_of_transfer_error, AcceptErrorSource, ErrorSource,
+};
 
 /// The backlog of the listening socket for links.
 const LINK_BACKLOG: i32 = 64;
@@ -48,6 +52,8 @@
     listener: Option<RegistrationToken>,
     /// When the listener is enabled again after a failed accept.
     resume_accepting: Option<Ms>,
+    /// Connections on which a read or write failed by an error of this machine.
+    retries: RetryQueue<ConnectionId>,
     pub accepted: u64,
     pub bytes_in: u64,
     pub bytes_out: u64,
@@ -65,6 +71,7 @@
             read_buffer,
             listener: None,
             resume_accepting: None,
+            retries: RetryQueue::default(),
             accepted: 0,
             bytes_in: 0,
             bytes_out: 0,
@@ -94,13 +101,16 @@
         for _ in 0..self.limits.accept.max_per_turn {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
-                Err(error) => {
-                    // Without the pause the event loop would spin when descriptors run out.
-                    log_line!("gateway: accepting a link connection failed: {error}");
-                    self.resume_accepting = Some(now + self.limits.accept.retry_pause_ms);
-                    return false;
-                }
+                Err(error) => match source_of_accept_error(&error) {
+                    AcceptErrorSource::NoneWaiting => return true,
+                    AcceptErrorSource::Client => continue,
+                    AcceptErrorSource::Local => {
+                        // Without the pause the event loop would spin when descriptors run out.
+                        log_line!("gateway: accepting a link connection failed: {error}");
+                        self.resume_accepting = Some(now + self.limits.accept.retry_pause_ms);
+                        return false;
+                    }
+                },
             };
             self.accepted += 1;
             if self.connections.len() >= self.limits.links.max_connections {
@@ -185,8 +195,8 @@
                     gateway.receive(now, conn, &self.read_buffer[..n]);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.on_lost(now, conn, gateway),
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => return self.on_transfer_error(now, conn, &error, gateway),
             }
         }
     }
@@ -220,12 +230,35 @@
                     gateway.mark_written(conn, n);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.on_lost(now, conn, gateway),
+                Err(error) if is_interrupted(&error) => {}
+                Err(error) => return self.on_transfer_error(now, conn, &error, gateway),
             }
         }
     }
 
+    /// Handles an error of a read or write: one of this machine is repeated later, any other ends the connection.
+    fn on_transfer_error(&mut self, now: Ms, conn: ConnectionId, error: &io::Error, gateway: &mut Gateway) {
+        match source_of_transfer_error(error) {
+            ErrorSource::Local => self.retries.insert(now, conn),
+            ErrorSource::Peer => self.on_lost(now, conn, gateway),
+        }
+    }
+
+    /// Reads and writes all connections that are up.
+    pub fn poll_all(&mut self, now: Ms, gateway: &mut Gateway) {
+        let conns: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        for conn in conns {
+            self.poll(now, conn, gateway);
+        }
+    }
+
+    fn poll(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
+        if self.connections.get(&conn).is_some_and(|connection| connection.connecting.is_none()) {
+            self.write(now, conn, gateway);
+            self.read(now, conn, gateway);
+        }
+    }
+
     fn on_lost(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
         self.close(conn);
         gateway.connection_lost(now, conn);
@@ -234,6 +267,7 @@
     /// Closes a connection without notifying the gateway.
     pub fn close(&mut self, conn: ConnectionId) {
         self.paused.remove(&conn);
+        self.retries.remove(conn);
         if let Some(connection) = self.connections.remove(&conn) {
             self.handle.remove(connection.token);
         }
@@ -244,8 +278,12 @@
         if self.resume_accepting.take_if(|due| now >= *due).is_some() {
             if let Some(error) = self.listener.as_ref().and_then(|token| self.handle.enable(token).err()) {
                 log_line!("gateway: enabling the listener for links again failed: {error}");
+                self.resume_accepting = Some(now + self.limits.accept.retry_pause_ms);
             }
         }
+        for conn in self.retries.take_due(now) {
+            self.poll(now, conn, gateway);
+        }
         let is_late = |connecting: &Connecting| now >= connecting.deadline;
         let late = self.connections.iter().filter_map(|(conn, connection)| {
             connection.connecting.filter(is_late).map(|connecting| (*conn, connecting.dialer))
@@ -261,6 +299,6 @@
     pub fn next_deadline(&self) -> Option<Ms> {
         let connecting = self.connections.values().filter_map(|connection| connection.connecting);
         let deadlines = connecting.map(|connecting| connecting.deadline);
-        deadlines.chain(self.resume_accepting).reduce(f64::min)
+        deadlines.chain(self.resume_accepting).chain(self.retries.next_deadline()).reduce(f64::min)
     }
 }
--- a/crates/router/src/remote_sites/mod.rs
+++ b/crates/router/src/remote_sites/mod.rs
@@ -196,6 +196,11 @@
         self.links.ready(now, conn, readiness, &mut self.gateway);
     }
 
+    /// Reads and writes all links, whether or not they were reported as ready.
+    pub fn poll_links(&mut self, now: Ms) {
+        self.links.poll_all(now, &mut self.gateway);
+    }
+
     /// Whether reading of a link was paused and has to continue without another readiness event.
     pub fn has_readable_links(&self) -> bool {
         self.links.has_paused()
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -211,6 +211,13 @@
         Duration::from_secs_f64((next - now).clamp(0.0, MAX_TIMER_INTERVAL_MS) / 1000.0)
     }
 
+    /// Accepts nobody, but reads and writes all connections, whether or not they were reported as ready.
+    pub fn poll_all(&mut self) {
+        let events = self.discovery.poll_connections(self.clock.now());
+        self.on_watch_events(events);
+        self.proxy.poll_all();
+    }
+
     // ---- Signals.
 
     /// Handles a signal: SIGUSR1 prints the counters, SIGHUP reads the configuration again, and all others
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -179,7 +179,12 @@
         }
     }
 
-    /// Whether the connect has succeeded.
+    /// Whether the system has established the connection.
+    pub fn is_connected(&self) -> bool {
+        self.is_up() || self.stream().is_ok_and(|stream| stream.peer_addr().is_ok())
+    }
+
+    /// Whether the connect is known to have succeeded.
     pub fn is_up(&self) -> bool {
         self.state == ConnectionState::Up
     }
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -148,8 +148,12 @@
                     self.note_activity(now, id);
                 }
                 Ok(()) => return,
+                // Not known: the first write tells.
                 Err(error) if source_of_transfer_error(&error) == ErrorSource::Local => {
-                    return self.retries.insert(now, id);
+                    if !writable {
+                        return;
+                    }
+                    connection.mark_up();
                 }
                 Err(error) => return self.close(now, id, &error.to_string()),
             }
@@ -162,14 +166,28 @@
         }
     }
 
+    /// Reads and writes all connections, whether or not they were reported as ready.
+    pub fn poll_all(&mut self, now: Ms) {
+        let mut ids: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.poll_connection(now, id);
+        }
+    }
+
+    fn poll_connection(&mut self, now: Ms, id: ConnectionId) {
+        if self.connections.get(&id).is_some_and(Connection::is_connected) {
+            self.on_ready(now, id, Readiness { readable: true, writable: true, error: false });
+        }
+    }
+
     /// Repeats the connects, reads and writes that failed by errors of this machine.
     fn retry(&mut self, now: Ms) {
-        let all = Readiness { readable: true, writable: true, error: false };
         for id in self.retries.take_due(now) {
             let Some(connection) = self.connections.get(&id) else { continue };
             match connection.is_waiting() {
                 true => self.retry_connect(now, id),
-                false => self.on_ready(now, id, all),
+                false => self.poll_connection(now, id),
             }
         }
     }
