Read a configuration again that could not be read for a moment

Cause: the file was read once (router.rs, reload). A SIGHUP during an evaluation of the operator file was dropped likewise, with the file's newer text. Only the first error is logged.

--- a/crates/router/src/config/error.rs
+++ b/crates/router/src/config/error.rs
@@ -44,6 +44,18 @@
     }
 }
 
+impl ConfigError {
+    /// Whether the file may be readable soon: reading has failed, or it is still being written.
+    pub fn may_be_momentary(&self) -> bool {
+        match self {
+            Self::Read(_) => true,
+            Self::Format(error) => error.is_eof(),
+            Self::File { source, .. } => source.may_be_momentary(),
+            Self::Setting(_) | Self::Seed(_) | Self::ShadowSetting(_) => false,
+        }
+    }
+}
+
 impl std::error::Error for ConfigError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -46,6 +46,7 @@
 mod peer_message;
 mod policy_adapter;
 mod proxy;
+mod reload;
 mod remote_sites;
 mod requests;
 mod retry_queue;
--- a/crates/router/src/operator_reload.rs
+++ b/crates/router/src/operator_reload.rs
@@ -91,18 +91,26 @@
         &self.path
     }
 
-    /// Starts a child process that evaluates the file, unless one is running already. The handler is notified
-    /// when its output is readable. If the process can't be started, the error is logged.
+    /// Starts a child process that evaluates the file. The handler is notified when its output is readable.
+    /// Returns false if the process can't be started, or if one is running that may have read the file before it
+    /// changed; an error is logged if `logs_error` is set.
     pub fn start_evaluation<W: EventHandler>(
         &mut self,
         handle: &LoopHandle<'static, W>,
         reserve: &DescriptorReserve,
-    ) {
+        logs_error: bool,
+    ) -> bool {
         if self.evaluation.is_some() {
-            return;
+            return false;
         }
-        if let Err(error) = self.spawn_evaluation(handle, reserve) {
-            log_line!(always "{}: not reloaded: {error}", self.path.display());
+        match self.spawn_evaluation(handle, reserve) {
+            Ok(()) => true,
+            Err(error) => {
+                if logs_error {
+                    log_line!(always "{}: not reloaded: {error}", self.path.display());
+                }
+                false
+            }
         }
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -29,6 +29,7 @@
 use crate::operator_reload::OperatorFile;
 use crate::policy_adapter::{Ms, PolicyAdapter};
 use crate::proxy::{Proxy, ProxySetup};
+use crate::reload::PendingReload;
 use crate::remote_sites::RemoteSites;
 use crate::run_phase::{RunPhase, ShutdownTimes};
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
@@ -51,6 +52,8 @@
     operator_file: Option<OperatorFile>,
     run_phase: RunPhase,
     reloads: u64,
+    /// The reload that is repeated, since the file could not be read.
+    pending_reload: Option<PendingReload>,
     shadow_report: Option<ShadowReport>,
 }
 
@@ -109,6 +112,7 @@
             operator_file: operator_file.map(OperatorFile::new),
             run_phase: RunPhase::serving(ShutdownTimes::new(&limits)),
             reloads: 0,
+            pending_reload: None,
             shadow_report,
         };
         router.on_watch_events(known.events);
@@ -175,6 +179,7 @@
             self.proxy.process_outcomes();
         }
         self.log_shadow_report(now);
+        self.continue_reload();
         self.discovery.on_timer(now);
         self.proxy.on_client_timer(now);
     }
@@ -205,7 +210,8 @@
             return Duration::ZERO;
         }
         let now = self.clock.now();
-        let optional = [self.run_phase.next_deadline(now), self.proxy.parts.next_deadline(now)];
+        let reload = self.pending_reload.map(|reload| reload.next_try());
+        let optional = [self.run_phase.next_deadline(now), self.proxy.parts.next_deadline(now), reload];
         let required = self.discovery.next_deadline().min(self.proxy.next_deadline());
         let next = optional.into_iter().flatten().fold(required, Ms::min);
         Duration::from_secs_f64((next - now).clamp(0.0, MAX_TIMER_INTERVAL_MS) / 1000.0)
@@ -234,6 +240,26 @@
     /// can't be read changes nothing.
     fn reload(&mut self) {
         self.reloads += 1;
+        self.pending_reload = Some(PendingReload::new(self.clock.now(), self.operator_file.is_some()));
+        self.continue_reload();
+    }
+
+    /// Reads what is still to be read again. What can't be read for a moment is tried again later.
+    fn continue_reload(&mut self) {
+        let now = self.clock.now();
+        let Some(mut reload) = self.pending_reload.take_if(|reload| reload.is_due(now)) else { return };
+        if reload.reads_config {
+            reload.reads_config = self.reload_config(reload.is_first_try());
+        }
+        if let Some(file) = self.operator_file.as_mut().filter(|_| reload.reads_operator_file) {
+            let is_started = file.start_evaluation(&self.handle, &self.reserve, reload.is_first_try());
+            reload.reads_operator_file = !is_started;
+        }
+        self.pending_reload = reload.after_try(now);
+    }
+
+    /// Reads the configuration; returns whether that is to be tried again. Only the first error is logged.
+    fn reload_config(&mut self, is_first_try: bool) -> bool {
         match self.reserve.run_with_all(|| Config::read(&self.config_path)) {
             Ok(config) => {
                 log_line!(
@@ -241,11 +267,14 @@
                     self.config_path.display(), config.file.journal_address
                 );
                 self.discovery.set_address(self.clock.now(), config.file.journal_address);
+                false
+            }
+            Err(error) => {
+                if is_first_try {
+                    log_line!(always "configuration not reloaded: {error}");
+                }
+                error.may_be_momentary()
             }
-            Err(error) => log_line!(always "configuration not reloaded: {error}"),
-        }
-        if let Some(file) = &mut self.operator_file {
-            file.start_evaluation(&self.handle, &self.reserve);
         }
     }
 
