Close idle clients for descriptors only if that helps

Seen: a test for failures of 8 ms closed idle clients once in a loaded run, since the failures took over 20 ms there, and then 32 clients were closed. Cause: any failure over 20 ms counted as a shortage.

--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -16,6 +16,9 @@
 use super::protocol_error::ProtocolError;
 use super::{ClientEvent, ClientId, Downstreams};
 
+/// The number of accepts that may fail in a row before the listener rests.
+const MAX_FAILED_CALLS: usize = 8;
+
 impl<W: EventHandler> Downstreams<W> {
     /// Listens at an address; returns the bound address, which differs from it for port 0.
     ///
@@ -36,18 +39,18 @@
     pub fn accept(&mut self, now: Ms, listener: &TcpListener, events: &mut Vec<ClientEvent>) -> bool {
         self.accept_pending = true;
         // The descriptor reserve takes precedence over new clients.
-        if !self.refill_reserve(now, events) && !self.clients.is_empty() {
+        if !self.refill_reserve(now, events) && self.shortage.may_evict(now) && !self.clients.is_empty() {
             return self.pause_accepting(now, RETRY_PAUSE_MS);
         }
-        let mut last_error = None;
+        let (mut failed_calls, mut last_error) = (0, None);
         for _ in 0..self.limits.accept.max_per_turn {
             if self.clients.len() >= self.limits.clients.max_connections && !self.evict_idle(now, events) {
                 return self.pause_accepting(now, self.limits.clients.sweep_interval_ms);
             }
             let error = match listener.accept() {
                 Ok((stream, _)) => {
-                    last_error = None;
-                    self.shortage.end_if_over(now);
+                    (failed_calls, last_error) = (0, None);
+                    self.shortage.record_success(now);
                     let id = self.add_client(now, stream);
                     self.read(now, id, events);
                     continue;
@@ -63,9 +66,13 @@
                 AcceptErrorSource::Local => {
                     self.counts.repeated_calls += 1;
                     if is_out_of_descriptors(&error) {
-                        self.make_room(now, events);
+                        _ = self.make_room(now, events);
                     }
                     last_error = Some(error);
+                    failed_calls += 1;
+                    if failed_calls == MAX_FAILED_CALLS {
+                        break;
+                    }
                 }
             }
         }
@@ -84,12 +91,14 @@
         false
     }
 
-    /// Evicts an idle client for a new one, if descriptors have been short for longer than a moment.
-    fn make_room(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
+    /// Evicts an idle client for others, if descriptors are short; returns whether it did.
+    fn make_room(&mut self, now: Ms, events: &mut Vec<ClientEvent>) -> bool {
         self.shortage.record_failure(now);
-        if self.shortage.is_confirmed(now) {
-            self.evict_idle(now, events);
+        let has_room = self.shortage.may_evict(now) && self.evict_idle(now, events);
+        if has_room {
+            self.shortage.record_eviction();
         }
+        has_room
     }
 
     /// Enables the listener again once its pause is over.
@@ -164,21 +173,18 @@
         candidate.map(|(id, _)| *id)
     }
 
-    /// Completes the descriptor reserve; returns whether it is complete. If descriptors have been short for
-    /// longer than a moment, idle connections are evicted for it, a bounded number of them.
+    /// Completes the descriptor reserve; returns whether it is complete. If descriptors are short, idle
+    /// connections are evicted for it, a bounded number of them.
     pub(super) fn refill_reserve(&mut self, now: Ms, events: &mut Vec<ClientEvent>) -> bool {
-        let mut closed = 0;
-        while !self.reserve.refill() {
-            self.shortage.record_failure(now);
-            if !self.shortage.is_confirmed(now) {
-                return false;
+        for _ in 0..self.limits.accept.max_per_turn {
+            if self.reserve.refill() {
+                return true;
             }
-            if closed == self.limits.accept.max_per_turn || !self.evict_idle(now, events) {
+            if !self.make_room(now, events) {
                 return false;
             }
-            closed += 1;
         }
-        true
+        false
     }
 
     /// Whether a connection has been idle for the eviction grace period, in which a request may be in
