Keep the writer of the audit log alive while its disk fails

Seen: after one failed write or sync no audit record was stored any more; with the queue full, records were dropped. What was taken on is owed. Cause: the writer's thread ended at its first error (disk.rs), and nothing could use a log again whose commit had failed. Change: RecordLog::restore cuts a failed commit off and keeps its records pending, so that they are written again also after a failed sync; a failed compaction is repeated. The writer repeats each step every 50 ms, at shutdown ten times at the most. Records that find the queue full are queued again while the log in memory has them.

--- a/crates/persistence/src/record_log.rs
+++ b/crates/persistence/src/record_log.rs
@@ -2,7 +2,7 @@
 //!
 //! Records that are added together are synced once (group commit). A tail that was torn by a crash of the
 //! machine is truncated at the next start; a committed record is never lost. After a failed write or sync the
-//! log rejects all records until it is opened again, because the durable content is unknown.
+//! log rejects all records until it is restored or opened again, because the durable content is unknown.
 //!
 //! A record is encoded as its length, the checksum of length and payload, and the payload. Length and
 //! checksum have four bytes each and are big-endian.
@@ -68,7 +68,16 @@
     committed_bytes: u64,
     /// Encoded records of the next commit.
     pending: Vec<u8>,
-    poisoned: bool,
+    failed_step: Option<FailedStep>,
+}
+
+/// The step after which the durable content is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FailedStep {
+    /// Records were appended, perhaps in part, and may not be durable.
+    Append,
+    /// The file is either the old or the new one.
+    Replace,
 }
 
 /// A log with the records that it contained when it was opened.
@@ -98,7 +107,7 @@
             files.truncate(LOG_FILE, intact_bytes)?;
             files.sync(LOG_FILE)?;
         }
-        let log = Self { limits, committed_bytes: intact_bytes, pending: Vec::new(), poisoned: false };
+        let log = Self { limits, committed_bytes: intact_bytes, pending: Vec::new(), failed_step: None };
         Ok(OpenedLog { log, records, truncated_bytes })
     }
 
@@ -119,7 +128,7 @@
     /// [`RecordLogError::Poisoned`], [`RecordLogError::RecordTooLarge`] or [`RecordLogError::Full`]; the log
     /// is unchanged.
     pub fn add(&mut self, record: &[u8]) -> Result<(), RecordLogError> {
-        if self.poisoned {
+        if self.failed_step.is_some() {
             return Err(RecordLogError::Poisoned);
         }
         if record.len() > self.limits.record_bytes as usize {
@@ -135,22 +144,45 @@
     ///
     /// # Errors
     ///
-    /// [`RecordLogError::Io`] if a step fails, which poisons the log; [`RecordLogError::Poisoned`] if an
-    /// earlier step failed.
+    /// [`RecordLogError::Io`] if a step fails, which poisons the log and leaves the records pending;
+    /// [`RecordLogError::Poisoned`] if an earlier step failed.
     pub fn commit(&mut self, files: &mut impl FileStore) -> Result<(), RecordLogError> {
-        if self.poisoned {
+        if self.failed_step.is_some() {
             return Err(RecordLogError::Poisoned);
         }
         if self.pending.is_empty() {
             return Ok(());
         }
-        let pending = std::mem::take(&mut self.pending);
         let is_new_file = self.committed_bytes == 0;
-        if let Err(error) = append_durably(files, &pending, is_new_file) {
-            self.poisoned = true;
+        if let Err(error) = append_durably(files, &self.pending, is_new_file) {
+            self.failed_step = Some(FailedStep::Append);
             return Err(error.into());
         }
-        self.committed_bytes += pending.len() as u64;
+        self.committed_bytes += self.pending.len() as u64;
+        self.pending.clear();
+        Ok(())
+    }
+
+    /// Makes a log usable again whose commit has failed: what may have been written of it is removed, and its
+    /// records are still pending. After a failed sync they have to be written again, since the system may count
+    /// them as written.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the file store, after which this can be repeated. [`RecordLogError::Poisoned`] if
+    /// [`RecordLog::compact`] has failed, which has to be repeated instead.
+    pub fn restore(&mut self, files: &mut impl FileStore) -> Result<(), RecordLogError> {
+        match self.failed_step {
+            None => return Ok(()),
+            Some(FailedStep::Replace) => return Err(RecordLogError::Poisoned),
+            Some(FailedStep::Append) => {}
+        }
+        match files.truncate(LOG_FILE, self.committed_bytes) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound && self.committed_bytes == 0 => {}
+            Err(error) => return Err(error.into()),
+            Ok(()) => files.sync(LOG_FILE)?,
+        }
+        self.failed_step = None;
         Ok(())
     }
 
@@ -160,13 +192,14 @@
     /// # Errors
     ///
     /// [`RecordLogError::Full`] if the result exceeds the limit: the log is unchanged. [`RecordLogError::Io`]
-    /// if a step fails, which poisons the log; [`RecordLogError::Poisoned`] if an earlier step failed.
+    /// if a step fails, which poisons the log until this succeeds when it is repeated;
+    /// [`RecordLogError::Poisoned`] if an earlier commit failed.
     pub fn compact(
         &mut self,
         files: &mut impl FileStore,
         retained: &[Vec<u8>],
     ) -> Result<(), RecordLogError> {
-        if self.poisoned {
+        if self.failed_step == Some(FailedStep::Append) {
             return Err(RecordLogError::Poisoned);
         }
         let mut bytes = Vec::new();
@@ -176,9 +209,10 @@
         bytes.extend(&self.pending);
         self.check_length(bytes.len() as u64)?;
         if let Err(error) = replace_durably(files, &bytes) {
-            self.poisoned = true;
+            self.failed_step = Some(FailedStep::Replace);
             return Err(error.into());
         }
+        self.failed_step = None;
         self.committed_bytes = bytes.len() as u64;
         self.pending.clear();
         Ok(())
--- a/crates/persistence/tests/common/mod.rs
+++ b/crates/persistence/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A file store in memory that crashes after a given step, and the state of its disk after a restart.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
 
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/router/src/audit_log/disk.rs
+++ b/crates/router/src/audit_log/disk.rs
@@ -4,8 +4,11 @@
 use std::fmt;
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use linnethook_persistence::file_store::LockedDirectory;
 use linnethook_persistence::record_log::{OpenedLog, RecordLog, RecordLogError, RecordLogLimits};
@@ -14,6 +17,10 @@
 
 /// The number of records that may be queued for the disk.
 const MAX_QUEUED_RECORDS: usize = 256;
+/// The time after which a failed write is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The number of tries after which a router that shuts down no longer waits for its disk.
+const MAX_TRIES_WHILE_CLOSING: u32 = 10;
 
 /// Why the audit log on disk can't be used.
 #[derive(Debug)]
@@ -77,72 +84,115 @@
         self.truncated_bytes
     }
 
-    /// Stores the queued records until the queue is closed.
-    fn append_queued(&mut self, queue: &Receiver<Vec<u8>>) -> Result<(), RecordLogError> {
+    /// Stores the queued records until the queue is closed. While the disk fails, the records wait; returns early
+    /// only if it still does some time after `is_closing` was set.
+    fn append_queued(&mut self, queue: &Receiver<Vec<u8>>, is_closing: &AtomicBool) {
         while let Ok(first) = queue.recv() {
             // One sync covers all records that were queued during the previous one.
             let group: Vec<Vec<u8>> = std::iter::once(first).chain(queue.try_iter()).collect();
-            for record in group {
-                self.append(record)?;
+            let stored = group.into_iter().try_for_each(|record| self.append(record, is_closing));
+            if stored.and_then(|()| self.retry(is_closing, Self::commit)).is_err() {
+                return;
             }
-            self.log.commit(&mut self.files)?;
         }
-        Ok(())
     }
 
     /// Appends a record. If the log is full, the older half of its records is removed first.
-    fn append(&mut self, record: Vec<u8>) -> Result<(), RecordLogError> {
+    fn append(&mut self, record: Vec<u8>, is_closing: &AtomicBool) -> Result<(), RecordLogError> {
         let added = self.log.add(&record);
         self.records.push_back(record);
         if matches!(added, Err(RecordLogError::Full { .. })) {
             self.records.drain(..self.records.len() / 2);
-            self.log.compact(&mut self.files, self.records.make_contiguous())?;
+            self.retry(is_closing, |disk| disk.log.compact(&mut disk.files, disk.records.make_contiguous()))?;
+        }
+        Ok(())
+    }
+
+    fn commit(&mut self) -> Result<(), RecordLogError> {
+        self.log.restore(&mut self.files)?;
+        self.log.commit(&mut self.files)
+    }
+
+    /// Repeats a step until it succeeds: what was taken on is still owed. Logs the first error of a disk that
+    /// fails, and that it has recovered.
+    ///
+    /// # Errors
+    ///
+    /// The last error, some time after `is_closing` was set.
+    fn retry(
+        &mut self,
+        is_closing: &AtomicBool,
+        step: impl Fn(&mut Self) -> Result<(), RecordLogError>,
+    ) -> Result<(), RecordLogError> {
+        let (mut has_failed, mut tries_while_closing) = (false, 0);
+        while let Err(error) = step(self) {
+            if !has_failed {
+                log_line!(always "audit: disk error, the records wait until it is over: {error}");
+            }
+            has_failed = true;
+            tries_while_closing += u32::from(is_closing.load(Ordering::Relaxed));
+            if tries_while_closing > MAX_TRIES_WHILE_CLOSING {
+                log_line!(always "audit: disk error, the last records are not stored: {error}");
+                return Err(error);
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+        if has_failed {
+            log_line!(always "audit: the disk stores records again");
         }
         Ok(())
     }
 }
 
-/// The queue to the disk is full, and the record was dropped.
+/// The queue to the disk is full: the record has to be queued again later.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct QueueFull;
 
 /// The writer thread and its queue.
 pub(super) struct DiskWriter {
     queue: SyncSender<Vec<u8>>,
+    is_closing: Arc<AtomicBool>,
     thread: JoinHandle<()>,
 }
 
 impl DiskWriter {
-    /// Starts the thread. It logs the first disk error and ends.
+    /// Starts the thread.
     ///
     /// # Errors
     ///
     /// [`DiskError::Thread`] if the thread can't be started.
     pub fn start(mut log: DiskLog) -> Result<Self, DiskError> {
         let (queue, queued) = sync_channel(MAX_QUEUED_RECORDS);
-        let run = move || {
-            if let Err(error) = log.append_queued(&queued) {
-                log_line!(always "audit: disk error, later records are not stored on disk: {error}");
-            }
-        };
+        let is_closing = Arc::new(AtomicBool::new(false));
+        let closing = is_closing.clone();
+        let run = move || log.append_queued(&queued, &closing);
         let thread = thread::Builder::new().name("audit".to_string()).spawn(run);
-        Ok(Self { queue, thread: thread.map_err(DiskError::Thread)? })
+        Ok(Self { queue, is_closing, thread: thread.map_err(DiskError::Thread)? })
     }
 
-    /// Queues an encoded record. After a disk error the record is dropped without an error.
+    /// Queues an encoded record.
     ///
     /// # Errors
     ///
-    /// [`QueueFull`] if the queue is full; the record is dropped.
+    /// [`QueueFull`] if the queue is full.
     pub fn enqueue(&self, record: Vec<u8>) -> Result<(), QueueFull> {
         match self.queue.try_send(record) {
             Err(TrySendError::Full(_)) => Err(QueueFull),
+            // Without its reader, nothing can be stored; the panic hook has printed why.
             Ok(()) | Err(TrySendError::Disconnected(_)) => Ok(()),
         }
     }
 
-    /// Closes the queue and waits until all queued records are stored.
-    pub fn finish(self) {
+    /// Queues the records that did not fit before, closes the queue and waits until all are stored, or the disk
+    /// has failed for too long.
+    pub fn finish(self, remaining: impl Iterator<Item = Vec<u8>>) {
+        self.is_closing.store(true, Ordering::Relaxed);
+        for record in remaining {
+            // Blocks while the queue is full; an error means that the thread has ended.
+            if self.queue.send(record).is_err() {
+                break;
+            }
+        }
         drop(self.queue);
         // If the thread panicked, the panic hook has printed the message already.
         let _ = self.thread.join();
--- a/crates/router/src/audit_log/mod.rs
+++ b/crates/router/src/audit_log/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! - [`disk`]: the log on disk, and the thread that writes it.
 //!
-//! Nothing here blocks the event loop: records for the disk go through a bounded queue, and records that do
-//! not fit are dropped and counted.
+//! Nothing here blocks the event loop: records for the disk go through a bounded queue. Those that do not fit are
+//! queued later, as long as they are kept in memory, and are counted as dropped otherwise.
 
 mod disk;
 
@@ -55,7 +55,7 @@
     /// Records of this router's log.
     pub own_records: u64,
     pub replicas: ReplicaSizes,
-    /// Records of this router's log that were dropped, as the queue to the disk was full.
+    /// Records of this router's log that were not stored, as the disk failed for too long.
     pub dropped_records: u64,
 }
 
@@ -172,7 +172,7 @@
         self.log.finish(now, at, |key| self.node_names.get(&key).cloned());
         let messages = self.store_new_records(linked_peers);
         if let Some(disk) = self.disk.take() {
-            disk.finish();
+            disk.finish(self.log.records_from(self.last_queued + 1).map(ChainLink::encode));
         }
         messages
     }
@@ -188,13 +188,18 @@
         if head <= self.last_queued {
             return;
         }
-        if let Some(disk) = &self.disk {
-            for record in self.log.records_from(self.last_queued + 1) {
-                let queued = disk.enqueue(record.encode());
-                self.dropped_records += u64::from(queued.is_err());
+        let Some(disk) = &self.disk else {
+            self.last_queued = head;
+            return;
+        };
+        for record in self.log.records_from(self.last_queued + 1) {
+            if disk.enqueue(record.encode()).is_err() {
+                return;
             }
+            // Records that are no longer kept in memory can't be stored any more.
+            self.dropped_records += record.number - self.last_queued - 1;
+            self.last_queued = record.number;
         }
-        self.last_queued = head;
     }
 
     /// Messages with the records that the replica holders do not have yet.
--- a/crates/router/tests/unit/audit_disk.rs
+++ b/crates/router/tests/unit/audit_disk.rs
@@ -31,7 +31,7 @@
     for record in &records {
         assert_eq!(writer.enqueue(record.clone()), Ok(()));
     }
-    writer.finish();
+    writer.finish(std::iter::empty());
     let log = DiskLog::open(&directory.0).expect("opened again");
     assert!(log.records().eq(&records));
     assert_eq!(log.truncated_bytes(), 0);
