--- a/crates/router/src/audit_log/disk.rs
+++ b/crates/router/src/audit_log/disk.rs
@@ -14,6 +14,7 @@
 use linnethook_persistence::record_log::{OpenedLog, RecordLog, RecordLogError, RecordLogLimits};
 
 use crate::log::log_line;
+use crate::start_retry;
 
 /// The number of records that may be queued for the disk.
 const MAX_QUEUED_RECORDS: usize = 256;
@@ -43,6 +44,17 @@
     }
 }
 
+impl DiskError {
+    /// Whether the directory may be usable soon.
+    pub fn may_be_momentary(&self) -> bool {
+        match self {
+            Self::Directory(error) | Self::Log(error) | Self::Thread(error) => {
+                start_retry::is_momentary(error)
+            }
+        }
+    }
+}
+
 impl std::error::Error for DiskError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
--- a/crates/router/src/audit_log/mod.rs
+++ b/crates/router/src/audit_log/mod.rs
@@ -23,6 +23,7 @@
 use crate::log::log_line;
 use crate::peer_message::{PeerMessage, PeerMessageKind};
 use crate::policy_adapter::Ms;
+use crate::start_retry;
 
 use disk::{DiskError, DiskLog, DiskWriter};
 
@@ -89,16 +90,17 @@
         let config = section.parameters;
         let mut replicas = LogReplicas::new(config.max_replica_bytes);
         let directory = section.directory.as_deref().map(Path::new);
-        let disk = directory.and_then(|directory| match start_disk_writer(directory, &mut replicas) {
-            Ok(disk) => Some(disk),
-            Err(error) => {
-                log_line!(
-                    always "audit: {}: {error}; the audit log is stored in memory only",
-                    directory.display()
-                );
-                None
-            }
-        });
+        let disk =
+            directory.and_then(|directory| match start_disk_writer_with_retry(directory, &mut replicas) {
+                Ok(disk) => Some(disk),
+                Err(error) => {
+                    log_line!(
+                        always "audit: {}: {error}; the audit log is stored in memory only",
+                        directory.display()
+                    );
+                    None
+                }
+            });
         Self {
             log: AuditLog::new(now, at, config, name, incarnation, versions),
             config,
@@ -312,6 +314,14 @@
     }
 }
 
+/// Like [`start_disk_writer`], again where the disk fails for a moment.
+fn start_disk_writer_with_retry(
+    directory: &Path,
+    replicas: &mut LogReplicas,
+) -> Result<DiskWriter, DiskError> {
+    start_retry::retry(|| start_disk_writer(directory, replicas), DiskError::may_be_momentary)
+}
+
 /// Opens the log on disk and starts its writer. The records of earlier incarnations are stored with the
 /// replicas.
 fn start_disk_writer(directory: &Path, replicas: &mut LogReplicas) -> Result<DiskWriter, DiskError> {
--- a/crates/router/src/config/error.rs
+++ b/crates/router/src/config/error.rs
@@ -48,7 +48,7 @@
     /// Whether the file may be readable soon: reading has failed, or it is still being written.
     pub fn may_be_momentary(&self) -> bool {
         match self {
-            Self::Read(_) => true,
+            Self::Read(error) => error.kind() != io::ErrorKind::NotFound,
             Self::Format(error) => error.is_eof(),
             Self::File { source, .. } => source.may_be_momentary(),
             Self::Setting(_) | Self::Seed(_) | Self::ShadowSetting(_) => false,
--- a/crates/router/src/config/mod.rs
+++ b/crates/router/src/config/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::descriptors;
 use crate::discovery::event::EventPage;
+use crate::start_retry;
 
 pub use error::ConfigError;
 pub use limits::Limits;
@@ -72,6 +73,15 @@
         config.map_err(|error| ConfigError::File { path: path.to_path_buf(), source: Box::new(error) })
     }
 
+    /// Reads a configuration file at the start, again where it can't be read for a moment.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::read`].
+    pub fn read_at_start(path: &Path) -> Result<Self, ConfigError> {
+        start_retry::retry(|| Self::read(path), ConfigError::may_be_momentary)
+    }
+
     /// Decodes a configuration for a process that may open at most `descriptors` descriptors, even if the
     /// configuration promises more.
     ///
--- a/crates/router/src/descriptors.rs
+++ b/crates/router/src/descriptors.rs
@@ -10,6 +10,7 @@
 
 use nix::sys::resource::{getrlimit, Resource};
 
+use crate::start_retry;
 use crate::system_error::is_out_of_descriptors;
 
 /// The soft limit of descriptors of this process; `usize::MAX` if the system does not report one.
@@ -58,9 +59,10 @@
     ///
     /// # Errors
     ///
-    /// The system does not provide that many: it would not do so later either.
+    /// The system does not provide that many, also when it is asked again.
     pub fn new(capacity: usize) -> io::Result<Self> {
-        let files = (0..capacity).map(|_| open_placeholder()).collect::<io::Result<_>>();
+        let open = || start_retry::retry(open_placeholder, start_retry::is_momentary);
+        let files = (0..capacity).map(|_| open()).collect::<io::Result<_>>();
         let files = files.map_err(|error| {
             io::Error::new(error.kind(), format!("reserving {capacity} descriptors failed: {error}"))
         })?;
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -13,6 +13,7 @@
 use crate::log::{self, log_line};
 use crate::router::Router;
 use crate::start_error::StartError;
+use crate::start_retry;
 
 /// The signals that the process handles.
 pub const SIGNALS: [Signal; 4] = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
@@ -34,6 +35,11 @@
     Ok(operator?)
 }
 
+/// Whether an error of the event loop may be over soon.
+fn is_momentary(error: &calloop::Error) -> bool {
+    matches!(error, calloop::Error::IoError(error) if start_retry::is_momentary(error))
+}
+
 /// Runs the only router of this process until it has shut down.
 ///
 /// # Errors
@@ -47,15 +53,15 @@
     let log_settings = operator.as_ref().and_then(|(_, operator)| operator.log);
     log::start(log_settings.is_some_and(|log| log.json));
     let path = PathBuf::from(std::env::var_os("LB_CONFIG").ok_or(StartError::NoConfig)?);
-    let config = Config::read(&path)?;
+    let config = Config::read_at_start(&path)?;
     if config.limits.descriptors.available < config.file.promised_descriptors() {
         log_line!(
             always "the configuration file promises {} descriptors, but the system allows {}",
             config.file.promised_descriptors(), config.limits.descriptors.available
         );
     }
-    let events: EventLoop<'static, Router> = EventLoop::try_new()?;
-    let signals = Signals::new(&SIGNALS)?;
+    let events: EventLoop<'static, Router> = start_retry::retry(EventLoop::try_new, is_momentary)?;
+    let signals = start_retry::retry(|| Signals::new(&SIGNALS), is_momentary)?;
     let on_signal = |event: calloop::signals::Event, _: &mut (), router: &mut Router| {
         router.on_signal(event.signal());
     };
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -55,6 +55,7 @@
 mod shadow_policy;
 mod sockets;
 mod start_error;
+mod start_retry;
 mod system_error;
 mod upstream;
 
--- a/crates/router/src/multi_router.rs
+++ b/crates/router/src/multi_router.rs
@@ -140,7 +140,7 @@
         let file = path.with_extension("star");
         let operator = file.exists().then(|| read_operator(&file)).transpose()?;
         let operator = operator.map(|operator| (file, operator));
-        Ok(Self { path: path.to_path_buf(), config: Config::read(path)?, operator })
+        Ok(Self { path: path.to_path_buf(), config: Config::read_at_start(path)?, operator })
     }
 
     fn logs_json(&self) -> bool {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -34,6 +34,7 @@
 use crate::run_phase::{RunPhase, ShutdownTimes};
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
 use crate::start_error::StartError;
+use crate::start_retry;
 
 /// The maximum time between two runs of the timers.
 const MAX_TIMER_INTERVAL_MS: Ms = 1_000.0;
@@ -118,9 +119,12 @@
         router.on_watch_events(known.events);
         router.on_cluster_timer();
         // Clients are accepted only once the endpoint list is known.
-        let address = router.proxy.listen(config.file.listen_address).map_err(|source| {
-            let address = config.file.listen_address;
-            StartError::Listen { setting: "`listen` in the configuration file", address, source }
+        let address = config.file.listen_address;
+        let bound = start_retry::retry(|| router.proxy.listen(address), start_retry::is_momentary);
+        let address = bound.map_err(|source| StartError::Listen {
+            setting: "`listen` in the configuration file",
+            address,
+            source,
         })?;
         log_line!("{} listens on {address}", config.file.name);
         Ok(router)
--- a/crates/router/tests/common/fault_plan.rs
+++ b/crates/router/tests/common/fault_plan.rs
@@ -79,6 +79,11 @@
         Call::ALL.into_iter().for_each(|call| self.succeed(call));
     }
 
+    /// Whether no call is planned to fail.
+    pub fn has_ended(&self) -> bool {
+        Call::ALL.into_iter().all(|call| self.read_word(record_word(call)) == Mode::Off as u64)
+    }
+
     /// Steps the wall clock of the process by these seconds from its true time.
     pub fn step_clock(&self, seconds: i64) {
         self.write_word(CLOCK_WORD, (seconds * 1_000_000_000) as u64);
