Pass on the deadline that is left when an attempt is written

Cause: a request was encoded when it was queued (sending.rs), and could wait for its connection for up to the connect timeout. Change: it is encoded when its first byte is written (connection.rs, request.rs). Measured: the new test fails with the time of queueing and passes now; golden, endings, effects, hierarchy, client_departures pass.

--- a/crates/router/src/upstream/codec.rs
+++ b/crates/router/src/upstream/codec.rs
@@ -131,6 +131,11 @@
         self.0.push((name.to_string(), value.to_string()));
     }
 
+    /// Appends all fields of another list.
+    pub fn append(&mut self, mut other: Self) {
+        self.0.append(&mut other.0);
+    }
+
     /// The value of the first field of that name.
     pub fn get(&self, name: &str) -> Option<&str> {
         self.0.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -11,7 +11,8 @@
 use crate::policy_adapter::{AttemptEnd, AttemptKey, EndpointKey, Ms};
 use crate::system_error::is_interrupted;
 
-use super::codec::{Reply, ReplyDecoder, ReplyError, StringLimits};
+use super::codec::{self, Reply, ReplyDecoder, ReplyError, StringLimits};
+use super::request::RequestFields;
 
 /// The id of a connection; ids are never reused.
 pub type ConnectionId = u64;
@@ -47,13 +48,44 @@
     pub sources: Vec<EndpointKey>,
     pub object: Option<RequestedObject>,
     pub queued_at: Ms,
-    pub bytes: BufferChain,
+    pub content: MessageContent,
+}
+
+/// The content of a queued message.
+#[derive(Debug)]
+pub(super) enum MessageContent {
+    /// A cancellation or a health check, encoded.
+    Control(BufferChain),
+    /// A request, which is encoded when its first byte is written: only then it is known how much time is left.
+    Request { fields: RequestFields, body: BufferChain },
+}
+
+impl MessageContent {
+    /// The approximate number of bytes.
+    fn len(&self) -> usize {
+        match self {
+            Self::Control(bytes) => bytes.len(),
+            Self::Request { body, .. } => body.len(),
+        }
+    }
 }
 
 impl QueuedMessage {
     /// A cancellation or a health check.
     pub fn control(id: Option<String>, queued_at: Ms, bytes: BufferChain) -> Self {
-        Self { id, attempt: None, sources: Vec::new(), object: None, queued_at, bytes }
+        let content = MessageContent::Control(bytes);
+        Self { id, attempt: None, sources: Vec::new(), object: None, queued_at, content }
+    }
+
+    /// The encoded message, as it is written now.
+    fn into_bytes(self, now: Ms, buffers: &BufferPool) -> BufferChain {
+        match self.content {
+            MessageContent::Control(bytes) => bytes,
+            MessageContent::Request { fields, body } => {
+                let id = self.id.unwrap_or_default();
+                codec::encode_request(buffers, &id, &fields.at(now), body)
+            }
+        }
     }
 }
 
@@ -297,7 +329,7 @@
 
     /// The bytes of the messages that are not written yet.
     pub fn unwritten_bytes(&self) -> usize {
-        let queued: usize = self.queue.iter().map(|message| message.bytes.len()).sum();
+        let queued: usize = self.queue.iter().map(|message| message.content.len()).sum();
         self.output.len() + queued
     }
 
@@ -330,7 +362,7 @@
     /// # Errors
     ///
     /// Errors of the system.
-    pub fn write(&mut self, oldest: Ms) -> io::Result<WriteProgress> {
+    pub fn write(&mut self, now: Ms, buffers: &BufferPool, oldest: Ms) -> io::Result<WriteProgress> {
         let stream = self.stream()?;
         if self.is_write_stopped {
             return Ok(WriteProgress::Done);
@@ -343,8 +375,8 @@
                     return Ok(WriteProgress::Stalled);
                 }
                 let Some(next) = self.queue.pop_front() else { return Ok(WriteProgress::Done) };
-                self.output = next.bytes;
-                self.writing_id = next.id;
+                self.writing_id = next.id.clone();
+                self.output = next.into_bytes(now, buffers);
             }
             match self.output.write_to(&*stream) {
                 Ok(_) => {}
--- a/crates/router/src/upstream/request.rs
+++ b/crates/router/src/upstream/request.rs
@@ -1,12 +1,48 @@
 //! The fields of a request, with their names on the wire.
 
-use crate::policy_adapter::FillSpec;
+use crate::policy_adapter::{FillSpec, Ms};
 
 use super::attempt::{AttemptOrder, FillPath, RequestMessage};
 use super::codec::FieldList;
 
-/// The fields of an attempt. `source_name` is the name of the endpoint that it fills from, if any.
-pub(super) fn request_fields(
+/// The fields of an attempt, but for the time that is left when it is written.
+#[derive(Debug)]
+pub(super) struct RequestFields {
+    /// Until when the router waits for the reply.
+    deadline: Ms,
+    /// What is requested.
+    object: FieldList,
+    /// How it is served.
+    options: FieldList,
+}
+
+impl RequestFields {
+    /// The fields of an attempt that is given up at `deadline`. `source_name` is the name of the endpoint that it
+    /// fills from, if any.
+    pub fn new(
+        deadline: Ms,
+        order: &AttemptOrder,
+        message: &RequestMessage,
+        source_name: Option<&str>,
+        fill_path: Option<&FillPath>,
+    ) -> Self {
+        let mut object = FieldList::default();
+        object.push("kind", &message.class);
+        object.push("obj", &message.object);
+        object.push("seg", &message.part);
+        Self { deadline, object, options: option_fields(order, message, source_name, fill_path) }
+    }
+
+    /// The fields of a request that is written now. Its deadline is at most the time that is left.
+    pub fn at(self, now: Ms) -> FieldList {
+        let mut fields = self.object;
+        fields.push("ms", (self.deadline - now).ceil().max(1.0));
+        fields.append(self.options);
+        fields
+    }
+}
+
+fn option_fields(
     order: &AttemptOrder,
     message: &RequestMessage,
     source_name: Option<&str>,
@@ -14,10 +50,6 @@
 ) -> FieldList {
     let fill = &order.fill;
     let mut fields = FieldList::default();
-    fields.push("kind", &message.class);
-    fields.push("obj", &message.object);
-    fields.push("seg", &message.part);
-    fields.push("ms", order.timeout.ceil().max(1.0));
     if let Some(source_name) = source_name {
         fields.push("parent", source_name);
         let hints = fill_hints(fill);
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -6,9 +6,8 @@
 
 use super::attempt::{AttemptOrder, FillPath, RequestMessage};
 use super::attempt_table::InFlightAttempt;
-use super::codec;
-use super::connection::{ExchangeOwner, QueuedMessage, RequestedObject};
-use super::request::request_fields;
+use super::connection::{ExchangeOwner, MessageContent, QueuedMessage, RequestedObject};
+use super::request::RequestFields;
 use super::Upstreams;
 
 impl<W: EventHandler> Upstreams<W> {
@@ -36,9 +35,9 @@
         };
         let source_name =
             fill.source.and_then(|source| self.endpoints.get(&source)).map(|source| &*source.uid);
-        let fields = request_fields(order, message, source_name, fill_path);
+        let deadline = now + timeout.max(0.0);
+        let fields = RequestFields::new(deadline, order, message, source_name, fill_path);
         let via_endpoints = fill_path.into_iter().flat_map(|path| path.via_endpoints.iter().copied());
-        let bytes = codec::encode_request(&self.buffers, &message.id, &fields, message.body.duplicate());
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let object = u64::from_str_radix(&message.object, 16).ok();
         let queued = QueuedMessage {
@@ -47,7 +46,7 @@
             sources: fill.source.into_iter().chain(via_endpoints).collect(),
             object: object.map(|object| RequestedObject { object, group: message.group }),
             queued_at: now,
-            bytes,
+            content: MessageContent::Request { fields, body: message.body.duplicate() },
         };
         connection.enqueue(now, queued, ExchangeOwner::Attempt(attempt));
         let in_flight = InFlightAttempt {
@@ -55,7 +54,7 @@
             endpoint,
             request_id: message.id.clone(),
             sent_at: now,
-            deadline: now + timeout.max(0.0),
+            deadline,
             send_by,
             client_copy: message.client_copy.clone(),
         };
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -76,7 +76,7 @@
         let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_up()) else {
             return;
         };
-        match connection.write(oldest) {
+        match connection.write(now, &self.buffers, oldest) {
             Ok(WriteProgress::Done) => {}
             Ok(WriteProgress::Stalled) => _ = self.stalled.insert(id),
             Err(error) => self.on_transfer_error(now, id, &error),
--- a/crates/router/tests/local_faults.rs
+++ b/crates/router/tests/local_faults.rs
@@ -387,3 +387,24 @@
     };
     (records.iter().map(|link| link.number).collect(), records.iter().map(attempts).sum())
 }
+
+/// Guards against a deadline that was computed when the attempt was queued, and not when it was sent.
+#[test]
+fn the_deadline_passed_on_is_at_most_what_the_client_has_left() {
+    const DEADLINE_MS: f64 = 600.0;
+    const SLACK_MS: f64 = 150.0;
+    let plan = FaultPlan::new(SEED);
+    let fleet = faulty_fleet(echo("a"), echo("b"), echo("origin"), &plan);
+    plan.fail_from(Call::Connect, plan.calls(Call::Connect) + 1, &[EADDRNOTAVAIL]);
+    let mut client = fleet.router.client();
+    let fields = [("c", "booking"), ("i", "00000000000000b1"), ("o", "00000000000000b0"), ("d", "600")];
+    let sent = Instant::now();
+    client.ask(1, &fields, b"").expect("sent");
+    thread::sleep(Duration::from_millis(200));
+    let left = DEADLINE_MS - sent.elapsed().as_secs_f64() * 1_000.0;
+    plan.succeed(Call::Connect);
+    let (_, _, fields, _) = next_request(&fleet.origin);
+    let passed_on: f64 = fields["ms"].parse().expect("a number");
+    assert!(passed_on <= left + SLACK_MS, "{passed_on} ms passed on, {left} ms left");
+    assert_eq!(answer(&mut client).1.code, SERVED);
+}
