Keep only the fields that a request may have, and read them without blocks

Cause: decode_fields took two 16 KB blocks from the pool and two allocations for each field, and kept fields that no request has (downstream/codec.rs). Change: names and values are read into two reused buffers and checked as before; only known names are kept. The unit tests pass, one of them new.

--- a/crates/router/src/downstream/codec.rs
+++ b/crates/router/src/downstream/codec.rs
@@ -14,6 +14,24 @@
     pub const GO_AWAY: u8 = 90;
 }
 
+/// The names of a request's fields on the wire.
+pub mod field {
+    pub const CLASS: &str = "c";
+    pub const ID: &str = "i";
+    pub const OBJECT: &str = "o";
+    pub const WAIT_MS: &str = "d";
+    pub const CLIENT_COPY: &str = "known";
+    pub const IDEMPOTENCY_KEY: &str = "k";
+    pub const SIZE_KB: &str = "m";
+    pub const REPEAT: &str = "r";
+    pub const PART: &str = "chunk";
+    pub const GROUP: &str = "tag";
+
+    /// All of them.
+    pub const ALL: [&str; 10] =
+        [CLASS, ID, OBJECT, WAIT_MS, CLIENT_COPY, IDEMPOTENCY_KEY, SIZE_KB, REPEAT, PART, GROUP];
+}
+
 /// The size in bytes of the length field, and of the type and stream fields that follow it.
 const LENGTH_BYTES: usize = 4;
 const HEAD_BYTES: usize = 5;
@@ -46,7 +64,7 @@
     Failed = 3,
 }
 
-/// Named fields, in the order of the frame.
+/// The fields of a request that are used, in the order of the frame.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Fields(Vec<(String, String)>);
 
@@ -180,16 +198,22 @@
     }
 }
 
+/// Decodes the fields. Only those that a request may have are kept: a client may send many others, and names and
+/// values of each would take memory.
 fn decode_fields(payload: &mut BufferChain) -> Result<Fields, FrameError> {
     let [count] = bytes(payload)?;
-    let mut fields = Vec::with_capacity(usize::from(count));
+    let mut fields = Fields::default();
+    let (mut name, mut value) = (Vec::new(), Vec::new());
     for _ in 0..count {
         let [size] = bytes(payload)?;
-        let name = text(payload, usize::from(size))?;
+        let name = text(payload, usize::from(size), &mut name)?;
         let size = u16::from_be_bytes(bytes(payload)?);
-        fields.push((name, text(payload, usize::from(size))?));
+        let value = text(payload, usize::from(size), &mut value)?;
+        if field::ALL.contains(&name) {
+            fields.put(name, value);
+        }
     }
-    Ok(Fields(fields))
+    Ok(fields)
 }
 
 fn bytes<const N: usize>(payload: &mut BufferChain) -> Result<[u8; N], FrameError> {
@@ -201,11 +225,15 @@
     Ok(value)
 }
 
-fn text(payload: &mut BufferChain, size: usize) -> Result<String, FrameError> {
+/// Takes a text of `size` bytes off the payload, into a buffer.
+fn text<'a>(payload: &mut BufferChain, size: usize, buffer: &'a mut Vec<u8>) -> Result<&'a str, FrameError> {
     if payload.len() < size {
         return Err(FrameError::FieldsTruncated);
     }
-    String::from_utf8(payload.split_to(size).to_vec()).map_err(|_| FrameError::FieldNotText)
+    buffer.resize(size, 0);
+    payload.peek(buffer);
+    payload.consume(size);
+    std::str::from_utf8(buffer).map_err(|_| FrameError::FieldNotText)
 }
 
 /// Encodes the final answer of a stream, or on stream 0 an error of the connection.
--- a/crates/router/src/downstream/request.rs
+++ b/crates/router/src/downstream/request.rs
@@ -5,23 +5,9 @@
 use crate::policy_adapter::RequestSpec;
 use crate::upstream::RequestMessage;
 
-use super::codec::Fields;
+use super::codec::{field, Fields};
 use super::ClientStream;
 
-/// The field names on the wire.
-mod field {
-    pub const CLASS: &str = "c";
-    pub const ID: &str = "i";
-    pub const OBJECT: &str = "o";
-    pub const WAIT_MS: &str = "d";
-    pub const CLIENT_COPY: &str = "known";
-    pub const IDEMPOTENCY_KEY: &str = "k";
-    pub const SIZE_KB: &str = "m";
-    pub const REPEAT: &str = "r";
-    pub const PART: &str = "chunk";
-    pub const GROUP: &str = "tag";
-}
-
 /// A valid request of a client.
 #[derive(Debug)]
 pub struct ClientRequest {
--- a/crates/router/tests/unit/downstream_codec.rs
+++ b/crates/router/tests/unit/downstream_codec.rs
@@ -105,3 +105,20 @@
     let lines = frames.iter().map(|(name, frame)| format!("{name}: {}\n", crate::hex::hex(&frame.to_vec())));
     crate::golden::assert_golden("client_frames.txt", &lines.collect::<String>());
 }
+
+/// Guards against heads of very many short fields that take time and memory for each of them.
+#[test]
+fn fields_that_no_request_has_are_checked_but_not_kept() {
+    let pool = BufferPool::new(64, 4, 1_000);
+    let names: Vec<String> = (0..200).map(|n| format!("x{n}")).collect();
+    let mut fields: Vec<(&str, &str)> = names.iter().map(|name| (&**name, "1")).collect();
+    fields.push(("c", "video"));
+    let mut input = BufferChain::from_bytes(&pool, &request(9, &fields, b"body"));
+    let Ok(Some(ClientMessage::Request { fields, body, .. })) = decode(&mut input, MAX_FRAME) else {
+        panic!("no request")
+    };
+    assert_eq!(fields, Fields::from(vec![("c".to_string(), "video".to_string())]));
+    assert_eq!(body.to_vec(), b"body");
+    let mut input = BufferChain::from_bytes(&pool, &[0, 0, 0, 11, 65, 0, 0, 0, 1, 1, 1, b'x', 0, 1, 0xff]);
+    assert!(matches!(decode(&mut input, MAX_FRAME), Err(FrameError::FieldNotText)));
+}
