Count the time that a request was left unread against its deadline

Cause: a request counted from when it was read, also where a long turn of the event loop had left it unread. Change: TurnClock tells the earliest time at which what is read now can have arrived, that of the last wait that blocked or the begin of the previous turn; the request's time is shorter by what has passed since.

--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -112,6 +112,8 @@
     shortage: DescriptorShortage,
     /// Whether connections may be waiting to be accepted.
     accept_pending: bool,
+    /// The earliest time at which requests that are read now can have arrived.
+    earliest_arrival: Ms,
     draining: bool,
     counts: ConnectionCounts,
 }
@@ -139,11 +141,17 @@
             accept_again_at: None,
             shortage: DescriptorShortage::default(),
             accept_pending: false,
+            earliest_arrival: f64::INFINITY,
             draining: false,
             counts: ConnectionCounts::default(),
         }
     }
 
+    /// Sets the earliest time at which requests that are read from here on can have arrived.
+    pub fn set_earliest_arrival(&mut self, at: Ms) {
+        self.earliest_arrival = at;
+    }
+
     /// The counts since the start.
     pub fn counts(&self) -> ConnectionCounts {
         let repeated_calls = self.counts.repeated_calls + self.retries.failed_calls();
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -219,9 +219,12 @@
         fields: &Fields,
         body: BufferChain,
     ) -> ClientEvent {
-        let Some(request) = parse_request(stream, fields, body, &self.limits) else {
+        let Some(mut request) = parse_request(stream, fields, body, &self.limits) else {
             return ClientEvent::Invalid(stream);
         };
+        // The client has waited since it sent the request, which may have been left unread for a long turn.
+        let unread_for = (now - self.earliest_arrival).max(0.0);
+        request.spec.budget = (request.spec.budget - unread_for).max(0.0);
         if let Some(client) = self.clients.get_mut(&stream.client) {
             let until = now + request.spec.budget + self.limits.requests.network_allowance_ms;
             client.answers_awaited_until = client.answers_awaited_until.max(until);
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -75,6 +75,7 @@
 /// Waits for events and handles them. Where waiting, or reading a signal, fails, the router goes on: events that
 /// were reported in the same turn are lost, so that all connections are read and written instead.
 fn run_turn(events: &mut EventLoop<'static, Router>, timeout: Duration, router: &mut Router) {
+    router.begin_wait();
     if let Err(error) = events.dispatch(timeout, router) {
         log_line!(reason = %error, "waiting for events failed");
         std::thread::sleep(WAIT_ERROR_PAUSE);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -57,6 +57,7 @@
 mod start_error;
 mod start_retry;
 mod system_error;
+mod turn_clock;
 mod upstream;
 
 use std::io::Write;
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -51,6 +51,11 @@
         self.process_outcomes();
     }
 
+    /// Sets the earliest time at which requests that are read from here on can have arrived.
+    pub fn set_earliest_arrival(&mut self, at: Ms) {
+        self.downstreams.set_earliest_arrival(at);
+    }
+
     /// Reads and writes the connections of all clients.
     pub(super) fn poll_clients(&mut self) {
         let now = self.clock.now();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -35,6 +35,7 @@
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
 use crate::start_error::StartError;
 use crate::start_retry;
+use crate::turn_clock::TurnClock;
 
 /// The maximum time between two runs of the timers.
 const MAX_TIMER_INTERVAL_MS: Ms = 1_000.0;
@@ -52,6 +53,7 @@
     /// `None` without an operator file.
     operator_file: Option<OperatorFile>,
     run_phase: RunPhase,
+    turn: TurnClock,
     reloads: u64,
     /// The reload that is repeated, since the file could not be read.
     pending_reload: Option<PendingReload>,
@@ -112,6 +114,7 @@
             discovery,
             operator_file: operator_file.map(OperatorFile::new),
             run_phase: RunPhase::serving(ShutdownTimes::new(&limits)),
+            turn: TurnClock::new(clock.now()),
             reloads: 0,
             pending_reload: None,
             shadow_report,
@@ -221,6 +224,17 @@
         Duration::from_secs_f64((next - now).clamp(0.0, MAX_TIMER_INTERVAL_MS) / 1000.0)
     }
 
+    /// Begins a turn of the event loop.
+    pub fn begin_wait(&mut self) {
+        self.turn.begin_wait(self.clock.now());
+    }
+
+    /// Records that an event of this turn is handled.
+    fn note_event(&mut self) {
+        self.turn.note_event(self.clock.now());
+        self.proxy.set_earliest_arrival(self.turn.earliest_arrival());
+    }
+
     /// Accepts nobody, but reads and writes all connections, whether or not they were reported as ready.
     pub fn poll_all(&mut self) {
         let events = self.discovery.poll_connections(self.clock.now());
--- a/crates/router/src/router/readiness.rs
+++ b/crates/router/src/router/readiness.rs
@@ -15,24 +15,29 @@
 
 impl EventHandler for Router {
     fn accept_clients(&mut self, listener: &TcpListener) -> bool {
+        self.note_event();
         self.proxy.accept_clients(listener)
     }
 
     fn on_client_ready(&mut self, id: ClientId, readiness: Readiness) {
+        self.note_event();
         self.proxy.on_client_ready(id, readiness);
     }
 
     fn on_upstream_ready(&mut self, id: u64, readiness: Readiness) {
+        self.note_event();
         self.proxy.on_upstream_ready(id, readiness);
     }
 
     fn on_discovery_ready(&mut self, id: u64, readiness: Readiness) {
+        self.note_event();
         let events = self.discovery.on_ready(self.clock.now(), id, readiness);
         self.on_watch_events(events);
         self.proxy.process_outcomes();
     }
 
     fn on_evaluation_ready(&mut self, output: &File) -> bool {
+        self.note_event();
         let Some(file) = &mut self.operator_file else { return false };
         match file.read_output(output, self.limits.control.max_message_bytes) {
             EvaluationProgress::Running => return true,
@@ -46,11 +51,13 @@
     }
 
     fn accept_commands(&mut self, listener: &UnixListener) -> bool {
+        self.note_event();
         let now = self.clock.now();
         self.proxy.parts.control.as_mut().is_none_or(|control| control.accept(now, listener))
     }
 
     fn on_command_ready(&mut self, id: u64) {
+        self.note_event();
         let request = self.proxy.parts.control.as_mut().and_then(|control| {
             control.flush(id);
             control.read(id)
@@ -64,10 +71,12 @@
     }
 
     fn accept_links(&mut self, listener: &TcpListener) -> bool {
+        self.note_event();
         self.proxy.accept_links(listener)
     }
 
     fn on_link_ready(&mut self, id: u64, readiness: Readiness) {
+        self.note_event();
         self.proxy.on_link_ready(id, readiness);
     }
 }
