--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod late_listener;
 pub mod pending_connections;
 pub mod slow_origin;
+pub mod soak_client;
 pub mod timestamped_server;
 
 use std::collections::HashMap;
@@ -326,6 +327,7 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
+        // The process is not waited for yet, so that its id is not used again.
         kill(self.process_id(), signal).expect("a signal is sent");
     }
 
@@ -389,6 +391,12 @@
         let _ = self.wait_for_log("counters");
     }
 
+    /// Kills the process, unless it has exited.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Waits until the process exits.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         self.child.wait().expect("the router exits")
