Decide in one place what may be sent and closed, and count violations

Change: permission.rs decides at the last moment whether an attempt may be sent (where its first byte is written) and whether a client's connection may be closed (where its socket is). Each close on which answers are owed is logged with its reason. The soak asserts that no router has counted any.

--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -92,6 +92,11 @@
         ended_not_sent_locally: u64 = "ended_unsent",
         /// Calls that failed by an error of this machine, and were to be repeated.
         repeated_calls: u64 = "repeated_calls",
+        /// Connections of clients that ended with open requests.
+        closed_open: u64 = "closed_open",
+        /// Connections that were closed while answers were owed on them, and attempts that were still queued
+        /// though their requests had ended.
+        violations: u64 = "violations",
     }
 }
 
@@ -142,6 +147,8 @@
             evicted_clients: connections.evicted,
             withdrawn: connections.withdrawn,
             repeated_calls: connections.repeated_calls,
+            closed_open: connections.closed_open,
+            violations: connections.violations,
             ..self
         }
     }
--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -8,6 +8,7 @@
 use crate::config::Limits;
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
+use crate::permission::{self, CloseReason};
 use crate::policy_adapter::{Ms, Ticket};
 use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
 
@@ -75,7 +76,7 @@
             "closing a client's connection with an error"
         );
         if arrived.peer == PeerState::Disconnected {
-            return self.remove(id, events);
+            return self.remove(id, CloseReason::Broken, events);
         }
         // In one write with the answers: none of them invites another request before the error.
         let body = BufferChain::from_bytes(&self.buffers, error.to_string().as_bytes());
@@ -102,7 +103,7 @@
         match client.reject_arrived(&self.limits, &self.buffers).peer {
             PeerState::Connected => {}
             PeerState::Disconnected => {
-                self.remove(id, events);
+                self.remove(id, CloseReason::Broken, events);
                 return false;
             }
             // Requests that have arrived must be read before the connection is shut down.
@@ -116,7 +117,7 @@
         }
         // The shutdown fails if the client has closed the connection.
         if client.stream.shutdown(Shutdown::Write).is_err() {
-            self.remove(id, events);
+            self.remove(id, CloseReason::ClosedByClient, events);
             return false;
         }
         client.discard_all_input();
@@ -136,13 +137,14 @@
     ) {
         match source_of_transfer_error(error) {
             ErrorSource::Local => self.retries.insert(now, id),
-            ErrorSource::Peer => self.remove(id, events),
+            ErrorSource::Peer => self.remove(id, CloseReason::Broken, events),
         }
     }
 
     /// Closes and removes a connection; its open requests are reported as cancelled.
-    pub(super) fn remove(&mut self, id: ClientId, events: &mut Vec<ClientEvent>) {
+    pub(super) fn remove(&mut self, id: ClientId, reason: CloseReason, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.remove(&id) else { return };
+        self.record_close(id, &client, reason);
         self.paused.remove(&id);
         self.retries.remove(id);
         if let Some(token) = client.token {
@@ -152,6 +154,26 @@
     }
 }
 
+impl<W: EventHandler> Downstreams<W> {
+    /// Logs and counts a connection that ends while answers are owed on it.
+    fn record_close(&mut self, id: ClientId, client: &ClientConnection, reason: CloseReason) {
+        let owes_answers = !client.is_idle();
+        let is_violation = !permission::may_close(reason, owes_answers);
+        self.counts.closed_open += u64::from(!client.open.is_empty());
+        self.counts.violations += u64::from(is_violation);
+        if owes_answers {
+            log_line!(
+                client = id,
+                %reason,
+                open = client.open.len(),
+                unwritten_bytes = client.output.len(),
+                is_violation,
+                "a client's connection ended while answers were owed"
+            );
+        }
+    }
+}
+
 impl ClientConnection {
     /// Begins to close the connection. Its open requests are no longer reported.
     fn begin_close(&mut self, rejections_left: usize) {
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -6,6 +6,7 @@
 
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
+use crate::permission::CloseReason;
 use crate::policy_adapter::Ms;
 use crate::retry_queue::RETRY_PAUSE_MS;
 use crate::sockets;
@@ -158,7 +159,7 @@
                 self.close_with_error(now, id, ProtocolError::PartialMessageEvicted, events);
                 return false;
             }
-            self.remove(id, events);
+            self.remove(id, CloseReason::Evicted, events);
             return true;
         }
     }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -89,6 +89,10 @@
     pub withdrawn: u64,
     /// Calls that failed by an error of this machine, and were to be repeated.
     pub repeated_calls: u64,
+    /// Connections that ended with open requests.
+    pub closed_open: u64,
+    /// Connections that were closed for a reason that is not the client's while answers were owed.
+    pub violations: u64,
 }
 
 /// All connections of clients.
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use crate::event_handler::EventHandler;
+use crate::permission::CloseReason;
 use crate::policy_adapter::{Ms, Ticket};
 
 use super::closing::withdraw_request;
@@ -42,7 +43,7 @@
                 continue;
             }
             let read = match client.input.read_from(&*client.stream) {
-                Ok(0) => return self.remove(id, events),
+                Ok(0) => return self.remove(id, CloseReason::ClosedByClient, events),
                 Ok(n) => n,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     client.last_read = now;
@@ -57,7 +58,7 @@
                     client.input.consume(read);
                     *bytes = bytes.saturating_sub(read);
                     if *bytes == 0 {
-                        return self.remove(id, events);
+                        return self.remove(id, CloseReason::Finished, events);
                     }
                 }
                 ConnectionPhase::Open | ConnectionPhase::Closing { .. } => {
@@ -79,7 +80,7 @@
         client.last_read = now;
         match client.read_ahead(max_input) {
             ReadAheadEnd::Connected => {}
-            ReadAheadEnd::Disconnected => return self.remove(id, events),
+            ReadAheadEnd::Disconnected => return self.remove(id, CloseReason::ClosedByClient, events),
             ReadAheadEnd::Repeat => self.retries.insert(now, id),
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -1,6 +1,7 @@
 //! Timeouts of clients' connections, checked in a periodic sweep.
 
 use crate::event_handler::EventHandler;
+use crate::permission::CloseReason;
 use crate::policy_adapter::Ms;
 
 use super::connection::{ClientConnection, ConnectionPhase};
@@ -10,7 +11,7 @@
 /// The action of a sweep on a connection.
 enum SweepAction {
     Keep,
-    Remove,
+    Remove(CloseReason),
     /// The client is sent the error first.
     CloseWithError(ProtocolError),
 }
@@ -54,7 +55,7 @@
         let Some(client) = self.clients.get(&id) else { return };
         match self.sweep_action(now, id, client) {
             SweepAction::Keep => {}
-            SweepAction::Remove => self.remove(id, events),
+            SweepAction::Remove(reason) => self.remove(id, reason, events),
             SweepAction::CloseWithError(error) => {
                 self.counts.timed_out += 1;
                 self.close_with_error(now, id, error, events);
@@ -74,8 +75,10 @@
             && !is_awaited;
         let idle = client.is_idle() && passed(client.last_used, limits.clients.idle_timeout_ms);
         let ended = matches!(client.phase, ConnectionPhase::Lingering { until, .. } if now >= until);
-        if stalled || idle || ended {
-            return SweepAction::Remove;
+        let reasons =
+            [(stalled, CloseReason::Unread), (idle, CloseReason::Idle), (ended, CloseReason::Finished)];
+        if let Some((_, reason)) = reasons.into_iter().find(|(applies, _)| *applies) {
+            return SweepAction::Remove(reason);
         }
         // A client whose input is unread is not at fault.
         if self.has_unread_input(id) || !client.is_open() {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -44,6 +44,7 @@
 mod operator_parts;
 mod operator_reload;
 mod peer_message;
+mod permission;
 mod policy_adapter;
 mod proxy;
 mod reload;
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -173,7 +173,8 @@
     pub fn counters(&self) -> Counters {
         let counters = self.counters.with_connections(self.downstreams.counts());
         let repeated_calls = counters.repeated_calls + self.upstreams.repeated_calls();
-        Counters { upstream_connects: self.upstreams.connects, repeated_calls, ..counters }
+        let violations = counters.violations + self.upstreams.violations;
+        Counters { upstream_connects: self.upstreams.connects, repeated_calls, violations, ..counters }
     }
 
     /// The current numbers of connections, requests, attempts and buffers.
--- a/crates/router/src/upstream/attempt_table.rs
+++ b/crates/router/src/upstream/attempt_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::permission::SendOrder;
 use crate::policy_adapter::{AttemptKey, EndpointKey, Ms, Ticket};
 
 use super::connection::ConnectionId;
@@ -22,6 +23,13 @@
     pub client_copy: Option<String>,
 }
 
+impl InFlightAttempt {
+    /// What decides whether it may be sent.
+    pub fn order(&self) -> SendOrder {
+        SendOrder { deadline: self.deadline, send_by: self.send_by }
+    }
+}
+
 /// The attempts in flight, and their deadlines.
 #[derive(Debug, Default)]
 pub(super) struct AttemptTable {
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -8,6 +8,7 @@
 use calloop::RegistrationToken;
 
 use crate::buffers::{BufferChain, BufferPool};
+use crate::permission::{self, SendOrder, SendRefusal};
 use crate::policy_adapter::{AttemptEnd, AttemptKey, EndpointKey, Ms};
 use crate::system_error::is_interrupted;
 
@@ -131,6 +132,8 @@
     Done,
     /// The next attempt was queued before the given time.
     Stalled,
+    /// The next attempt may not be sent.
+    Refused(AttemptKey, SendRefusal),
 }
 
 /// The socket of a connection, and its registration with the event loop.
@@ -285,6 +288,15 @@
         position.and_then(|position| self.queue.remove(position)).is_some()
     }
 
+    /// Drops a queued attempt with its exchange.
+    pub fn drop_queued(&mut self, attempt: AttemptKey) {
+        let position = self.queue.iter().position(|queued| queued.attempt == Some(attempt));
+        let queued = position.and_then(|position| self.queue.remove(position));
+        if let Some(id) = queued.and_then(|queued| queued.id) {
+            self.open.remove(&id);
+        }
+    }
+
     /// Takes an attempt off the connection, with its exchange. If it was written in part, nothing more is
     /// written to the connection: its other exchanges may still be answered.
     pub fn take_off(&mut self, attempt: AttemptKey, id: &str) -> SendProgress {
@@ -362,7 +374,15 @@
     /// # Errors
     ///
     /// Errors of the system.
-    pub fn write(&mut self, now: Ms, buffers: &BufferPool, oldest: Ms) -> io::Result<WriteProgress> {
+    ///
+    /// `order_of` returns the order of an attempt that is in flight.
+    pub fn write(
+        &mut self,
+        now: Ms,
+        buffers: &BufferPool,
+        oldest: Ms,
+        order_of: impl Fn(AttemptKey) -> Option<SendOrder>,
+    ) -> io::Result<WriteProgress> {
         let stream = self.stream()?;
         if self.is_write_stopped {
             return Ok(WriteProgress::Done);
@@ -374,6 +394,11 @@
                 if next.is_some_and(|next| next.attempt.is_some() && next.queued_at < oldest) {
                     return Ok(WriteProgress::Stalled);
                 }
+                if let Some(attempt) = next.and_then(|next| next.attempt) {
+                    if let Err(refusal) = permission::may_send(now, order_of(attempt)) {
+                        return Ok(WriteProgress::Refused(attempt, refusal));
+                    }
+                }
                 let Some(next) = self.queue.pop_front() else { return Ok(WriteProgress::Done) };
                 self.writing_id = next.id.clone();
                 self.output = next.into_bytes(now, buffers);
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -76,6 +76,8 @@
     pub reports_versions: bool,
     /// Connections opened since the start.
     pub connects: u64,
+    /// Attempts that were still queued though their requests had ended. They were not sent.
+    pub violations: u64,
 }
 
 impl<W: EventHandler> Upstreams<W> {
@@ -101,6 +103,7 @@
             retries: RetryQueue::default(),
             reports_versions: false,
             connects: 0,
+            violations: 0,
         }
     }
 
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -2,6 +2,7 @@
 
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
+use crate::permission::{self, SendOrder};
 use crate::policy_adapter::{AttemptEnd, AttemptKey, AttemptReport, CacheResult, EndpointKey, Ms};
 
 use super::attempt::{AttemptOrder, FillPath, RequestMessage};
@@ -21,7 +22,8 @@
         fill_path: Option<&FillPath>,
     ) {
         let AttemptOrder { attempt, endpoint, timeout, send_by, ref fill } = *order;
-        if send_by.is_some_and(|send_by| now >= send_by) {
+        let deadline = now + timeout.max(0.0);
+        if permission::may_send(now, Some(SendOrder { deadline, send_by })).is_err() {
             return self.complete(now, attempt, endpoint, now, AttemptEnd::NotSent);
         }
         let Some(id) = self.connection_for(now, endpoint, &message.id) else {
@@ -35,7 +37,6 @@
         };
         let source_name =
             fill.source.and_then(|source| self.endpoints.get(&source)).map(|source| &*source.uid);
-        let deadline = now + timeout.max(0.0);
         let fields = RequestFields::new(deadline, order, message, source_name, fill_path);
         let via_endpoints = fill_path.into_iter().flat_map(|path| path.via_endpoints.iter().copied());
         let Some(connection) = self.connections.get_mut(&id) else { return };
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -4,9 +4,11 @@
 
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
-use crate::policy_adapter::Ms;
+use crate::permission::SendRefusal;
+use crate::policy_adapter::{AttemptEnd, AttemptKey, Ms};
 use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
 
+use super::attempt_table::InFlightAttempt;
 use super::codec::StringLimits;
 use super::connection::{Connection, ConnectionId, WriteProgress};
 use super::{EndpointKey, Upstreams};
@@ -76,13 +78,32 @@
         let Some(connection) = self.connections.get_mut(&id).filter(|connection| connection.is_up()) else {
             return;
         };
-        match connection.write(now, &self.buffers, oldest) {
+        let attempts = &self.attempts;
+        let order_of = |attempt| attempts.get(attempt).map(InFlightAttempt::order);
+        match connection.write(now, &self.buffers, oldest, order_of) {
             Ok(WriteProgress::Done) => {}
+            Ok(WriteProgress::Refused(attempt, refusal)) => self.refuse(now, id, attempt, refusal),
             Ok(WriteProgress::Stalled) => _ = self.stalled.insert(id),
             Err(error) => self.on_transfer_error(now, id, &error),
         }
     }
 
+    /// Ends a queued attempt that may not be sent, and goes on with the next one.
+    fn refuse(&mut self, now: Ms, id: ConnectionId, attempt: AttemptKey, refusal: SendRefusal) {
+        if refusal.is_violation() {
+            self.violations += 1;
+            log_line!(attempt = attempt.number, "an attempt was still queued though its request had ended");
+        }
+        if self.attempts.get(attempt).is_some() {
+            // Its connection is written again.
+            return self.abandon_all(now, vec![attempt], AttemptEnd::TimedOut);
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.drop_queued(attempt);
+            self.flush(now, id);
+        }
+    }
+
     /// Handles an error of a read or write: one of this machine is repeated later, any other ends the connection.
     fn on_transfer_error(&mut self, now: Ms, id: ConnectionId, error: &io::Error) {
         match source_of_transfer_error(error) {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -391,6 +391,11 @@
         let _ = self.wait_for_log("counters");
     }
 
+    /// The lines of the log that were not read yet, until it ends.
+    pub fn remaining_log(&self) -> Vec<String> {
+        std::iter::from_fn(|| self.log.recv_timeout(TEST_TIMEOUT).ok()).collect()
+    }
+
     /// Kills the process, unless it has exited.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/router/tests/process_soak.rs
+++ b/crates/router/tests/process_soak.rs
@@ -278,6 +278,15 @@
             records.extend(late.into_iter().filter_map(|client| client.join().expect("no panic")));
         });
         router.kill();
+        let log = router.remaining_log();
+        let violations: Vec<&String> = log
+            .iter()
+            .filter(|line| line.contains("is_violation=true") || line.contains("panicked"))
+            .chain(
+                log.iter().filter(|line| line.contains(" violations=") && !line.contains(" violations=0 ")),
+            )
+            .collect();
+        assert!(violations.is_empty(), "seed {seed}, slot {slot}: {violations:?}");
     }
     records
 }
