Take no purge for older than it is when the wall clock is off

Seen: a router whose wall clock is an hour ahead at its start accepts copies of up to 12 s right after a purge. With a clock behind, the age is negative, and all copies are refused until it is not. Open: purges and starts of the initial configuration, and starts of endpoints (slow start), are not corrected.

--- a/crates/router/src/discovery/client.rs
+++ b/crates/router/src/discovery/client.rs
@@ -20,6 +20,7 @@
 
 use super::connection::{Connection, ConnectionId, Received};
 use super::event::{EventPage, WatchEvent};
+use super::stamp_offset::StampOffset;
 
 #[derive(Debug)]
 enum PollState {
@@ -50,6 +51,7 @@
     pub bytes_in: u64,
     pub bytes_out: u64,
     last_response: Ms,
+    stamp_offset: StampOffset,
 }
 
 impl<W: EventHandler> DiscoveryClient<W> {
@@ -76,6 +78,7 @@
             bytes_in: 0,
             bytes_out: 0,
             last_response: 0.0,
+            stamp_offset: StampOffset::default(),
         }
     }
 
@@ -258,7 +261,9 @@
     /// The events of a response that were not received before.
     fn accept(&mut self, now: Ms, page: EventPage) -> Vec<WatchEvent> {
         self.last_response = now;
-        let events = page.events.into_iter().filter(|event| event.position > self.position).collect();
+        let new = page.events.into_iter().filter(|event| event.position > self.position);
+        let mut events: Vec<WatchEvent> = new.collect();
+        self.stamp_offset.correct(now, &mut events);
         self.position = self.position.max(page.position);
         events
     }
--- a/crates/router/tests/local_faults.rs
+++ b/crates/router/tests/local_faults.rs
@@ -5,7 +5,7 @@
 
 use std::path::Path;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use common::fault_plan::FaultPlan;
 use common::*;
@@ -13,7 +13,7 @@
 use linnethook_fault_shim::plan::Call;
 use linnethook_persistence::file_store::LockedDirectory;
 use linnethook_persistence::record_log::{RecordLog, RecordLogLimits};
-use linnethook_quickstart::{Answer, Cache, Client, Frame, Journal};
+use linnethook_quickstart::{Answer, Cache, CacheEvent, Client, Frame, Journal};
 use nix::libc::{
     EADDRNOTAVAIL, EAGAIN, ECONNABORTED, EINTR, EIO, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM, ENOSPC,
     EPROTO,
@@ -408,3 +408,38 @@
     assert!(passed_on <= left + SLACK_MS, "{passed_on} ms passed on, {left} ms left");
     assert_eq!(answer(&mut client).1.code, SERVED);
 }
+
+/// Guards against copies from before a purge that are accepted since the wall clock was stepped before the start.
+#[test]
+fn a_purge_is_as_old_as_it_is_whatever_the_wall_clock_says() {
+    const DELAY_MS: f64 = 200.0;
+    for seconds in [3_600, 5, -5, -3_600] {
+        let plan = FaultPlan::new(SEED);
+        plan.step_clock(seconds);
+        let fleet = faulty_fleet(echo("a"), echo("b"), echo("origin"), &plan);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        let purged = Instant::now();
+        let stamp = unix.as_millis() as u64;
+        fleet.journal.publish(json!({"expire": {"name": "0000000000000003", "stamp": stamp}}));
+        thread::sleep(Duration::from_millis(DELAY_MS as u64));
+        let mut client = fleet.router.client();
+        let fields = [("c", "page"), ("i", "00000000000000a1"), ("o", "0000000000000003"), ("d", "1500")];
+        client.ask(1, &fields, b"").expect("sent");
+        assert_eq!(answer(&mut client).1.code, SERVED, "{seconds} s");
+        let since = purged.elapsed().as_secs_f64() * 1_000.0;
+        let requests = fleet.a.events.try_iter().chain(fleet.b.events.try_iter());
+        let accepted: Vec<f64> = requests
+            .filter_map(|event| match event {
+                CacheEvent::Request { fields, .. } => fields.get("accept")?.parse().ok(),
+                _ => None,
+            })
+            .collect();
+        let [accepted] = accepted[..] else { panic!("{seconds} s: {accepted:?}") };
+        assert!(
+            accepted <= since,
+            "{seconds} s: copies of {accepted} ms accepted, {since} ms after the purge"
+        );
+        // Not so strict that all copies from after the purge are refused.
+        assert!(accepted >= DELAY_MS / 2.0, "{seconds} s: only copies of {accepted} ms accepted");
+    }
+}
