Count a request's deadline from its earliest arrival, also in the backlog

Cause: a connection that waited to be accepted, was paused by its read budget, or whose read had failed had its requests counted from the present turn; and the time between reading a batch and handling its requests was not counted. Change: each connection knows since when its input may be unread; the time is deducted where the request is handled (ClientRequest::deduct_unread_time).

--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -136,7 +136,12 @@
         events: &mut Vec<ClientEvent>,
     ) {
         match source_of_transfer_error(error) {
-            ErrorSource::Local => self.retries.insert(now, id),
+            ErrorSource::Local => {
+                self.retries.insert(now, id);
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.unread_since.get_or_insert(self.earliest_arrival.min(now));
+                }
+            }
             ErrorSource::Peer => self.remove(id, CloseReason::Broken, events),
         }
     }
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -102,6 +102,8 @@
     pub last_used: Ms,
     /// Until when the client waits for the answers to its requests.
     pub answers_awaited_until: Ms,
+    /// Since when input may have been left unread; `None` once it was read until it would block.
+    pub unread_since: Option<Ms>,
     /// When the connection was last read until it would block or the read-ahead limit was reached.
     pub last_read: Ms,
     /// Since when a message has been partially received.
@@ -129,6 +131,7 @@
             accepted_at: now,
             last_used: now,
             answers_awaited_until: now,
+            unread_since: None,
             last_read: now,
             partial_since: None,
             has_been_answered: false,
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -38,7 +38,7 @@
     ///
     /// Each is read at once, so that a connection with a request does not count as idle.
     pub fn accept(&mut self, now: Ms, listener: &TcpListener, events: &mut Vec<ClientEvent>) -> bool {
-        self.accept_pending = true;
+        self.accept_pending_since.get_or_insert(self.earliest_arrival.min(now));
         // The descriptor reserve takes precedence over new clients.
         if !self.refill_reserve(now, events) && self.shortage.may_evict(now) && !self.clients.is_empty() {
             return self.pause_accepting(now, RETRY_PAUSE_MS);
@@ -60,7 +60,7 @@
             };
             match source_of_accept_error(&error) {
                 AcceptErrorSource::NoneWaiting => {
-                    self.accept_pending = false;
+                    self.accept_pending_since = None;
                     return true;
                 }
                 AcceptErrorSource::Client => {}
@@ -120,6 +120,7 @@
         self.last_id += 1;
         let id = self.last_id;
         let mut client = ClientConnection::new(Rc::new(stream), &self.buffers, now);
+        client.unread_since = self.accept_pending_since;
         if self.draining {
             client.output.append(codec::encode_go_away(&self.buffers));
         }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -114,8 +114,8 @@
     /// When the listener is enabled again, if it is disabled.
     accept_again_at: Option<Ms>,
     shortage: DescriptorShortage,
-    /// Whether connections may be waiting to be accepted.
-    accept_pending: bool,
+    /// Since when connections may be waiting to be accepted; `None` once none was waiting.
+    accept_pending_since: Option<Ms>,
     /// The earliest time at which requests that are read now can have arrived.
     earliest_arrival: Ms,
     draining: bool,
@@ -144,7 +144,7 @@
             listener: None,
             accept_again_at: None,
             shortage: DescriptorShortage::default(),
-            accept_pending: false,
+            accept_pending_since: None,
             earliest_arrival: f64::INFINITY,
             draining: false,
             counts: ConnectionCounts::default(),
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -36,6 +36,9 @@
             if output_is_full || budget == 0 {
                 // Cancellations must still be found, so that cancelled requests are not forwarded.
                 self.paused.insert(id);
+                if !output_is_full {
+                    client.unread_since.get_or_insert(self.earliest_arrival.min(now));
+                }
                 return self.scan_ahead(now, id, events);
             }
             if std::mem::take(&mut has_unread_input) {
@@ -47,6 +50,7 @@
                 Ok(n) => n,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     client.last_read = now;
+                    client.unread_since = None;
                     return;
                 }
                 Err(error) if is_interrupted(&error) => continue,
@@ -223,9 +227,8 @@
         let Some(mut request) = parse_request(stream, fields, body, &self.limits) else {
             return ClientEvent::Invalid(stream);
         };
-        // The client has waited since it sent the request, which may have been left unread for a long turn.
-        let unread_for = (now - self.earliest_arrival).max(0.0);
-        request.spec.budget = (request.spec.budget - unread_for).max(0.0);
+        let unread_since = self.clients.get(&stream.client).and_then(|client| client.unread_since);
+        request.arrived_at = Some(unread_since.into_iter().fold(self.earliest_arrival.min(now), Ms::min));
         if let Some(client) = self.clients.get_mut(&stream.client) {
             let until = now + request.spec.budget + self.limits.requests.network_allowance_ms;
             client.answers_awaited_until = client.answers_awaited_until.max(until);
--- a/crates/router/src/downstream/request.rs
+++ b/crates/router/src/downstream/request.rs
@@ -2,7 +2,7 @@
 
 use crate::buffers::BufferChain;
 use crate::config::Limits;
-use crate::policy_adapter::RequestSpec;
+use crate::policy_adapter::{Ms, RequestSpec};
 use crate::upstream::RequestMessage;
 
 use super::codec::{field, Fields};
@@ -12,10 +12,21 @@
 #[derive(Debug)]
 pub struct ClientRequest {
     pub stream: ClientStream,
+    /// The earliest time at which it can have arrived, if it may have been left unread.
+    pub arrived_at: Option<Ms>,
     pub spec: RequestSpec,
     pub message: RequestMessage,
 }
 
+impl ClientRequest {
+    /// Subtracts the time since it arrived from the time that its client still waits: it may have been left unread
+    /// in a long turn.
+    pub fn deduct_unread_time(&mut self, now: Ms) {
+        let unread_for = self.arrived_at.map_or(0.0, |arrived_at| (now - arrived_at).max(0.0));
+        self.spec.budget = (self.spec.budget - unread_for).max(0.0);
+    }
+}
+
 /// Parses a request; `None` if a field is missing or out of range.
 ///
 /// Invalid requests are not forwarded: a cache would answer them with an error, which would count against the
@@ -60,7 +71,7 @@
         idempotency_key: idempotency_key.map(str::to_string),
         body,
     };
-    Some(ClientRequest { stream, spec, message })
+    Some(ClientRequest { stream, arrived_at: None, spec, message })
 }
 
 /// An integer up to `max`; 0 if the field is missing.
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -114,8 +114,9 @@
         self.buffers.is_exhausted() || (self.buffers.is_short() && !request.message.body.is_empty())
     }
 
-    fn on_request(&mut self, ticket: Ticket, request: ClientRequest) {
+    fn on_request(&mut self, ticket: Ticket, mut request: ClientRequest) {
         let now = self.clock.now();
+        request.deduct_unread_time(now);
         self.counters.record_request(request.message.body.len());
         // An earlier event of the same batch may have closed the connection.
         if !self.downstreams.is_open(request.stream, ticket) {
@@ -126,7 +127,7 @@
         }
         let lacks_buffers = self.lacks_buffers(&request);
         self.rejections_without_buffers += u64::from(lacks_buffers);
-        let ClientRequest { stream, spec, message } = request;
+        let ClientRequest { stream, spec, message, .. } = request;
         let is_full = self.is_closing || self.requests.is_full();
         let overload = is_full.then_some(0.0).or(lacks_buffers.then(|| self.policy.retry_after()));
         let rejection = self.reject_as_straggler(now, &spec).or(overload);
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -174,7 +174,7 @@
             return self.reject_remote(now, ticket, retry_after);
         }
         self.counters.record_request(request.message.body.len());
-        let ClientRequest { stream, spec, message } = request;
+        let ClientRequest { stream, spec, message, .. } = request;
         let open = OpenRequest::new(now, &self.policy, stream, &spec, message);
         let open = open.allow_forwarding(now, &self.policy, spec, remote.passed_sites.clone());
         self.requests.insert(ticket, open);
--- a/crates/router/tests/common/timestamped_server.rs
+++ b/crates/router/tests/common/timestamped_server.rs
@@ -7,7 +7,7 @@
 use std::io::{self, BufReader, IoSliceMut, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 use linnethook_quickstart::cache::{array, encode, fields};
@@ -57,14 +57,29 @@
     }
 }
 
+/// The connections that a server has accepted, to be reset by a test.
+pub type AcceptedConnections = Arc<Mutex<Vec<TcpStream>>>;
+
 /// Serves all connections to a listener until the test process ends; returns the listener's address.
 pub fn serve(listener: TcpListener, handler: RequestHandler) -> SocketAddr {
+    serve_and_keep(listener, handler, None)
+}
+
+/// The same; the accepted connections are added to `accepted`.
+pub fn serve_and_keep(
+    listener: TcpListener,
+    handler: RequestHandler,
+    accepted: Option<AcceptedConnections>,
+) -> SocketAddr {
     let address = listener.local_addr().expect("the listener's address");
     // Accepted connections inherit the option, so that it holds from their first byte.
     setsockopt(&listener, ReceiveTimestampns, &true).expect("kernel time stamps are enabled");
     thread::spawn(move || {
         for stream in listener.incoming() {
             let Ok(stream) = stream else { return };
+            if let (Some(accepted), Ok(copy)) = (&accepted, stream.try_clone()) {
+                accepted.lock().expect("the connections").push(copy);
+            }
             let handler = handler.clone();
             thread::spawn(move || serve_connection(stream, &handler));
         }
--- a/crates/router/tests/process_soak.rs
+++ b/crates/router/tests/process_soak.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -19,10 +19,12 @@
 
 use common::fault_plan::FaultPlan;
 use common::soak_client::{SoakClient, SoakRecord, SoakRequest};
+use common::timestamped_server::{serve_and_keep, AcceptedConnections};
 use common::*;
 use linnethook_fault_shim::plan::Call;
 use linnethook_quickstart::client::request;
-use linnethook_quickstart::{Answer, Cache, Journal};
+use linnethook_quickstart::{Answer, Journal};
+use linnethook_testbed::recording::{now as unix_now, Ms};
 use nix::libc::{EADDRNOTAVAIL, ECONNABORTED, EINTR, EIO, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -35,7 +37,7 @@
 const DEFAULT_SEEDS: u64 = 2;
 const ROUTERS: u32 = 24;
 const CLIENTS_PER_ROUTER: u32 = 3;
-const CACHES: usize = 6;
+const CACHES: u64 = 6;
 const MAX_DEADLINE: Duration = Duration::from_millis(600);
 const DEADLINE_MS: std::ops::RangeInclusive<u64> = 250..=600;
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 15..60;
@@ -74,18 +76,34 @@
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// A server that records what it receives, and answers late, with errors, or never, at random.
-fn server(seed: u64, arrivals: &Arrivals) -> Cache {
+/// The present time on both clocks, to compare kernel time stamps with those of clients.
+#[derive(Debug, Clone, Copy)]
+struct Clocks {
+    instant: Instant,
+    unix_ms: Ms,
+}
+
+impl Clocks {
+    fn now() -> Self {
+        Self { instant: Instant::now(), unix_ms: unix_now() }
+    }
+
+    fn instant_of(self, unix_ms: Ms) -> Instant {
+        self.instant + Duration::from_secs_f64((unix_ms - self.unix_ms).max(0.0) / 1_000.0)
+    }
+}
+
+/// A server that records what reaches this machine for it, and answers late, with errors, or never, at random.
+fn server(seed: u64, clocks: Clocks, arrivals: &Arrivals, accepted: &AcceptedConnections) -> SocketAddr {
     let random = Mutex::new(Pcg64Mcg::seed_from_u64(seed));
     let arrivals = arrivals.clone();
-    cache(move |id, fields, _| {
-        let at = Instant::now();
+    let handler = move |at: Ms, id: &str, fields: &Fields| {
         let (draw, delay) = {
             let mut random = random.lock().expect("the random numbers");
             (random.random_range(0..100), random.random_range(0..20))
         };
         let passed_on = fields["ms"].parse().expect("a number");
-        let arrival = Arrival { at, passed_on, is_executed: !matches!(draw, 3 | 4) };
+        let arrival = Arrival { at: clocks.instant_of(at), passed_on, is_executed: !matches!(draw, 3 | 4) };
         arrivals.lock().expect("the arrivals").entry(id.to_string()).or_default().push(arrival);
         thread::sleep(Duration::from_millis(delay));
         match draw {
@@ -94,13 +112,14 @@
             3 | 4 => Some(Answer::with_status("full")),
             _ => Some(Answer::data("served")),
         }
-    })
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").expect("it listens");
+    serve_and_keep(listener, Arc::new(handler), Some(accepted.clone()))
 }
 
 /// The servers that all routers of a run use.
 struct Servers {
-    /// The caches, the parent and the origin.
-    all: Mutex<Vec<Cache>>,
+    accepted: AcceptedConnections,
     journal: Mutex<Journal>,
     arrivals: Arrivals,
     bookings: Arrivals,
@@ -109,28 +128,32 @@
 impl Servers {
     fn start(seed: u64) -> Self {
         let (arrivals, bookings) = (Arrivals::default(), Arrivals::default());
-        let caches: Vec<Cache> = (0..CACHES as u64).map(|n| server(seed * 100 + n, &arrivals)).collect();
-        let (parent, origin) = (server(seed * 100 + 50, &arrivals), server(seed * 100 + 51, &bookings));
-        let mut targets =
-            vec![endpoint("parent", parent.address, "Ready"), endpoint("origin", origin.address, "Ready")];
-        for (n, cache) in caches.iter().enumerate() {
-            let mut target = endpoint("cache-a", cache.address, "Ready");
+        let (accepted, clocks) = (AcceptedConnections::default(), Clocks::now());
+        let start = |n: u64, arrivals| server(seed * 100 + n, clocks, arrivals, &accepted);
+        let mut targets = vec![
+            endpoint("parent", start(50, &arrivals), "Ready"),
+            endpoint("origin", start(51, &bookings), "Ready"),
+        ];
+        for n in 0..CACHES {
+            let mut target = endpoint("cache-a", start(n, &arrivals), "Ready");
             target["uid"] = json!(format!("cache-{n}"));
             targets.push(target);
         }
         let events = vec![json!({"hosts": {"rev": 1, "all": true, "targets": targets}})];
         let journal = Journal::start("127.0.0.1:0", events).expect("the journal listens");
-        let all = caches.into_iter().chain([parent, origin]).collect();
-        Self { all: Mutex::new(all), journal: Mutex::new(journal), arrivals, bookings }
+        Self { accepted, journal: Mutex::new(journal), arrivals, bookings }
     }
 
-    /// Resets connections of the servers at random until the end.
-    fn reset_connections(&self, seed: u64, until: Instant) {
+    /// Closes connections of the servers at random until the end.
+    fn close_connections(&self, seed: u64, until: Instant) {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         while Instant::now() < until {
             thread::sleep(Duration::from_millis(random.random_range(5..80)));
-            let servers = self.all.lock().expect("the servers");
-            let _ = servers[random.random_range(0..servers.len())].close(random.random_range(1..200));
+            let mut accepted = self.accepted.lock().expect("the connections");
+            if !accepted.is_empty() {
+                let n = random.random_range(0..accepted.len());
+                let _ = accepted.swap_remove(n).shutdown(Shutdown::Both);
+            }
         }
     }
 }
@@ -309,7 +332,6 @@
         }
         let elapsed = arrival.at.saturating_duration_since(request.written_at);
         let left = (request.deadline.as_secs_f64() - elapsed.as_secs_f64()) * 1_000.0;
-        // What waited in a socket of the server was written earlier.
         if arrival.passed_on > left + DEADLINE_SLACK_MS && elapsed < request.deadline {
             return Some(format!("{} ms passed on, {left:.0} ms left", arrival.passed_on));
         }
@@ -339,7 +361,7 @@
     let until = Instant::now() + length;
     let prefix = AtomicU32::new(1);
     let records: Vec<SoakRecord> = thread::scope(|scope| {
-        scope.spawn(|| servers.reset_connections(seed, until));
+        scope.spawn(|| servers.close_connections(seed, until));
         let (servers, prefix) = (&servers, &prefix);
         let slots: Vec<_> = (0..ROUTERS)
             .map(|slot| scope.spawn(move || run_slot(servers, slot, seed, prefix, until)))
