Deduct no time in the backlog while there is no room for newcomers

Cause: counted a new connection's wait from when the backlog was last empty; while idle clients displace each other it never is, though each waits for a moment only. Change: the wait counts only while there is room (backlog_since). Beside it, found while tracing: a real shortage of descriptors was suspected after 100 ms only; the highest number allowed is in use only if all are (descriptors::are_all_in_use), and then idle clients make room at once.

--- a/crates/router/src/descriptors.rs
+++ b/crates/router/src/descriptors.rs
@@ -19,6 +19,13 @@
         .map_or(usize::MAX, |(soft, _)| usize::try_from(soft).unwrap_or(usize::MAX))
 }
 
+/// Whether all descriptors that the limit allows are in use. Their numbers are given out from the lowest on, so
+/// that the highest is in use only then.
+pub fn are_all_in_use() -> bool {
+    let highest = soft_limit().saturating_sub(1);
+    std::fs::symlink_metadata(format!("/proc/self/fd/{highest}")).is_ok()
+}
+
 /// The purpose of a descriptor. Purposes that need many descriptors leave the last reserved ones to purposes
 /// that need only one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/router/src/downstream/drain.rs
+++ b/crates/router/src/downstream/drain.rs
@@ -29,7 +29,7 @@
         let has_no_pending_work =
             |client: &ClientConnection| client.output.is_empty() && client.partial_since.is_none();
         let is_read = self.paused.is_empty() && self.retries.is_empty();
-        self.accept_pending_since.is_none() && is_read && self.clients.values().all(has_no_pending_work)
+        !self.accept_pending && is_read && self.clients.values().all(has_no_pending_work)
     }
 
     /// Reads all received input, from every client.
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
+use crate::descriptors;
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::permission::CloseReason;
@@ -38,14 +39,19 @@
     ///
     /// Each is read at once, so that a connection with a request does not count as idle.
     pub fn accept(&mut self, now: Ms, listener: &TcpListener, events: &mut Vec<ClientEvent>) -> bool {
-        self.accept_pending_since.get_or_insert(self.earliest_arrival.min(now));
+        self.accept_pending = true;
+        self.backlog_since.get_or_insert(self.earliest_arrival.min(now));
         // The descriptor reserve takes precedence over new clients.
-        if !self.refill_reserve(now, events) && self.shortage.may_evict(now) && !self.clients.is_empty() {
+        let is_complete = self.refill_reserve(now, events);
+        let is_short = !is_complete && (self.shortage.may_evict(now) || descriptors::are_all_in_use());
+        if is_short && !self.clients.is_empty() {
+            self.backlog_since = None;
             return self.pause_accepting(now, RETRY_PAUSE_MS);
         }
         let (mut failed_calls, mut last_error) = (0, None);
         for _ in 0..self.limits.accept.max_per_turn {
             if self.clients.len() >= self.limits.clients.max_connections && !self.evict_idle(now, events) {
+                self.backlog_since = None;
                 return self.pause_accepting(now, self.limits.clients.sweep_interval_ms);
             }
             let error = match listener.accept() {
@@ -60,7 +66,8 @@
             };
             match source_of_accept_error(&error) {
                 AcceptErrorSource::NoneWaiting => {
-                    self.accept_pending_since = None;
+                    self.accept_pending = false;
+                    self.backlog_since = None;
                     return true;
                 }
                 AcceptErrorSource::Client => {}
@@ -68,6 +75,7 @@
                     self.counts.repeated_calls += 1;
                     if is_out_of_descriptors(&error) {
                         _ = self.make_room(now, events);
+                        self.backlog_since.take_if(|_| descriptors::are_all_in_use());
                     }
                     last_error = Some(error);
                     failed_calls += 1;
@@ -95,7 +103,8 @@
     /// Evicts an idle client for others, if descriptors are short; returns whether it did.
     fn make_room(&mut self, now: Ms, events: &mut Vec<ClientEvent>) -> bool {
         self.shortage.record_failure(now);
-        let has_room = self.shortage.may_evict(now) && self.evict_idle(now, events);
+        let is_short = self.shortage.may_evict(now) || descriptors::are_all_in_use();
+        let has_room = is_short && self.evict_idle(now, events);
         if has_room {
             self.shortage.record_eviction();
         }
@@ -120,7 +129,7 @@
         self.last_id += 1;
         let id = self.last_id;
         let mut client = ClientConnection::new(Rc::new(stream), &self.buffers, now);
-        client.unread_since = self.accept_pending_since;
+        client.unread_since = self.backlog_since;
         if self.draining {
             client.output.append(codec::encode_go_away(&self.buffers));
         }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -114,8 +114,11 @@
     /// When the listener is enabled again, if it is disabled.
     accept_again_at: Option<Ms>,
     shortage: DescriptorShortage,
-    /// Since when connections may be waiting to be accepted; `None` once none was waiting.
-    accept_pending_since: Option<Ms>,
+    /// Whether connections may be waiting to be accepted.
+    accept_pending: bool,
+    /// Since when connections may be waiting although there is room for them; `None` once none was waiting, or
+    /// there was no room: then it is not known how long the next one has waited.
+    backlog_since: Option<Ms>,
     /// The earliest time at which requests that are read now can have arrived.
     earliest_arrival: Ms,
     draining: bool,
@@ -144,7 +147,8 @@
             listener: None,
             accept_again_at: None,
             shortage: DescriptorShortage::default(),
-            accept_pending_since: None,
+            accept_pending: false,
+            backlog_since: None,
             earliest_arrival: f64::INFINITY,
             draining: false,
             counts: ConnectionCounts::default(),
--- a/crates/router/src/downstream/shortage.rs
+++ b/crates/router/src/downstream/shortage.rs
@@ -1,4 +1,5 @@
-//! Whether this process is short of descriptors: a failure of a moment closes nobody's connection.
+//! Whether this process is short of descriptors, as far as its failing calls tell: a failure of a moment closes
+//! nobody's connection.
 
 use crate::policy_adapter::Ms;
 
