Fill the buffers again in a test where they were short for a moment only

Cause (counters of the failing runs: 212 blocks in use, 30 refused, none open): a long answer counts while it arrives, and is refused at 224 blocks; where the last ones arrive together, all are refused, the buffers fall to 212 and stay there, and the test waited for a printed 224 that it had missed. Change: the test sees that nothing more is to come, and fills the buffers of another fleet, 40 times at the most; it goes on only once 224 are seen, as before, and what it asserts is unchanged.

--- a/crates/router/tests/client_departures.rs
+++ b/crates/router/tests/client_departures.rs
@@ -91,24 +91,49 @@
     }
 }
 
+/// The number of buffers in use from which on they are short: seven eighths of the 256 blocks.
+const SHORT_BLOCKS: u32 = 224;
+/// How often the buffers are filled until they are seen to be short.
+const MAX_FILLS: usize = 40;
+
+/// A fleet with little memory, its client with a pending request, and clients that read nothing.
+struct FullFleet {
+    fleet: PendingFleet,
+    client: Client,
+    _others: Vec<Client>,
+}
+
+/// Fills the buffers with unread answers; `None` if they were not seen to be short. A long answer counts while it
+/// arrives, and is refused once they are short: they may be for a moment only, between two looks.
+fn fill_buffers() -> Option<FullFleet> {
+    let fleet = long_answer_fleet(|config| config["limits"]["memory_mb"] = json!(8));
+    let client = fleet.client_with_pending_request();
+    let mut others: Vec<Client> = (0..3).map(|_| fleet.router.client()).collect();
+    for (other, first) in others.iter_mut().zip([100, 200, 300]) {
+        shrink_receive_buffer(other);
+        send_small_requests(other, first);
+    }
+    let requests = 1 + others.len() as u64 * u64::from(SMALL_REQUESTS);
+    loop {
+        let counters = fleet.router.counters().0;
+        if counters["buffers"] >= u64::from(SHORT_BLOCKS) {
+            return Some(FullFleet { fleet, client, _others: others });
+        }
+        // Whatever was to fill them has been answered, and they only become emptier.
+        if counters["taken_in"] >= requests && counters["out"] == 0 {
+            return None;
+        }
+    }
+}
+
 /// While the buffers are nearly full, whichever client fills them, cancellations and disconnects of others
 /// still take effect. From seven eighths of the 256 blocks on, clients that read nothing get no further long
 /// answers.
 #[test]
 fn requests_abandoned_while_buffers_are_nearly_full_are_not_sent() {
     for how in DISCONNECTS {
-        let mut fleet = long_answer_fleet(|config| config["limits"]["memory_mb"] = json!(8));
-        let client = fleet.client_with_pending_request();
-        let mut others = [fleet.router.client(), fleet.router.client(), fleet.router.client()];
-        for (other, first) in others.iter_mut().zip([100, 200, 300]) {
-            shrink_receive_buffer(other);
-            send_small_requests(other, first);
-        }
-        let buffers =
-            |counters: &str| counters.split("buffers=").nth(1)?.split(' ').next()?.parse::<u32>().ok();
-        wait_for_counters(&fleet.router, |counters| {
-            buffers(counters.trim_end()).is_some_and(|buffers| buffers >= 224)
-        });
+        let full = (0..MAX_FILLS).find_map(|_| fill_buffers());
+        let FullFleet { mut fleet, client, _others } = full.expect("buffers that are seen to be short");
         let _client = disconnect(client, how, &[1]);
         assert!(fleet.remaining_requests().is_empty(), "{how:?}");
     }
