Know a shortage of descriptors by one time and what the system tells

Change: since the system tells at once whether all descriptors are in use, the states of shortage.rs are not needed any more: it keeps since when every call has failed, for systems that do not tell, and until when a shortage counts.

--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -42,8 +42,7 @@
         self.accept_pending = true;
         self.backlog_since.get_or_insert(self.earliest_arrival.min(now));
         // The descriptor reserve takes precedence over new clients.
-        let is_complete = self.refill_reserve(now, events);
-        let is_short = !is_complete && (self.shortage.may_evict(now) || descriptors::are_all_in_use());
+        let is_short = !self.refill_reserve(now, events) && self.shortage.is_present(now);
         if is_short && !self.clients.is_empty() {
             self.backlog_since = None;
             return self.pause_accepting(now, RETRY_PAUSE_MS);
@@ -57,7 +56,7 @@
             let error = match listener.accept() {
                 Ok((stream, _)) => {
                     (failed_calls, last_error) = (0, None);
-                    self.shortage.record_success(now);
+                    self.shortage.record_success();
                     let id = self.add_client(now, stream);
                     self.read(now, id, events);
                     continue;
@@ -75,7 +74,7 @@
                     self.counts.repeated_calls += 1;
                     if is_out_of_descriptors(&error) {
                         _ = self.make_room(now, events);
-                        self.backlog_since.take_if(|_| descriptors::are_all_in_use());
+                        self.backlog_since.take_if(|_| self.shortage.is_present(now));
                     }
                     last_error = Some(error);
                     failed_calls += 1;
@@ -102,11 +101,10 @@
 
     /// Evicts an idle client for others, if descriptors are short; returns whether it did.
     fn make_room(&mut self, now: Ms, events: &mut Vec<ClientEvent>) -> bool {
-        self.shortage.record_failure(now);
-        let is_short = self.shortage.may_evict(now) || descriptors::are_all_in_use();
+        let is_short = self.shortage.record_failure(now, descriptors::are_all_in_use());
         let has_room = is_short && self.evict_idle(now, events);
         if has_room {
-            self.shortage.record_eviction();
+            self.shortage.record_success();
         }
         has_room
     }
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -44,7 +44,6 @@
             self.sweep(now, id, events);
         }
         self.refill_reserve(now, events);
-        self.shortage.end_if_over(now);
     }
 
     fn is_due(&self, now: Ms, id: ClientId, client: &ClientConnection) -> bool {
@@ -69,7 +68,7 @@
             return SweepAction::Keep;
         }
         let passed = |since: Ms, span: Ms| now - since > span;
-        let is_awaited = now < client.answers_awaited_until && !self.lacks_resources();
+        let is_awaited = now < client.answers_awaited_until && !self.lacks_resources(now);
         let stalled = !client.output.is_empty()
             && passed(client.last_used, limits.clients.write_stall_timeout_ms)
             && !is_awaited;
@@ -95,8 +94,8 @@
     }
 
     /// Whether other clients need the buffers or the place of a client that reads none of its answers.
-    fn lacks_resources(&self) -> bool {
+    fn lacks_resources(&self, now: Ms) -> bool {
         let is_full = self.clients.len() >= self.limits.clients.max_connections;
-        self.buffers.is_short() || is_full || self.shortage.is_confirmed()
+        self.buffers.is_short() || is_full || self.shortage.is_present(now)
     }
 }
