--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fault_plan;
 pub mod faulty_origin;
+pub mod idle_clients;
 pub mod late_listener;
 pub mod pending_connections;
 pub mod slow_origin;
@@ -10,7 +11,7 @@
 pub mod timestamped_server;
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read};
+use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -435,55 +436,6 @@
     }
 }
 
-/// Idle clients that use up all connections that the router allows: all connect at once, each asks whether
-/// the router is ready and then stays idle, and one whose connection is closed reconnects.
-pub struct IdleClients {
-    stop: Arc<AtomicBool>,
-    thread: Option<thread::JoinHandle<()>>,
-}
-
-impl IdleClients {
-    /// Connects this number of clients, and keeps them connected until the value is dropped.
-    pub fn start(address: SocketAddr, count: usize) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = stop.clone();
-        let connect = move || {
-            let mut client = Client::connect(address).ok()?;
-            client.ask_ready(1).ok()?;
-            client.stream.set_nonblocking(true).ok()?;
-            Some(client)
-        };
-        // All have connected once when this function returns.
-        let mut clients: Vec<Option<Client>> = (0..count).map(|_| connect()).collect();
-        let thread = thread::spawn(move || {
-            let mut block = [0; 256];
-            while !stopped.load(Ordering::Relaxed) {
-                for client in &mut clients {
-                    let is_closed =
-                        client.as_mut().is_none_or(|client| match client.stream.read(&mut block) {
-                            Ok(n) => n == 0,
-                            Err(error) => error.kind() != ErrorKind::WouldBlock,
-                        });
-                    if is_closed {
-                        *client = connect();
-                    }
-                }
-                thread::sleep(Duration::from_millis(5));
-            }
-        });
-        Self { stop, thread: Some(thread) }
-    }
-}
-
-impl Drop for IdleClients {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
 /// Waits for the next request at either of two servers: its server, the other one, its connection and its id.
 pub fn next_request_at_either<'a>(a: &'a Cache, b: &'a Cache) -> (&'a Cache, &'a Cache, usize, String) {
     let until = std::time::Instant::now() + TEST_TIMEOUT;
--- a/crates/router/tests/descriptors.rs
+++ b/crates/router/tests/descriptors.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::idle_clients::IdleClients;
 use common::*;
 use linnethook_quickstart::{Answer, Cache, Client, Journal};
 use linnethook_testbed::cold_restart::{Discovery, Outage};
--- a/crates/router/tests/process_soak.rs
+++ b/crates/router/tests/process_soak.rs
@@ -9,6 +9,7 @@
 mod common;
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::str::FromStr;
@@ -59,6 +60,8 @@
 /// One of so many seeds has a crowd of clients that write requests of many short fields and read nothing.
 const CROWD_INTERVAL: u64 = 3;
 const CROWD: usize = 40;
+/// So many requests that broke a rule are shown.
+const MAX_SHOWN: usize = 12;
 
 /// An attempt as a server has received it.
 #[derive(Debug, Clone, Copy)]
@@ -365,7 +368,27 @@
     }
 }
 
-fn soak(seed: u64, length: Duration) -> Result<(), String> {
+/// What was found with one seed.
+struct Findings {
+    seed: u64,
+    requests: usize,
+    /// A line for each request that broke a rule.
+    broken: Vec<String>,
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, requests, broken } = self;
+        write!(
+            f,
+            "seed {seed}: {} of {requests}: {:#?}",
+            broken.len(),
+            &broken[..broken.len().min(MAX_SHOWN)]
+        )
+    }
+}
+
+fn soak(seed: u64, length: Duration) -> Findings {
     let servers = Servers::start(seed);
     let until = Instant::now() + length;
     let prefix = AtomicU32::new(1);
@@ -387,19 +410,16 @@
             Some(format!("{} {}: {fault}", request.class, request.id))
         })
     });
-    let faults: Vec<String> = judged.collect();
+    let broken: Vec<String> = judged.collect();
     println!(
         "seed {seed}: {} connections, {requests} requests, {} served, {} refused, {} failed, {} broken",
         records.len(),
         codes[1],
         codes[2],
         codes[3],
-        faults.len()
+        broken.len()
     );
-    if faults.is_empty() {
-        return Ok(());
-    }
-    Err(format!("seed {seed}: {} of {requests}: {:#?}", faults.len(), &faults[..faults.len().min(12)]))
+    Findings { seed, requests, broken }
 }
 
 /// Guards against requests that are lost, answered twice or too late, run twice, refused though they ran, or begun
@@ -409,6 +429,7 @@
     let length = Duration::from_secs(setting("LINNETHOOK_SOAK_SECONDS", DEFAULT_SECONDS));
     let first = setting("LINNETHOOK_SOAK_SEED", DEFAULT_SEED);
     let seeds = first..first + setting("LINNETHOOK_SOAK_SEEDS", DEFAULT_SEEDS);
-    let failed: Vec<String> = seeds.filter_map(|seed| soak(seed, length).err()).collect();
-    assert!(failed.is_empty(), "{}", failed.join("\n"));
+    let findings = seeds.map(|seed| soak(seed, length)).filter(|findings| !findings.broken.is_empty());
+    let findings: Vec<String> = findings.map(|findings| findings.to_string()).collect();
+    assert!(findings.is_empty(), "{}", findings.join("\n"));
 }
