--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -445,6 +445,8 @@
 pub struct Journal {
     pub address: SocketAddr,
     events: Arc<(Mutex<Vec<String>>, Condvar)>,
+    /// How long it leaves each request unread, in milliseconds.
+    latency: Arc<Mutex<f64>>,
     record: Record,
 }
 
@@ -453,16 +455,23 @@
     pub fn start(record: &Record, known: Vec<String>) -> Self {
         let (listener, address) = listen();
         let events = Arc::new((Mutex::new(known), Condvar::new()));
-        let served = events.clone();
+        let latency = Arc::new(Mutex::new(0.0));
+        let (served, slow, notes) = (events.clone(), latency.clone(), record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let events = served.clone();
+                let (events, latency, record) = (served.clone(), slow.clone(), notes.clone());
                 thread::spawn(move || {
-                    let _ = serve_journal(stream, &events);
+                    let _ = serve_journal(stream, &events, &latency, &record);
                 });
             }
         });
-        Self { address, events, record: record.clone() }
+        Self { address, events, latency, record: record.clone() }
+    }
+
+    /// From now on it is slow: it reads each request so many milliseconds after it came.
+    pub fn slow_down(&self, latency: f64) {
+        *self.latency.lock().unwrap() = latency;
+        self.record.note(format!("the journal service leaves each request unread for {latency} ms from now on"));
     }
 
     /// All events so far, in the form of `known`.
@@ -486,7 +495,12 @@
     format!("{{\"pos\":{},\"entries\":[{}]}}", events.len(), new.join(","))
 }
 
-fn serve_journal(stream: TcpStream, events: &(Mutex<Vec<String>>, Condvar)) -> io::Result<()> {
+fn serve_journal(
+    stream: TcpStream,
+    events: &(Mutex<Vec<String>>, Condvar),
+    latency: &Mutex<f64>,
+    record: &Record,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
@@ -499,6 +513,11 @@
             found.and_then(|text| text.parse().ok()).unwrap_or(0)
         };
         let (tail, wait) = (value("tail"), value("max_wait").min(5_000));
+        let latency = *latency.lock().unwrap();
+        if latency > 0.0 {
+            record.note(format!("journal asked from {tail}, at most {wait} ms"));
+            pause(latency);
+        }
         let guard = events.0.lock().unwrap();
         let has_none = |events: &mut Vec<String>| events.len() <= tail;
         let (guard, _) =
@@ -509,7 +528,11 @@
         let text = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
         );
-        writer.write_all(text.as_bytes())?;
+        let written = writer.write_all(text.as_bytes());
+        if latency > 0.0 {
+            record.note(format!("journal answered from {tail} after {latency} ms or more: {written:?}"));
+        }
+        written?;
     }
 }
 
