--- a/review/standins-2/src/bin/slow-journal.rs
+++ b/review/standins-2/src/bin/slow-journal.rs
@@ -53,7 +53,12 @@
         pause(100.0);
     }
     record.say(format!("{served} of {n} requests served"));
-    let last = nodes[0].asked().iter().map(|ask| ask.at - told).filter(|after| *after > TOLD_AFTER + GRACE).collect::<Vec<_>>();
+    let last = nodes[0]
+        .asked()
+        .iter()
+        .map(|ask| ask.at - told)
+        .filter(|after| *after > TOLD_AFTER + GRACE)
+        .collect::<Vec<_>>();
     if let Some(after) = last.last() {
         record.say(format!(
             "{} requests were sent to the draining cache later than {:.0} ms after the drain, the last {after:.0} ms after it",
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -471,7 +471,8 @@
     /// From now on it is slow: it reads each request so many milliseconds after it came.
     pub fn slow_down(&self, latency: f64) {
         *self.latency.lock().unwrap() = latency;
-        self.record.note(format!("the journal service leaves each request unread for {latency} ms from now on"));
+        self.record
+            .note(format!("the journal service leaves each request unread for {latency} ms from now on"));
     }
 
     /// All events so far, in the form of `known`.
@@ -598,6 +599,18 @@
     payload
 }
 
+/// A request of a client.
+pub fn request_frame(stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut payload = fields_payload(fields);
+    payload.extend(body);
+    frame(65, stream, &payload)
+}
+
+/// Tells that nobody waits for a stream any more.
+pub fn cancel_frame(stream: u32) -> Vec<u8> {
+    frame(67, stream, &[])
+}
+
 type Answers = Arc<Mutex<HashMap<u32, Vec<Final>>>>;
 
 fn read_answers(mut stream: TcpStream, answers: &Answers, ready: &Mutex<bool>) -> io::Result<()> {
@@ -650,15 +663,13 @@
     /// Sends a request with these fields; returns its stream and when its last byte was written.
     pub fn send(&mut self, fields: &[(&str, &str)], body: &[u8]) -> io::Result<(u32, f64)> {
         self.last_stream += 1;
-        let mut payload = fields_payload(fields);
-        payload.extend(body);
-        self.stream.write_all(&frame(65, self.last_stream, &payload))?;
+        self.stream.write_all(&request_frame(self.last_stream, fields, body))?;
         Ok((self.last_stream, now()))
     }
 
     /// Tells that nobody waits for a stream any more; returns when that was written.
     pub fn cancel(&mut self, stream: u32) -> io::Result<f64> {
-        self.stream.write_all(&frame(67, stream, &[]))?;
+        self.stream.write_all(&cancel_frame(stream))?;
         Ok(now())
     }
 
