--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" taken-back
+exec "$(dirname "$0")/../run-case-2.sh" "$(dirname "$0")" half-requests
