Review: stand-ins take ports that no outgoing connection is given

In one of some 60 starts of case 9 its router was not ready and the case exited with 2 (could not run). Its log was not kept, so that the cause is not proven; the address was chosen among the ports of outgoing connections, which can take it before the router binds it. Addresses now come from below them, and a router that is not ready has its log printed.

--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -13,6 +13,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -99,10 +100,19 @@
 
 // ---- Addresses.
 
+/// An address that nobody listens at, below the ports that systems usually give to outgoing connections: one of these
+/// could take it before the router does.
 pub fn free_address() -> SocketAddr {
-    let listener =
-        TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap_or_else(|e| broken(&format!("bind: {e}")));
-    listener.local_addr().unwrap_or_else(|e| broken(&format!("address: {e}")))
+    static LAST: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() as u16).wrapping_mul(31).wrapping_add(now() as u64 as u16);
+    for _ in 0..2_000 {
+        let step = LAST.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + start.wrapping_add(step.wrapping_mul(7)) % 10_000;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().unwrap_or_else(|e| broken(&format!("address: {e}")));
+        }
+    }
+    broken("no free port")
 }
 
 fn listen() -> (TcpListener, SocketAddr) {
@@ -769,7 +779,8 @@
         let mut router = Self { name: name.to_string(), address, child };
         let ready = until(10_000.0, || Client::connect(address).is_ok_and(|mut client| client.is_ready()));
         if !ready || router.child.try_wait().ok().flatten().is_some() {
-            broken(&format!("router {name} is not ready"));
+            let log = std::fs::read_to_string(folder.join(format!("{name}.log"))).unwrap_or_default();
+            broken(&format!("router {name} is not ready; its log: {log}"));
         }
         record.note(format!("router {name} is ready"));
         router
