--- a/review/standins-2/src/bin/endless-copies.rs
+++ b/review/standins-2/src/bin/endless-copies.rs
@@ -1,5 +1,5 @@
-//! One answer of one cache is spoilt: it is good, and copies of it follow that never end. All requests of the usual
-//! clients are still owed their final answers.
+//! Answers of one cache are spoilt: one is good, and copies of it follow that never end. Where the router closes that
+//! connection, the next is spoilt, too. All requests of the usual clients are still owed their final answers.
 
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -57,12 +57,13 @@
         record.note(format!("{name} asked id={text}"));
         let fields = format!("digest=1,dated={:.0},res=HIT", now());
         let answer = write_array(&[&id, b"data", fields.as_bytes(), &[b'x'; SIZE]]);
-        writer.write_all(&answer)?;
         if !is_spoilt.swap(false, Ordering::Relaxed) {
+            writer.write_all(&answer)?;
             continue;
         }
-        record.note(format!("{name} sends copies of the answer to id={text} from now on"));
-        let copies = answer.repeat(5_000);
+        record.note(format!("{name} sends the answer to id={text} and copies of it from now on"));
+        // The first of them is the answer.
+        let copies = answer.repeat(20_000);
         let (end, mut sent) = (now() + COPIES_FOR, 0);
         let mut written = Ok(());
         while now() < end && written.is_ok() {
@@ -70,6 +71,8 @@
             sent += copies.len();
         }
         record.say(format!("{name} sent {} MB of copies: {written:?}", sent >> 20));
+        // Where the router has closed the connection, the next answer is spoilt, too.
+        is_spoilt.store(written.is_err() && now() < end, Ordering::Relaxed);
         return Ok(());
     }
 }
@@ -100,10 +103,14 @@
             let fields =
                 [("c", "video"), ("i", &*id), ("d", &*wait), ("o", &*object), ("tag", "9"), ("m", "0.1")];
             let (stream, sent) = client.send(&fields, b"").ok()?;
-            record.note(format!("client sent id={id} obj={object} d={wait}, whole at {:.1}", record.at(sent)));
+            record
+                .note(format!("client sent id={id} obj={object} d={wait}, whole at {:.1}", record.at(sent)));
             let answer = client.wait(stream, WAIT + 10_000.0);
             let code = answer.as_ref().map(|answer| answer.code);
-            record.note(format!("client got code {code:?} for id={id}, connection ended: {}", client.has_ended()));
+            record.note(format!(
+                "client got code {code:?} for id={id}, connection ended: {}",
+                client.has_ended()
+            ));
             Some((id, sent, answer))
         }));
         pause(100.0);
@@ -116,7 +123,8 @@
         let after = answer.map(|answer| answer.at - sent);
         if after.is_none_or(|after| after > WAIT + LOST_AFTER) {
             breaches += 1;
-            let when = after.map_or("none within 11.5 s".to_string(), |after| format!("{after:.0} ms after it"));
+            let when =
+                after.map_or("none within 11.5 s".to_string(), |after| format!("{after:.0} ms after it"));
             record.say(format!("id={id}, which waits {WAIT} ms: final answer {when}"));
         }
     }
