Measure how long turns of the event loop take, by kind of work

A turn over 50 ms is logged with the same times. The golden list of counters grows by the new names; none of the earlier ones changed. The module of the turn's clock moves to `turn/`.

--- a/crates/router/src/config/limits.rs
+++ b/crates/router/src/config/limits.rs
@@ -26,6 +26,8 @@
     pub buffers: BufferLimits,
     /// Descriptors of the process.
     pub descriptors: DescriptorLimits,
+    /// Turns of the event loop.
+    pub turn: TurnLimits,
     /// Accepting connections.
     pub accept: AcceptLimits,
     /// Connections of clients.
@@ -59,6 +61,7 @@
         Self {
             buffers: BufferLimits::new(platform.memory_mb),
             descriptors,
+            turn: TurnLimits::new(),
             accept: AcceptLimits::new(),
             clients: ClientLimits::new(descriptors.per_side()),
             requests: RequestLimits::new(connections),
@@ -143,6 +146,19 @@
     }
 }
 
+/// Turns of the event loop.
+#[derive(Debug, Clone, Copy)]
+pub struct TurnLimits {
+    /// A turn that takes longer is logged. Cancellations have to be noticed within 100 ms.
+    pub max_duration_ms: Ms,
+}
+
+impl TurnLimits {
+    fn new() -> Self {
+        Self { max_duration_ms: 50.0 }
+    }
+}
+
 /// Accepting connections.
 #[derive(Debug, Clone, Copy)]
 pub struct AcceptLimits {
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -7,6 +7,7 @@
 use crate::downstream::codec::AnswerCode;
 use crate::downstream::ConnectionCounts;
 use crate::policy_adapter::{AttemptEnd, ShadowCounts};
+use crate::turn::TurnReport;
 use crate::upstream::ResponsePayload;
 
 /// Declares a struct of numbers, each with its printed name.
@@ -71,7 +72,7 @@
         invalid_requests: u64 = "unusable",
         /// Requests that were cancelled before they were handled, in the same batch of events.
         withdrawn: u64 = "taken_back",
-                /// Accepted connections of clients.
+        /// Accepted connections of clients.
         accepted_clients: u64 = "clients",
         /// Connections of clients closed with a protocol error, timeouts and evictions included.
         malformed_clients: u64 = "malformed",
@@ -193,6 +194,8 @@
     pub discovery: DiscoveryCounts,
     /// The current numbers at the time of the report.
     pub gauges: Gauges,
+    /// How long turns of the event loop have taken.
+    pub turns: TurnReport,
     /// The formatted counters of links to other sites.
     pub links: Option<String>,
     /// The cluster, which prints the counters of the membership.
@@ -203,7 +206,7 @@
 
 impl fmt::Display for CounterReport<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "counters{}{}{}", self.counters, self.discovery, self.gauges)?;
+        write!(f, "counters{}{}{}{}", self.counters, self.discovery, self.gauges, self.turns)?;
         if let Some(links) = &self.links {
             write!(f, " {links}")?;
         }
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -83,6 +83,7 @@
     }
     router.end_wait();
     router.on_timer();
+    router.end_turn();
 }
 
 /// Runs a router on the current thread until it has shut down. `events` must already deliver its signals.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -58,7 +58,7 @@
 mod start_error;
 mod start_retry;
 mod system_error;
-mod turn_clock;
+mod turn;
 mod upstream;
 
 use std::io::Write;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,6 +7,7 @@
 
 mod readiness;
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -35,7 +36,7 @@
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
 use crate::start_error::StartError;
 use crate::start_retry;
-use crate::turn_clock::TurnClock;
+use crate::turn::{TurnClock, TurnDurations, TurnWork};
 
 /// The maximum time between two runs of the timers.
 const MAX_TIMER_INTERVAL_MS: Ms = 1_000.0;
@@ -54,6 +55,7 @@
     operator_file: Option<OperatorFile>,
     run_phase: RunPhase,
     turn: TurnClock,
+    turn_durations: TurnDurations,
     reloads: u64,
     /// The reload that is repeated, since the file could not be read.
     pending_reload: Option<PendingReload>,
@@ -85,6 +87,8 @@
         let shadow = operator.as_ref().and_then(|operator| operator.shadow_policy.as_ref());
         let shadow = shadow.map(|section| ShadowSetup::new(&config, section)).transpose()?;
         let clock = Clock::new();
+        let turn_durations = TurnDurations::new(limits.turn.max_duration_ms);
+        let turn_durations = turn_durations.map_err(|error| StartError::System(io::Error::other(error)))?;
         let parts = match &operator {
             Some(operator) => {
                 let (now, config, buffers, reserve) = (clock.now(), &config, &buffers, &reserve);
@@ -115,6 +119,7 @@
             operator_file: operator_file.map(OperatorFile::new),
             run_phase: RunPhase::serving(ShutdownTimes::new(&limits)),
             turn: TurnClock::new(clock.now()),
+            turn_durations,
             reloads: 0,
             pending_reload: None,
             shadow_report,
@@ -174,6 +179,10 @@
 
     /// Handles all deadlines that have passed.
     pub fn on_timer(&mut self) {
+        self.measure(TurnWork::Timers, Self::handle_deadlines);
+    }
+
+    fn handle_deadlines(&mut self) {
         let now = self.clock.now();
         self.proxy.on_upstream_timer(now);
         self.proxy.on_policy_timer(now);
@@ -234,6 +243,32 @@
         self.note_event();
     }
 
+    /// Ends a turn. One that took longer than the bound is logged.
+    pub fn end_turn(&mut self) {
+        let duration = self.turn.duration(self.clock.now());
+        let Some(times) = self.turn_durations.end_turn(duration) else { return };
+        log_line!(
+            duration_ms = duration.round(),
+            accepts_ms = times.get(TurnWork::Accepts).round(),
+            clients_ms = times.get(TurnWork::Clients).round(),
+            caches_ms = times.get(TurnWork::Upstreams).round(),
+            journal_ms = times.get(TurnWork::Discovery).round(),
+            links_ms = times.get(TurnWork::Links).round(),
+            commands_ms = times.get(TurnWork::Commands).round(),
+            timers_ms = times.get(TurnWork::Timers).round(),
+            clients = self.proxy.gauges().clients,
+            "a turn of the event loop took longer than its bound"
+        );
+    }
+
+    /// Does a part of this turn's work, and records how long it takes.
+    fn measure<T>(&mut self, work: TurnWork, step: impl FnOnce(&mut Self) -> T) -> T {
+        let begin = self.clock.now();
+        let outcome = step(self);
+        self.turn_durations.add(work, self.clock.now() - begin);
+        outcome
+    }
+
     /// Records that an event of this turn is handled.
     fn note_event(&mut self) {
         self.turn.note_event(self.clock.now());
@@ -252,11 +287,11 @@
     /// Handles a signal: SIGUSR1 prints the counters, SIGHUP reads the configuration again, and all others
     /// begin the graceful shutdown.
     pub fn on_signal(&mut self, signal: Signal) {
-        match signal {
-            Signal::SIGUSR1 => self.print_counters(),
-            Signal::SIGHUP => self.reload(),
-            _ => self.begin_drain(),
-        }
+        self.measure(TurnWork::Commands, |router| match signal {
+            Signal::SIGUSR1 => router.print_counters(),
+            Signal::SIGHUP => router.reload(),
+            _ => router.begin_drain(),
+        });
     }
 
     /// Reads the configuration again. Only the address of the journal can change at runtime. A file that
@@ -326,6 +361,7 @@
             counters,
             discovery,
             gauges: self.proxy.gauges(),
+            turns: self.turn_durations.report(),
             links: self.proxy.parts.remote_sites.as_ref().map(RemoteSites::counters),
             cluster: self.proxy.parts.cluster.as_ref(),
             shadow: self.proxy.shadow_counts(),
--- a/crates/router/src/turn_clock.rs
+++ b/crates/router/src/turn/clock.rs
@@ -34,6 +34,11 @@
         self.events_since.get_or_insert(now);
     }
 
+    /// How long the turn has taken since its first event.
+    pub fn duration(&self, now: Ms) -> Ms {
+        self.events_since.map_or(0.0, |since| now - since)
+    }
+
     /// The earliest time at which what is read in this turn can have arrived.
     pub fn earliest_arrival(&self) -> Ms {
         match self.events_since {
@@ -44,5 +49,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/turn_clock.rs"]
+#[path = "../../tests/unit/turn_clock.rs"]
 mod tests;
--- a/crates/router/tests/unit/counters.rs
+++ b/crates/router/tests/unit/counters.rs
@@ -51,6 +51,7 @@
         counters: Counters::default(),
         discovery: DiscoveryCounts { position: 3, bytes_in: 2, bytes_out: 1 },
         gauges: Gauges::default(),
+        turns: TurnReport::default(),
         links: None,
         cluster: None,
         shadow: None,
@@ -58,7 +59,10 @@
     let plain = report.to_string();
     assert!(plain.starts_with("counters taken_in=0 taken_in_bytes=0 "), "{plain}");
     let rest = " journal_lost=0 ended_unsent=0 repeated_calls=0 closed_open=0 violations=0 journal_number=3 journal_bytes_in=2 \
-                journal_bytes_out=1 held_clients=0 held_caches=0 held_connections=0 open=0 out=0 buffers=0";
+                journal_bytes_out=1 held_clients=0 held_caches=0 held_connections=0 open=0 out=0 buffers=0 turns=0 \
+                turns_over_bound=0 turn_p99_us=0 turn_max_us=0 turn_max_accepts_us=0 turn_max_clients_us=0 \
+                turn_max_caches_us=0 turn_max_journal_us=0 turn_max_links_us=0 turn_max_commands_us=0 \
+                turn_max_timers_us=0";
     assert!(plain.ends_with(rest), "{plain}");
     report.links = Some("links=2".to_string());
     assert_eq!(report.to_string(), format!("{plain} links=2"));
--- a/crates/router/tests/unit/turn_clock.rs
+++ b/crates/router/tests/unit/turn_clock.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `src/turn_clock.rs`, as a submodule of it.
+//! Unit tests of `src/turn/clock.rs`, as a submodule of it.
 
 use super::*;
 
