--- a/crates/router/src/config/limits.rs
+++ b/crates/router/src/config/limits.rs
@@ -146,16 +146,36 @@
     }
 }
 
+/// The maximum number of open requests on one connection of a client, set by the protocol.
+const MAX_STREAMS_PER_CLIENT: usize = 32;
+
+/// Handling a message counts as reading so many bytes.
+const MESSAGE_COST_BYTES: usize = 4 * KIB;
+
 /// Turns of the event loop.
 #[derive(Debug, Clone, Copy)]
 pub struct TurnLimits {
     /// A turn that takes longer is logged. Cancellations have to be noticed within 100 ms.
     pub max_duration_ms: Ms,
+    /// The time in which connections that are ready are served; the others are served in later turns. A request
+    /// takes several turns from its accept to its answer.
+    pub connections_ms: Ms,
+    /// The work that one connection may cause before others have their turn: so many bytes that are read, or fewer
+    /// with messages.
+    pub max_connection_bytes: usize,
+    /// Handling a message counts as reading so many bytes.
+    pub message_cost_bytes: usize,
 }
 
 impl TurnLimits {
     fn new() -> Self {
-        Self { max_duration_ms: 50.0 }
+        Self {
+            max_duration_ms: 50.0,
+            connections_ms: 10.0,
+            // A client with all its requests in one go is read in one.
+            max_connection_bytes: MAX_STREAMS_PER_CLIENT * MESSAGE_COST_BYTES,
+            message_cost_bytes: MESSAGE_COST_BYTES,
+        }
     }
 }
 
@@ -186,8 +206,6 @@
     pub max_streams_per_connection: usize,
     /// The maximum size of a frame, without its length field.
     pub max_frame_bytes: usize,
-    /// The maximum number of bytes read from one client before other clients get their turn.
-    pub max_read_bytes_per_turn: usize,
     /// The number of unwritten output bytes above which a client is not read.
     pub max_unwritten_bytes: usize,
     /// The maximum number of bytes read ahead from a paused client to find cancellations.
@@ -221,9 +239,8 @@
     fn new(max_connections: usize) -> Self {
         Self {
             max_connections,
-            max_streams_per_connection: 32,
+            max_streams_per_connection: MAX_STREAMS_PER_CLIENT,
             max_frame_bytes: 256 * KIB,
-            max_read_bytes_per_turn: 256 * KIB,
             max_unwritten_bytes: MIB,
             max_read_ahead_bytes: 256 * KIB,
             check_interval_ms: 25.0,
@@ -407,8 +424,6 @@
     pub max_connections: usize,
     /// The size of a single read or write.
     pub block_bytes: usize,
-    /// The maximum number of bytes read from one link before other links get their turn.
-    pub max_read_bytes_per_turn: usize,
 }
 
 impl LinkLimits {
@@ -416,7 +431,6 @@
         Self {
             max_connections: (descriptors.available / LINK_DESCRIPTOR_DIVISOR).max(2),
             block_bytes: 64 * KIB,
-            max_read_bytes_per_turn: MIB,
         }
     }
 }
--- a/crates/router/src/config/mod.rs
+++ b/crates/router/src/config/mod.rs
@@ -16,8 +16,8 @@
 use crate::start_retry;
 
 pub use error::ConfigError;
-pub use limits::Limits;
 use limits::PlatformLimits;
+pub use limits::{Limits, TurnLimits};
 
 /// The configuration file named by `LB_CONFIG`.
 #[derive(Debug, Deserialize)]
--- a/crates/router/src/discovery/client.rs
+++ b/crates/router/src/discovery/client.rs
@@ -197,8 +197,8 @@
         }
     }
 
-    /// Reads and writes a connection after it became ready; returns the events received.
-    pub fn on_ready(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) -> Vec<WatchEvent> {
+    /// Reads and writes a connection that is ready; returns the events received.
+    pub fn serve(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) -> Vec<WatchEvent> {
         if self.late_connection.as_ref().is_some_and(|connection| connection.id == id) {
             return self.receive_late(now);
         }
@@ -213,13 +213,10 @@
         self.receive(now)
     }
 
-    /// Reads and writes all connections, whether or not they are ready; returns the events received.
-    pub fn poll_connections(&mut self, now: Ms) -> Vec<WatchEvent> {
-        let all = Readiness { readable: true, writable: false, error: false };
-        let late = self.late_connection.as_ref().map(|connection| connection.id);
-        let current = self.connection.as_ref().map(|connection| connection.id);
-        let ids = late.into_iter().chain(current);
-        ids.flat_map(|id| self.on_ready(now, id, all)).collect()
+    /// The ids of all connections.
+    pub fn connection_ids(&self) -> Vec<ConnectionId> {
+        let connections = self.late_connection.iter().chain(&self.connection);
+        connections.map(|connection| connection.id).collect()
     }
 
     /// Reads the connection of the poll in flight.
--- a/crates/router/src/downstream/closing.rs
+++ b/crates/router/src/downstream/closing.rs
@@ -138,9 +138,7 @@
         match source_of_transfer_error(error) {
             ErrorSource::Local => {
                 self.retries.insert(now, id);
-                if let Some(client) = self.clients.get_mut(&id) {
-                    client.unread_since.get_or_insert(self.earliest_arrival.min(now));
-                }
+                self.note_unread_input(now, id);
             }
             ErrorSource::Peer => self.remove(id, CloseReason::Broken, events),
         }
@@ -152,6 +150,7 @@
         self.record_close(id, &client, reason);
         self.paused.remove(&id);
         self.retries.remove(id);
+        self.ready.remove(client.kind(), id);
         if let Some(token) = client.token {
             self.handle.remove(token);
         }
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -13,6 +13,7 @@
 use crate::policy_adapter::{Ms, Ticket};
 use crate::sockets;
 use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
+use crate::turn::ConnectionKind;
 
 use super::codec::{self, ClientMessage, FrameError, FrameHead};
 
@@ -91,7 +92,9 @@
     pub input: BufferChain,
     /// The current frame, if its payload is discarded.
     discarded: Option<DiscardedFrame>,
-    /// The number of input bytes that were already scanned for cancellations while reading is paused.
+    /// Whether the input may hold complete messages that were not decoded yet.
+    pub has_undecoded_input: bool,
+    /// The number of input bytes that were already scanned for cancellations.
     pub scanned: usize,
     pub output: BufferChain,
     /// Open requests by stream.
@@ -102,8 +105,12 @@
     pub last_used: Ms,
     /// Until when the client waits for the answers to its requests.
     pub answers_awaited_until: Ms,
+    /// Since when the connection has been ready to be read, until it is read.
+    pub ready_since: Option<Ms>,
     /// Since when input may have been left unread; `None` once it was read until it would block.
     pub unread_since: Option<Ms>,
+    /// Whether it was read since it was accepted.
+    pub was_read: bool,
     /// When the connection was last read until it would block or the read-ahead limit was reached.
     pub last_read: Ms,
     /// Since when a message has been partially received.
@@ -124,6 +131,7 @@
             sends_at_once: false,
             input: BufferChain::new(buffers),
             discarded: None,
+            has_undecoded_input: false,
             scanned: 0,
             output: BufferChain::new(buffers),
             open: HashMap::new(),
@@ -131,7 +139,9 @@
             accepted_at: now,
             last_used: now,
             answers_awaited_until: now,
+            ready_since: None,
             unread_since: None,
+            was_read: false,
             last_read: now,
             partial_since: None,
             has_been_answered: false,
@@ -166,6 +176,21 @@
         self.phase == ConnectionPhase::Open
     }
 
+    /// Its kind in the queue of ready connections.
+    pub fn kind(&self) -> ConnectionKind {
+        if self.was_read {
+            ConnectionKind::Client
+        } else {
+            ConnectionKind::NewClient
+        }
+    }
+
+    /// The earliest time at which a request that is read now can have arrived; `arrived` is that of what has just
+    /// become ready.
+    pub fn earliest_arrival(&self, arrived: Ms) -> Ms {
+        [self.ready_since, self.unread_since].into_iter().flatten().fold(arrived, Ms::min)
+    }
+
     /// Whether the connection can be closed without losing an answer.
     pub fn is_idle(&self) -> bool {
         self.open.is_empty() && self.output.is_empty()
@@ -233,6 +258,7 @@
     pub fn discard_all_input(&mut self) {
         self.input.consume(self.input.len());
         self.discarded = None;
+        self.has_undecoded_input = false;
         self.scanned = 0;
     }
 
@@ -259,6 +285,7 @@
 
     /// Reads until the input holds `max_input` bytes.
     pub fn read_ahead(&mut self, max_input: usize) -> ReadAheadEnd {
+        self.has_undecoded_input = true;
         while self.input.len() < max_input {
             match self.input.read_from(&*self.stream) {
                 Ok(0) => return ReadAheadEnd::Disconnected,
--- a/crates/router/src/downstream/drain.rs
+++ b/crates/router/src/downstream/drain.rs
@@ -4,6 +4,7 @@
 
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::Ms;
+use crate::turn::ConnectionKind;
 
 use super::codec;
 use super::connection::ClientConnection;
@@ -28,7 +29,9 @@
     pub fn has_no_pending_work(&self) -> bool {
         let has_no_pending_work =
             |client: &ClientConnection| client.output.is_empty() && client.partial_since.is_none();
-        let is_read = self.paused.is_empty() && self.retries.is_empty();
+        let has_ready = |kind| self.ready.has_any(kind);
+        let is_ready = has_ready(ConnectionKind::NewClient) || has_ready(ConnectionKind::Client);
+        let is_read = self.paused.is_empty() && self.retries.is_empty() && !is_ready;
         !self.accept_pending && is_read && self.clients.values().all(has_no_pending_work)
     }
 
@@ -78,10 +81,12 @@
 
     /// Whether a client may have sent more than was read.
     pub(super) fn has_unread_input(&self, id: ClientId) -> bool {
-        self.paused.contains(&id) || self.retries.contains(id)
+        let client = self.clients.get(&id);
+        let is_ready = client.is_some_and(|client| self.ready.contains(client.kind(), id));
+        is_ready || self.paused.contains(&id) || self.retries.contains(id)
     }
 
-    fn sorted_ids(&self) -> Vec<ClientId> {
+    pub(super) fn sorted_ids(&self) -> Vec<ClientId> {
         let mut ids: Vec<ClientId> = self.clients.keys().copied().collect();
         ids.sort_unstable();
         ids
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -12,6 +12,7 @@
 use crate::retry_queue::RETRY_PAUSE_MS;
 use crate::sockets;
 use crate::system_error::{is_out_of_descriptors, source_of_accept_error, AcceptErrorSource};
+use crate::turn::READABLE;
 
 use super::codec;
 use super::connection::ClientConnection;
@@ -37,7 +38,7 @@
 
     /// Accepts a bounded number of connections; returns false if no more can be accepted for now.
     ///
-    /// Each is read at once, so that a connection with a request does not count as idle.
+    /// Each counts as ready until it is read, so that a connection with a request does not count as idle.
     pub fn accept(&mut self, now: Ms, listener: &TcpListener, events: &mut Vec<ClientEvent>) -> bool {
         self.accept_pending = true;
         self.backlog_since.get_or_insert(self.earliest_arrival.min(now));
@@ -58,7 +59,7 @@
                     (failed_calls, last_error) = (0, None);
                     self.shortage.record_success();
                     let id = self.add_client(now, stream);
-                    self.read(now, id, events);
+                    self.mark_ready(now, id, READABLE);
                     continue;
                 }
                 Err(error) => error,
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -37,6 +37,7 @@
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::{Ms, Ticket};
 use crate::retry_queue::RetryQueue;
+use crate::turn::ReadyQueue;
 
 use connection::ClientConnection;
 use shortage::DescriptorShortage;
@@ -103,9 +104,9 @@
     handle: LoopHandle<'static, W>,
     clients: HashMap<ClientId, ClientConnection>,
     last_id: ClientId,
-    /// Clients whose reading is paused: they have too much unwritten output, or have used up their read
-    /// budget.
+    /// Clients whose reading is paused: they have too much unwritten output.
     paused: BTreeSet<ClientId>,
+    ready: ReadyQueue,
     /// Clients with a read or write that failed by an error of this machine.
     retries: RetryQueue<ClientId>,
     last_ticket: Ticket,
@@ -131,6 +132,7 @@
         limits: Limits,
         buffers: &BufferPool,
         reserve: &DescriptorReserve,
+        ready: &ReadyQueue,
         handle: LoopHandle<'static, W>,
     ) -> Self {
         Self {
@@ -141,6 +143,7 @@
             clients: HashMap::new(),
             last_id: 0,
             paused: BTreeSet::new(),
+            ready: ready.clone(),
             retries: RetryQueue::default(),
             last_ticket: 0,
             next_sweep: 0.0,
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -1,7 +1,9 @@
-//! Reading requests, cancellations and readiness checks, with a bounded read budget for each client and turn.
+//! Reading requests, cancellations and readiness checks, a bounded part of each client at a time.
 
 use std::io;
 
+use calloop::Readiness;
+
 use crate::event_handler::EventHandler;
 use crate::permission::CloseReason;
 use crate::policy_adapter::{Ms, Ticket};
@@ -14,35 +16,61 @@
 use super::{ClientEvent, ClientId, ClientStream, Downstreams};
 use crate::buffers::BufferChain;
 use crate::system_error::is_interrupted;
+use crate::turn::{ConnectionKind, WorkBudget, READABLE, READABLE_AND_WRITABLE};
 
 impl<W: EventHandler> Downstreams<W> {
-    /// Reads what a client has sent, and writes pending output. Open requests of a client that has
-    /// disconnected are reported as cancelled.
+    /// Marks a client as ready: it is read, or written, when it is its turn.
+    pub fn mark_ready(&mut self, now: Ms, id: ClientId, readiness: Readiness) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if readiness.readable || readiness.error {
+            client.ready_since.get_or_insert(self.earliest_arrival.min(now));
+        }
+        self.ready.insert(client.kind(), id, readiness);
+    }
+
+    /// Marks all clients as ready, whether or not they were reported.
+    pub fn mark_all_ready(&mut self, now: Ms) {
+        for id in self.sorted_ids() {
+            self.mark_ready(now, id, READABLE_AND_WRITABLE);
+        }
+    }
+
+    /// Reads what a client has sent, as far as its budget goes, and writes pending output. Open requests of a client
+    /// that has disconnected are reported as cancelled.
     pub fn read(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
-        self.read_turn(now, id, events);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let kind = client.kind();
+        client.was_read = true;
+        match kind {
+            ConnectionKind::Client => self.ready.withdraw(kind, id),
+            _ => self.ready.remove(kind, id),
+        }
+        let mut budget = self.ready.connection_budget();
+        self.read_within(now, id, &mut budget, events);
+        self.ready.charge(kind, id, &budget);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.ready_since = None;
+        }
         // The socket may be writable without another readiness event.
         self.flush(now, id, events);
     }
 
-    fn read_turn(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
-        let mut has_unread_input = self.paused.remove(&id);
-        let mut budget = self.limits.clients.max_read_bytes_per_turn;
+    fn read_within(&mut self, now: Ms, id: ClientId, budget: &mut WorkBudget, events: &mut Vec<ClientEvent>) {
+        self.paused.remove(&id);
         while let Some(client) = self.clients.get_mut(&id) {
             if matches!(client.phase, ConnectionPhase::Closing { .. }) {
                 return;
             }
-            let output_is_full =
-                client.is_open() && client.output.len() > self.limits.clients.max_unwritten_bytes;
-            if output_is_full || budget == 0 {
+            if client.is_open() && client.output.len() > self.limits.clients.max_unwritten_bytes {
                 // Cancellations must still be found, so that cancelled requests are not forwarded.
                 self.paused.insert(id);
-                if !output_is_full {
-                    client.unread_since.get_or_insert(self.earliest_arrival.min(now));
-                }
-                return self.scan_ahead(now, id, events);
+                return self.scan_ahead(now, id, budget, events);
             }
-            if std::mem::take(&mut has_unread_input) {
-                self.decode_input(now, id, events);
+            if budget.is_spent() {
+                return self.defer_reading(now, id, budget, events);
+            }
+            if client.is_open() && client.has_undecoded_input {
+                self.decode_input(now, id, budget, events);
                 continue;
             }
             let read = match client.input.read_from(&*client.stream) {
@@ -56,7 +84,7 @@
                 Err(error) if is_interrupted(&error) => continue,
                 Err(error) => return self.on_transfer_error(now, id, &error, events),
             };
-            budget = budget.saturating_sub(read);
+            budget.spend_bytes(read);
             match &mut client.phase {
                 ConnectionPhase::Lingering { bytes, .. } => {
                     client.input.consume(read);
@@ -66,15 +94,38 @@
                     }
                 }
                 ConnectionPhase::Open | ConnectionPhase::Closing { .. } => {
-                    self.decode_input(now, id, events);
+                    client.has_undecoded_input = true;
                 }
             }
         }
     }
 
-    /// Reads ahead from a paused client to detect a disconnect or cancellations; other input is buffered up
-    /// to a limit. While buffers are short, each client may still use one block.
-    fn scan_ahead(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
+    /// Leaves the rest of a client's input to its next turn. Its open requests may have been cancelled in the rest:
+    /// they must not be forwarded.
+    fn defer_reading(
+        &mut self,
+        now: Ms,
+        id: ClientId,
+        budget: &mut WorkBudget,
+        events: &mut Vec<ClientEvent>,
+    ) {
+        self.note_unread_input(now, id);
+        self.mark_ready(now, id, READABLE);
+        if self.clients.get(&id).is_some_and(|client| !client.open.is_empty()) {
+            self.scan_ahead(now, id, budget, events);
+        }
+    }
+
+    /// Records that input of a client is left unread.
+    pub(super) fn note_unread_input(&mut self, now: Ms, id: ClientId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.unread_since = Some(client.earliest_arrival(self.earliest_arrival.min(now)));
+        }
+    }
+
+    /// Reads ahead from a client that is not read now, to detect a disconnect or cancellations; other input is
+    /// buffered up to a limit. While buffers are short, each client may still use one block.
+    fn scan_ahead(&mut self, now: Ms, id: ClientId, budget: &mut WorkBudget, events: &mut Vec<ClientEvent>) {
         let max_input = if self.buffers.is_short() {
             self.limits.buffers.block_bytes
         } else {
@@ -82,12 +133,15 @@
         };
         let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) else { return };
         client.last_read = now;
+        let known_bytes = client.input.len();
         match client.read_ahead(max_input) {
             ReadAheadEnd::Connected => {}
             ReadAheadEnd::Disconnected => return self.remove(id, CloseReason::ClosedByClient, events),
             ReadAheadEnd::Repeat => self.retries.insert(now, id),
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
+        budget.spend_bytes(client.input.len().saturating_sub(known_bytes));
+        let first = client.scanned;
         let max_frame = self.limits.clients.max_frame_bytes;
         while let Ok(Some(head)) = codec::decode_head(&client.input, client.scanned, max_frame) {
             client.scanned += head.length;
@@ -95,6 +149,7 @@
                 self.counts.withdrawn += u64::from(withdraw_request(ticket, events));
             }
         }
+        budget.spend_bytes(client.scanned.min(client.input.len()).saturating_sub(first));
     }
 
     /// Checks a client for a disconnect or cancellations, unless it was read within the check interval.
@@ -104,34 +159,28 @@
         if now - client.last_read < self.limits.clients.check_interval_ms {
             return;
         }
-        let before = client.input.len();
-        self.scan_ahead(now, id, events);
+        let (kind, before) = (client.kind(), client.input.len());
+        let mut budget = self.ready.connection_budget();
+        self.scan_ahead(now, id, &mut budget, events);
+        self.ready.charge(kind, id, &budget);
         // Other messages are handled in the next turn of this client.
         if self.clients.get(&id).is_some_and(|client| client.input.len() > before) {
-            self.paused.insert(id);
+            self.mark_ready(now, id, READABLE);
         }
     }
 
     /// Repeats the reads and writes that failed by errors of this machine.
-    pub(super) fn retry_transfers(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
+    pub(super) fn retry_transfers(&mut self, now: Ms) {
         for id in self.retries.take_due(now) {
             self.register(now, id);
-            self.read(now, id, events);
-        }
-    }
-
-    /// Resumes reading from paused clients.
-    pub fn read_paused(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
-        self.discard_partial_messages();
-        for id in self.paused.clone() {
-            self.read(now, id, events);
+            self.mark_ready(now, id, READABLE_AND_WRITABLE);
         }
     }
 
     /// While buffers are short, discards partially received messages that need several blocks: those of clients
     /// without any answer before the others, and the oldest first. Otherwise a few clients that send slowly
     /// could keep the buffers from all others. A request is rejected once the rest of it has arrived.
-    fn discard_partial_messages(&mut self) {
+    pub(super) fn discard_partial_messages(&mut self) {
         let block_bytes = self.limits.buffers.block_bytes;
         let max_frame = self.limits.clients.max_frame_bytes;
         while self.buffers.is_short() {
@@ -147,23 +196,23 @@
         }
     }
 
-    /// Whether a paused client can be read at once.
-    pub fn has_readable_paused(&self) -> bool {
-        let is_readable = |id| {
-            let client = self.clients.get(id);
-            client.is_some_and(|client| {
-                !client.is_open() || client.output.len() <= self.limits.clients.max_unwritten_bytes
-            })
-        };
-        self.paused.iter().any(is_readable)
-    }
-
-    fn decode_input(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
+    /// Handles the messages that were read, as far as the budget goes.
+    fn decode_input(
+        &mut self,
+        now: Ms,
+        id: ClientId,
+        budget: &mut WorkBudget,
+        events: &mut Vec<ClientEvent>,
+    ) {
         while let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) {
+            if budget.is_spent() {
+                return;
+            }
             let max_frame = self.limits.clients.max_frame_bytes;
             let message = match client.next_message(max_frame) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
+                    client.has_undecoded_input = false;
                     client.scanned = 0;
                     let is_partial = client.has_partial_message();
                     client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
@@ -171,6 +220,8 @@
                 }
                 Err(error) => return self.close_with_error(now, id, error.into(), events),
             };
+            budget.spend_message();
+            client.scanned = 0;
             client.partial_since = None;
             client.last_used = now;
             match message {
@@ -227,9 +278,10 @@
         let Some(mut request) = parse_request(stream, fields, body, &self.limits) else {
             return ClientEvent::Invalid(stream);
         };
-        let unread_since = self.clients.get(&stream.client).and_then(|client| client.unread_since);
-        request.arrived_at = Some(unread_since.into_iter().fold(self.earliest_arrival.min(now), Ms::min));
+        let arrival = self.earliest_arrival.min(now);
+        request.arrived_at = Some(arrival);
         if let Some(client) = self.clients.get_mut(&stream.client) {
+            request.arrived_at = Some(client.earliest_arrival(arrival));
             let until = now + request.spec.budget + self.limits.requests.network_allowance_ms;
             client.answers_awaited_until = client.answers_awaited_until.max(until);
         }
--- a/crates/router/src/downstream/timers.rs
+++ b/crates/router/src/downstream/timers.rs
@@ -26,7 +26,8 @@
     /// Closes connections that exceeded a timeout: for the rest of a message, for the first request, for idle
     /// connections, for unread answers, and for lingering.
     pub fn on_timer(&mut self, now: Ms, events: &mut Vec<ClientEvent>) {
-        self.retry_transfers(now, events);
+        self.discard_partial_messages();
+        self.retry_transfers(now);
         self.resume_accepting(now);
         if now < self.next_sweep {
             return;
--- a/crates/router/src/downstream/writer.rs
+++ b/crates/router/src/downstream/writer.rs
@@ -6,6 +6,7 @@
 use crate::event_handler::EventHandler;
 use crate::policy_adapter::Ms;
 use crate::system_error::is_interrupted;
+use crate::turn::READABLE;
 
 use super::codec::{self, AnswerCode};
 use super::protocol_error::ProtocolError;
@@ -54,9 +55,19 @@
     pub fn flush(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
         while self.write_output(now, id, events) {
             if !self.continue_closing(now, id, events) {
-                return;
+                break;
             }
         }
+        self.resume_reading(now, id);
+    }
+
+    /// Lets a client be read again once it has taken enough of its answers.
+    fn resume_reading(&mut self, now: Ms, id: ClientId) {
+        let max_unwritten = self.limits.clients.max_unwritten_bytes;
+        let takes_answers = self.clients.get(&id).is_some_and(|client| client.output.len() <= max_unwritten);
+        if takes_answers && self.paused.remove(&id) {
+            self.mark_ready(now, id, READABLE);
+        }
     }
 
     /// Writes queued output; returns whether all of it was written.
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -72,16 +72,17 @@
 /// The pause after a wait for events has failed.
 pub const WAIT_ERROR_PAUSE: Duration = Duration::from_millis(5);
 
-/// Waits for events and handles them. Where waiting, or reading a signal, fails, the router goes on: events that
+/// Waits for events, serves connections that are ready, and handles deadlines. Where waiting, or reading a signal, fails, the router goes on: events that
 /// were reported in the same turn are lost, so that all connections are read and written instead.
 fn run_turn(events: &mut EventLoop<'static, Router>, timeout: Duration, router: &mut Router) {
     router.begin_wait();
     if let Err(error) = events.dispatch(timeout, router) {
         log_line!(reason = %error, "waiting for events failed");
         std::thread::sleep(WAIT_ERROR_PAUSE);
-        router.poll_all();
+        router.mark_all_ready();
     }
     router.end_wait();
+    router.serve_ready();
     router.on_timer();
     router.end_turn();
 }
--- a/crates/router/src/operator_parts.rs
+++ b/crates/router/src/operator_parts.rs
@@ -19,6 +19,7 @@
 use crate::policy_adapter::{Ms, Ticket};
 use crate::remote_sites::RemoteSites;
 use crate::start_error::StartError;
+use crate::turn::ReadyQueue;
 use crate::upstream::AttemptOrder;
 
 /// What the components are started with.
@@ -33,6 +34,8 @@
     pub buffers: &'a BufferPool,
     /// The descriptors that are reserved for essential operations.
     pub reserve: &'a DescriptorReserve,
+    /// The connections that are ready.
+    pub ready: &'a ReadyQueue,
     /// The event loop.
     pub handle: &'a LoopHandle<'static, W>,
 }
@@ -72,7 +75,8 @@
         }
         if let Some(section) = &operator.gateway {
             let handle = setup.handle.clone();
-            parts.remote_sites = Some(RemoteSites::new(now, name, config.seed, section, limits, handle)?);
+            let (seed, ready) = (config.seed, setup.ready);
+            parts.remote_sites = Some(RemoteSites::new(now, name, seed, section, limits, ready, handle)?);
             if let Some(section) = &section.cluster {
                 let digest = operator_digest::digest(operator);
                 let cluster = ClusterAdapter::new(now, name, section, config.settings_digest(), digest);
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -36,8 +36,13 @@
         accepts_more
     }
 
-    /// Reads and writes a client's connection that became ready.
-    pub fn on_client_ready(&mut self, id: ClientId, readiness: Readiness) {
+    /// Marks a client's connection as ready.
+    pub fn mark_client_ready(&mut self, id: ClientId, readiness: Readiness) {
+        self.downstreams.mark_ready(self.clock.now(), id, readiness);
+    }
+
+    /// Reads and writes a client's connection that is ready.
+    pub fn serve_client(&mut self, id: ClientId, readiness: Readiness) {
         let now = self.clock.now();
         self.run_downstreams(|downstreams, events| {
             if readiness.writable {
@@ -56,20 +61,10 @@
         self.downstreams.set_earliest_arrival(at);
     }
 
-    /// Reads and writes the connections of all clients.
-    pub(super) fn poll_clients(&mut self) {
-        let now = self.clock.now();
-        self.run_downstreams(|downstreams, events| downstreams.read_all(now, events));
-        self.process_outcomes();
-    }
-
-    /// Handles the deadlines of clients' connections, and reads clients whose reading was paused.
+    /// Handles the deadlines of clients' connections.
     pub fn on_client_timer(&mut self, now: Ms) {
         self.log_buffer_shortage(now);
-        self.run_downstreams(|downstreams, events| {
-            downstreams.on_timer(now, events);
-            downstreams.read_paused(now, events);
-        });
+        self.run_downstreams(|downstreams, events| downstreams.on_timer(now, events));
         self.process_outcomes();
     }
 
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -30,6 +30,7 @@
 use crate::policy_adapter::{Ms, PolicyAdapter, PolicyCommand, PolicyInput, ShadowCounts};
 use crate::requests::OpenRequests;
 use crate::run_phase::OpenWork;
+use crate::turn::ReadyQueue;
 use crate::upstream::{AttemptOrder, ResponsePayload, Upstreams};
 
 /// The resources that a proxy shares with the rest of the router.
@@ -42,6 +43,8 @@
     pub buffers: &'a BufferPool,
     /// Reserved descriptors for connections that must succeed when the process has run out of them.
     pub reserve: &'a DescriptorReserve,
+    /// The connections that are ready.
+    pub ready: &'a ReadyQueue,
     /// The event loop.
     pub handle: &'a LoopHandle<'static, W>,
 }
@@ -71,8 +74,8 @@
 impl<W: EventHandler> Proxy<W> {
     /// Creates a proxy without clients and endpoints.
     pub fn new(setup: &ProxySetup<'_, W>, policy: PolicyAdapter, parts: OperatorParts<W>) -> Self {
-        let ProxySetup { clock, limits, buffers, reserve, handle } = *setup;
-        let mut upstreams = Upstreams::new(limits, buffers, reserve, handle.clone());
+        let ProxySetup { clock, limits, buffers, reserve, ready, handle } = *setup;
+        let mut upstreams = Upstreams::new(limits, buffers, reserve, ready, handle.clone());
         upstreams.reports_versions = parts.forwards_requests();
         Self {
             parts,
@@ -80,7 +83,7 @@
             limits,
             buffers: buffers.clone(),
             policy,
-            downstreams: Downstreams::new(limits, buffers, reserve, handle.clone()),
+            downstreams: Downstreams::new(limits, buffers, reserve, ready, handle.clone()),
             upstreams,
             requests: OpenRequests::new(limits.requests.max_open),
             policy_timer: None,
@@ -142,29 +145,30 @@
         deadlines.into_iter().flatten().fold(self.downstreams.next_deadline(), Ms::min)
     }
 
-    /// Whether a paused client can be read without waiting for a readiness event.
-    pub fn has_readable_clients(&self) -> bool {
-        self.downstreams.has_readable_paused()
-    }
-
     /// Handles the deadlines of connections to endpoints.
     pub fn on_upstream_timer(&mut self, now: Ms) {
         self.upstreams.on_timer(now);
         self.process_outcomes();
     }
 
-    /// Reads and writes a connection to an endpoint that became ready.
-    pub fn on_upstream_ready(&mut self, id: u64, readiness: Readiness) {
-        self.upstreams.on_ready(self.clock.now(), id, readiness);
-        self.process_outcomes();
+    /// Marks a connection to an endpoint as ready.
+    pub fn mark_upstream_ready(&mut self, id: u64, readiness: Readiness) {
+        self.upstreams.mark_ready(id, readiness);
     }
 
-    /// Reads and writes all connections, whether or not they were reported as ready.
-    pub fn poll_all(&mut self) {
-        self.poll_clients();
-        self.upstreams.poll_all(self.clock.now());
+    /// Reads and writes a connection to an endpoint that is ready.
+    pub fn serve_upstream(&mut self, id: u64, readiness: Readiness) {
+        self.upstreams.serve(self.clock.now(), id, readiness);
         self.process_outcomes();
-        self.poll_links();
+    }
+
+    /// Marks all connections as ready, whether or not they were reported.
+    pub fn mark_all_ready(&mut self) {
+        self.downstreams.mark_all_ready(self.clock.now());
+        self.upstreams.mark_all_ready();
+        if let Some(remote_sites) = &mut self.parts.remote_sites {
+            remote_sites.mark_all_links_ready();
+        }
     }
 
     // ---- Counters.
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -26,21 +26,19 @@
         accepts_more
     }
 
-    /// Reads and writes a link that became ready.
-    pub fn on_link_ready(&mut self, id: u64, readiness: Readiness) {
-        let now = self.clock.now();
+    /// Marks a link as ready.
+    pub fn mark_link_ready(&mut self, id: u64, readiness: Readiness) {
         if let Some(remote_sites) = &mut self.parts.remote_sites {
-            remote_sites.on_link_ready(now, id, readiness);
+            remote_sites.mark_link_ready(id, readiness);
         }
-        self.run_remote_sites();
-        self.process_outcomes();
     }
 
-    /// Reads and writes all links.
-    pub(super) fn poll_links(&mut self) {
+    /// Reads and writes a link that is ready.
+    pub fn serve_link(&mut self, id: u64, readiness: Readiness) {
         let now = self.clock.now();
-        let Some(remote_sites) = &mut self.parts.remote_sites else { return };
-        remote_sites.poll_links(now);
+        if let Some(remote_sites) = &mut self.parts.remote_sites {
+            remote_sites.serve_link(now, id, readiness);
+        }
         self.run_remote_sites();
         self.process_outcomes();
     }
--- a/crates/router/src/remote_sites/links.rs
+++ b/crates/router/src/remote_sites/links.rs
@@ -1,7 +1,7 @@
 //! The sockets of links with other sites: connecting, accepting, reading and writing. The gateway encodes and
 //! decodes the frames.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -19,6 +19,7 @@
 use crate::system_error::{
     is_interrupted, source_of_accept_error, source_of_transfer_error, AcceptErrorSource, ErrorSource,
 };
+use crate::turn::{ConnectionKind, ReadyQueue, WorkBudget, READABLE, READABLE_AND_WRITABLE};
 
 /// The backlog of the listening socket for links.
 const LINK_BACKLOG: i32 = 64;
@@ -46,8 +47,7 @@
     handle: LoopHandle<'static, W>,
     connections: BTreeMap<ConnectionId, Connection>,
     last_id: ConnectionId,
-    /// Connections whose reading is paused so that others get their turn.
-    paused: BTreeSet<ConnectionId>,
+    ready: ReadyQueue,
     read_buffer: Box<[u8]>,
     listener: Option<RegistrationToken>,
     /// When the listener is enabled again after a failed accept.
@@ -60,14 +60,14 @@
 }
 
 impl<W: EventHandler> SiteLinks<W> {
-    pub fn new(limits: Limits, handle: LoopHandle<'static, W>) -> Self {
+    pub fn new(limits: Limits, ready: &ReadyQueue, handle: LoopHandle<'static, W>) -> Self {
         let read_buffer = vec![0; limits.links.block_bytes].into_boxed_slice();
         Self {
             limits,
             handle,
             connections: BTreeMap::new(),
             last_id: 0,
-            paused: BTreeSet::new(),
+            ready: ready.clone(),
             read_buffer,
             listener: None,
             resume_accepting: None,
@@ -152,8 +152,23 @@
         }
     }
 
+    /// Marks a connection as ready: it is read, or written, when it is its turn.
+    pub fn mark_ready(&mut self, conn: ConnectionId, readiness: Readiness) {
+        if self.connections.contains_key(&conn) {
+            self.ready.insert(ConnectionKind::Link, conn, readiness);
+        }
+    }
+
+    /// Marks all connections that are up as ready, whether or not they were reported.
+    pub fn mark_all_ready(&mut self) {
+        let up = self.connections.iter().filter(|(_, connection)| connection.connecting.is_none());
+        for (conn, _) in up {
+            self.ready.insert(ConnectionKind::Link, *conn, READABLE_AND_WRITABLE);
+        }
+    }
+
     /// Finishes connecting, writes or reads, according to the readiness of a connection.
-    pub fn ready(&mut self, now: Ms, conn: ConnectionId, readiness: Readiness, gateway: &mut Gateway) {
+    pub fn serve(&mut self, now: Ms, conn: ConnectionId, readiness: Readiness, gateway: &mut Gateway) {
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         if let Some(Connecting { dialer, .. }) = connection.connecting {
             match connection.stream.take_error() {
@@ -176,13 +191,17 @@
         }
     }
 
+    /// Reads a connection, as far as its budget goes.
     fn read(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
-        self.paused.remove(&conn);
-        let mut budget = self.limits.links.max_read_bytes_per_turn;
+        let mut budget = self.ready.connection_budget();
+        self.read_within(now, conn, &mut budget, gateway);
+        self.ready.charge(ConnectionKind::Link, conn, &budget);
+    }
+
+    fn read_within(&mut self, now: Ms, conn: ConnectionId, budget: &mut WorkBudget, gateway: &mut Gateway) {
         while let Some(connection) = self.connections.get_mut(&conn) {
-            if budget == 0 {
-                self.paused.insert(conn);
-                return;
+            if budget.is_spent() {
+                return self.ready.insert(ConnectionKind::Link, conn, READABLE);
             }
             match (&*connection.stream).read(&mut self.read_buffer) {
                 Ok(0) => {
@@ -190,7 +209,7 @@
                     return gateway.connection_closed(now, conn);
                 }
                 Ok(n) => {
-                    budget = budget.saturating_sub(n);
+                    budget.spend_bytes(n);
                     self.bytes_in += n as u64;
                     gateway.receive(now, conn, &self.read_buffer[..n]);
                 }
@@ -201,18 +220,6 @@
         }
     }
 
-    /// Whether the reading of a connection is paused.
-    pub fn has_paused(&self) -> bool {
-        !self.paused.is_empty()
-    }
-
-    /// Continues to read from connections whose reading was paused.
-    pub fn read_paused(&mut self, now: Ms, gateway: &mut Gateway) {
-        for conn in std::mem::take(&mut self.paused) {
-            self.read(now, conn, gateway);
-        }
-    }
-
     /// Writes as much as the operating system accepts.
     pub fn write(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
         while let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.connecting.is_none()) {
@@ -244,21 +251,6 @@
         }
     }
 
-    /// Reads and writes all connections that are up.
-    pub fn poll_all(&mut self, now: Ms, gateway: &mut Gateway) {
-        let conns: Vec<ConnectionId> = self.connections.keys().copied().collect();
-        for conn in conns {
-            self.poll(now, conn, gateway);
-        }
-    }
-
-    fn poll(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
-        if self.connections.get(&conn).is_some_and(|connection| connection.connecting.is_none()) {
-            self.write(now, conn, gateway);
-            self.read(now, conn, gateway);
-        }
-    }
-
     fn on_lost(&mut self, now: Ms, conn: ConnectionId, gateway: &mut Gateway) {
         self.close(conn);
         gateway.connection_lost(now, conn);
@@ -266,7 +258,7 @@
 
     /// Closes a connection without notifying the gateway.
     pub fn close(&mut self, conn: ConnectionId) {
-        self.paused.remove(&conn);
+        self.ready.remove(ConnectionKind::Link, conn);
         self.retries.remove(conn);
         if let Some(connection) = self.connections.remove(&conn) {
             self.handle.remove(connection.token);
@@ -282,7 +274,7 @@
             }
         }
         for conn in self.retries.take_due(now) {
-            self.poll(now, conn, gateway);
+            self.mark_ready(conn, READABLE_AND_WRITABLE);
         }
         let is_late = |connecting: &Connecting| now >= connecting.deadline;
         let late = self.connections.iter().filter_map(|(conn, connection)| {
--- a/crates/router/src/remote_sites/mod.rs
+++ b/crates/router/src/remote_sites/mod.rs
@@ -33,6 +33,7 @@
 use crate::log::log_line;
 use crate::policy_adapter::{Ms, Ticket};
 use crate::start_error::StartError;
+use crate::turn::ReadyQueue;
 use crate::upstream::RequestMessage;
 
 use links::SiteLinks;
@@ -105,9 +106,10 @@
         seed: u64,
         settings: &GatewaySection,
         limits: Limits,
+        ready: &ReadyQueue,
         handle: LoopHandle<'static, W>,
     ) -> Result<Self, StartError> {
-        let mut links = SiteLinks::new(limits, handle);
+        let mut links = SiteLinks::new(limits, ready, handle);
         let mut dial_targets = Vec::new();
         for link in &settings.links {
             dial_targets.extend((0..link.connections).map(|_| (link.to.clone(), link.connect)));
@@ -191,19 +193,19 @@
         self.links.accept(now, listener, &mut self.gateway)
     }
 
-    /// Reads or writes a link that became ready.
-    pub fn on_link_ready(&mut self, now: Ms, conn: ConnectionId, readiness: Readiness) {
-        self.links.ready(now, conn, readiness, &mut self.gateway);
+    /// Marks a link as ready.
+    pub fn mark_link_ready(&mut self, conn: ConnectionId, readiness: Readiness) {
+        self.links.mark_ready(conn, readiness);
     }
 
-    /// Reads and writes all links, whether or not they were reported as ready.
-    pub fn poll_links(&mut self, now: Ms) {
-        self.links.poll_all(now, &mut self.gateway);
+    /// Marks all links as ready, whether or not they were reported.
+    pub fn mark_all_links_ready(&mut self) {
+        self.links.mark_all_ready();
     }
 
-    /// Whether reading of a link was paused and has to continue without another readiness event.
-    pub fn has_readable_links(&self) -> bool {
-        self.links.has_paused()
+    /// Reads or writes a link that is ready.
+    pub fn serve_link(&mut self, now: Ms, conn: ConnectionId, readiness: Readiness) {
+        self.links.serve(now, conn, readiness, &mut self.gateway);
     }
 
     /// When [`Self::on_timer`] is due.
@@ -215,7 +217,6 @@
     /// Runs timers that are due. `open_ratio` is the number of open requests divided by its limit.
     pub fn on_timer(&mut self, now: Ms, open_ratio: f64) {
         self.links.on_timer(now, &mut self.gateway);
-        self.links.read_paused(now, &mut self.gateway);
         if self.gateway.next_deadline(now) <= now {
             self.report_load(now, open_ratio);
             self.gateway.on_timer(now);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,7 +7,6 @@
 
 mod readiness;
 
-use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -36,7 +35,7 @@
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
 use crate::start_error::StartError;
 use crate::start_retry;
-use crate::turn::{TurnClock, TurnDurations, TurnWork};
+use crate::turn::{ConnectionKind, ReadyQueue, TurnClock, TurnDurations, TurnWork, READABLE};
 
 /// The maximum time between two runs of the timers.
 const MAX_TIMER_INTERVAL_MS: Ms = 1_000.0;
@@ -55,6 +54,7 @@
     operator_file: Option<OperatorFile>,
     run_phase: RunPhase,
     turn: TurnClock,
+    ready: ReadyQueue,
     turn_durations: TurnDurations,
     reloads: u64,
     /// The reload that is repeated, since the file could not be read.
@@ -83,16 +83,15 @@
             limits.buffers.max_free_blocks,
             limits.buffers.max_blocks_in_use,
         );
+        let ready = ReadyQueue::new(limits.turn);
         // Errors in the shadow policy's settings are reported before any component starts.
         let shadow = operator.as_ref().and_then(|operator| operator.shadow_policy.as_ref());
         let shadow = shadow.map(|section| ShadowSetup::new(&config, section)).transpose()?;
         let clock = Clock::new();
-        let turn_durations = TurnDurations::new(limits.turn.max_duration_ms);
-        let turn_durations = turn_durations.map_err(|error| StartError::System(io::Error::other(error)))?;
         let parts = match &operator {
             Some(operator) => {
                 let (now, config, buffers, reserve) = (clock.now(), &config, &buffers, &reserve);
-                let setup = PartsSetup { now, config, limits, buffers, reserve, handle };
+                let setup = PartsSetup { now, config, limits, buffers, reserve, ready: &ready, handle };
                 OperatorParts::start(&setup, operator)?
             }
             None => OperatorParts::default(),
@@ -102,7 +101,7 @@
             policy.start_shadow(settings, config.seed);
             ShadowReport::new(clock.now(), log_interval)
         });
-        let setup = ProxySetup { clock, limits, buffers: &buffers, reserve: &reserve, handle };
+        let setup = ProxySetup { clock, limits, buffers: &buffers, reserve: &reserve, ready: &ready, handle };
         let proxy = Proxy::new(&setup, policy, parts);
         let known = config.file.initial_events;
         let journal = config.file.journal_address;
@@ -119,7 +118,8 @@
             operator_file: operator_file.map(OperatorFile::new),
             run_phase: RunPhase::serving(ShutdownTimes::new(&limits)),
             turn: TurnClock::new(clock.now()),
-            turn_durations,
+            ready,
+            turn_durations: TurnDurations::new(limits.turn.max_duration_ms)?,
             reloads: 0,
             pending_reload: None,
             shadow_report,
@@ -218,11 +218,9 @@
         }
     }
 
-    /// The time until the next deadline; zero if a paused connection can be read at once.
+    /// The time until the next deadline; zero if connections that are ready were not served yet.
     pub fn time_to_deadline(&self) -> Duration {
-        let remote_sites = self.proxy.parts.remote_sites.as_ref();
-        let has_readable_links = remote_sites.is_some_and(RemoteSites::has_readable_links);
-        if self.proxy.has_readable_clients() || has_readable_links {
+        if !self.ready.is_empty() {
             return Duration::ZERO;
         }
         let now = self.clock.now();
@@ -275,11 +273,12 @@
         self.proxy.set_earliest_arrival(self.turn.earliest_arrival());
     }
 
-    /// Accepts nobody, but reads and writes all connections, whether or not they were reported as ready.
-    pub fn poll_all(&mut self) {
-        let events = self.discovery.poll_connections(self.clock.now());
-        self.on_watch_events(events);
-        self.proxy.poll_all();
+    /// Accepts nobody, but marks all connections as ready, whether or not they were reported.
+    pub fn mark_all_ready(&mut self) {
+        for id in self.discovery.connection_ids() {
+            self.ready.insert(ConnectionKind::Discovery, id, READABLE);
+        }
+        self.proxy.mark_all_ready();
     }
 
     // ---- Signals.
--- a/crates/router/src/router/readiness.rs
+++ b/crates/router/src/router/readiness.rs
@@ -1,4 +1,5 @@
-//! Handling of ready sockets: dispatch to the component that owns the socket.
+//! Handling of ready sockets. Connections that the event loop reports only become ready; they are served by the
+//! components that own them, within the time of the turn.
 
 use std::fs::File;
 use std::net::TcpListener;
@@ -10,7 +11,7 @@
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::operator_reload::EvaluationProgress;
-use crate::turn::TurnWork;
+use crate::turn::{ConnectionKind, ReadyConnection, TurnWork};
 
 use super::Router;
 
@@ -22,21 +23,17 @@
 
     fn on_client_ready(&mut self, id: ClientId, readiness: Readiness) {
         self.note_event();
-        self.measure(TurnWork::Clients, |router| router.proxy.on_client_ready(id, readiness));
+        self.proxy.mark_client_ready(id, readiness);
     }
 
     fn on_upstream_ready(&mut self, id: u64, readiness: Readiness) {
         self.note_event();
-        self.measure(TurnWork::Upstreams, |router| router.proxy.on_upstream_ready(id, readiness));
+        self.proxy.mark_upstream_ready(id, readiness);
     }
 
     fn on_discovery_ready(&mut self, id: u64, readiness: Readiness) {
         self.note_event();
-        self.measure(TurnWork::Discovery, |router| {
-            let events = router.discovery.on_ready(router.clock.now(), id, readiness);
-            router.on_watch_events(events);
-            router.proxy.process_outcomes();
-        });
+        self.ready.insert(ConnectionKind::Discovery, id, readiness);
     }
 
     fn on_evaluation_ready(&mut self, output: &File) -> bool {
@@ -62,11 +59,47 @@
 
     fn on_link_ready(&mut self, id: u64, readiness: Readiness) {
         self.note_event();
-        self.measure(TurnWork::Links, |router| router.proxy.on_link_ready(id, readiness));
+        self.proxy.mark_link_ready(id, readiness);
     }
 }
 
 impl Router {
+    /// Serves connections that are ready until none is left, or the time for them is over. The others are served in
+    /// later turns.
+    pub fn serve_ready(&mut self) {
+        let until = self.clock.now() + self.limits.turn.connections_ms;
+        while let Some((connection, readiness)) = self.ready.pop() {
+            let work = match connection.kind {
+                ConnectionKind::Discovery => TurnWork::Discovery,
+                ConnectionKind::Upstream => TurnWork::Upstreams,
+                ConnectionKind::Link => TurnWork::Links,
+                ConnectionKind::NewClient | ConnectionKind::Client => TurnWork::Clients,
+            };
+            self.measure(work, |router| router.serve(connection, readiness));
+            if self.clock.now() >= until {
+                return;
+            }
+        }
+    }
+
+    /// Reads and writes one connection.
+    fn serve(&mut self, connection: ReadyConnection, readiness: Readiness) {
+        let ReadyConnection { kind, id } = connection;
+        match kind {
+            ConnectionKind::Discovery => self.serve_discovery(id, readiness),
+            ConnectionKind::Upstream => self.proxy.serve_upstream(id, readiness),
+            ConnectionKind::Link => self.proxy.serve_link(id, readiness),
+            ConnectionKind::NewClient | ConnectionKind::Client => self.proxy.serve_client(id, readiness),
+        }
+    }
+
+    fn serve_discovery(&mut self, id: u64, readiness: Readiness) {
+        self.ready.remove(ConnectionKind::Discovery, id);
+        let events = self.discovery.serve(self.clock.now(), id, readiness);
+        self.on_watch_events(events);
+        self.proxy.process_outcomes();
+    }
+
     /// Reads output of the evaluation of the operator file; returns false if there is nothing more to read.
     fn read_evaluation(&mut self, output: &File) -> bool {
         let Some(file) = &mut self.operator_file else { return false };
--- a/crates/router/src/turn/durations.rs
+++ b/crates/router/src/turn/durations.rs
@@ -1,8 +1,9 @@
 //! How long turns of the event loop take, in total and by kind of work.
 
 use std::fmt;
+use std::io;
 
-use hdrhistogram::{CreationError, Histogram};
+use hdrhistogram::Histogram;
 
 use crate::policy_adapter::{micros, Ms};
 
@@ -86,8 +87,9 @@
     /// # Errors
     ///
     /// Bounds that a histogram can't have.
-    pub fn new(max_turn: Ms) -> Result<Self, CreationError> {
-        let turns = Histogram::new_with_bounds(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS)?;
+    pub fn new(max_turn: Ms) -> io::Result<Self> {
+        let turns = Histogram::new_with_bounds(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS);
+        let turns = turns.map_err(io::Error::other)?;
         let (current, longest) = (TurnTimes::default(), TurnTimes::default());
         Ok(Self { max_turn, current, turns, longest, over_bound: 0 })
     }
--- /dev/null
+++ b/crates/router/src/turn/ready_queue.rs
@@ -0,0 +1,158 @@
+//! The connections that are ready to be read or written.
+//!
+//! The event loop only reports which connections became ready. They are served afterwards, a bounded part of each at a
+//! time, until the time of the turn is over; the others wait for later turns. First the kinds of connections have
+//! equal shares, so that no number of clients delays the replies of endpoints or the journal. Within a kind, the
+//! connection that was served least is the next one.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use calloop::Readiness;
+
+use crate::config::TurnLimits;
+
+use super::fair_queue::FairQueue;
+use super::work_budget::WorkBudget;
+
+/// The kinds of connections; where their shares are equal, the first goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ConnectionKind {
+    Discovery,
+    Upstream,
+    Link,
+    /// A client's connection that has not been read yet. Others can't delay the first request of a connection.
+    NewClient,
+    Client,
+}
+
+impl ConnectionKind {
+    const ALL: [Self; 5] = [Self::Discovery, Self::Upstream, Self::Link, Self::NewClient, Self::Client];
+}
+
+/// A connection; its id is unique within its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReadyConnection {
+    pub kind: ConnectionKind,
+    pub id: u64,
+}
+
+/// Readiness to be read.
+pub const READABLE: Readiness = Readiness { readable: true, writable: false, error: false };
+/// Readiness to be read and written.
+pub const READABLE_AND_WRITABLE: Readiness = Readiness { readable: true, writable: true, error: false };
+
+/// The queue of ready connections. Clones share the same queue.
+#[derive(Debug, Clone)]
+pub struct ReadyQueue(Rc<RefCell<Queues>>);
+
+#[derive(Debug)]
+struct Queues {
+    limits: TurnLimits,
+    kinds: FairQueue<ConnectionKind>,
+    connections: [FairQueue<u64>; ConnectionKind::ALL.len()],
+    /// What the waiting connections are ready for.
+    readiness: HashMap<ReadyConnection, Readiness>,
+}
+
+impl Queues {
+    fn of(&mut self, kind: ConnectionKind) -> &mut FairQueue<u64> {
+        &mut self.connections[kind as usize]
+    }
+
+    fn charge(&mut self, connection: ReadyConnection, budget: &WorkBudget) {
+        self.of(connection.kind).charge(connection.id, budget.spent());
+        self.kinds.charge(connection.kind, budget.spent());
+    }
+
+    fn withdraw(&mut self, connection: ReadyConnection) {
+        self.of(connection.kind).withdraw(connection.id);
+        self.readiness.remove(&connection);
+        if self.of(connection.kind).is_empty() {
+            self.kinds.withdraw(connection.kind);
+        }
+    }
+}
+
+impl ReadyQueue {
+    /// Creates an empty queue.
+    pub fn new(limits: TurnLimits) -> Self {
+        let connection_work = limits.max_connection_bytes as u64;
+        Self(Rc::new(RefCell::new(Queues {
+            limits,
+            kinds: FairQueue::new(0),
+            connections: ConnectionKind::ALL.map(|_| FairQueue::new(connection_work)),
+            readiness: HashMap::new(),
+        })))
+    }
+
+    /// The work that a connection may cause before others have their turn.
+    pub fn connection_budget(&self) -> WorkBudget {
+        WorkBudget::new(self.0.borrow().limits)
+    }
+
+    /// Whether no connection is ready.
+    pub fn is_empty(&self) -> bool {
+        self.0.borrow().kinds.is_empty()
+    }
+
+    /// Whether a connection is ready, and was not served since.
+    pub fn contains(&self, kind: ConnectionKind, id: u64) -> bool {
+        self.0.borrow().connections[kind as usize].contains(id)
+    }
+
+    /// Whether a connection of a kind is ready.
+    pub fn has_any(&self, kind: ConnectionKind) -> bool {
+        !self.0.borrow().connections[kind as usize].is_empty()
+    }
+
+    /// Marks a connection as ready.
+    pub fn insert(&self, kind: ConnectionKind, id: u64, readiness: Readiness) {
+        let mut queues = self.0.borrow_mut();
+        queues.of(kind).insert(id);
+        queues.kinds.insert(kind);
+        let none = Readiness { readable: false, writable: false, error: false };
+        let merged = queues.readiness.entry(ReadyConnection { kind, id }).or_insert(none);
+        merged.readable |= readiness.readable;
+        merged.writable |= readiness.writable;
+        merged.error |= readiness.error;
+    }
+
+    /// Takes the next connection to be served. Being served at all counts as a message.
+    pub fn pop(&self) -> Option<(ReadyConnection, Readiness)> {
+        let mut queues = self.0.borrow_mut();
+        let kind = queues.kinds.pop()?;
+        let id = queues.of(kind).pop()?;
+        let mut budget = WorkBudget::new(queues.limits);
+        budget.spend_message();
+        queues.charge(ReadyConnection { kind, id }, &budget);
+        if !queues.of(kind).is_empty() {
+            queues.kinds.insert(kind);
+        }
+        let connection = ReadyConnection { kind, id };
+        let readiness = queues.readiness.remove(&connection)?;
+        Some((connection, readiness))
+    }
+
+    /// Counts the work that a connection has caused.
+    pub fn charge(&self, kind: ConnectionKind, id: u64, budget: &WorkBudget) {
+        self.0.borrow_mut().charge(ReadyConnection { kind, id }, budget);
+    }
+
+    /// Ends the wait of a connection that was served outside its turn.
+    pub fn withdraw(&self, kind: ConnectionKind, id: u64) {
+        self.0.borrow_mut().withdraw(ReadyConnection { kind, id });
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove(&self, kind: ConnectionKind, id: u64) {
+        let mut queues = self.0.borrow_mut();
+        queues.withdraw(ReadyConnection { kind, id });
+        queues.of(kind).remove(id);
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/ready_queue.rs"]
+mod tests;
--- /dev/null
+++ b/crates/router/src/turn/work_budget.rs
@@ -0,0 +1,38 @@
+//! The work that a connection may cause before others have their turn.
+
+use crate::config::TurnLimits;
+
+/// The rest of a connection's budget. Work is counted in bytes; a message counts as the transfer of as many bytes as
+/// take the same time.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkBudget {
+    limits: TurnLimits,
+    spent_bytes: usize,
+}
+
+impl WorkBudget {
+    /// The budget for one turn of a connection.
+    pub fn new(limits: TurnLimits) -> Self {
+        Self { limits, spent_bytes: 0 }
+    }
+
+    /// Counts bytes that were read, or looked through.
+    pub fn spend_bytes(&mut self, bytes: usize) {
+        self.spent_bytes += bytes;
+    }
+
+    /// Counts a message that was handled.
+    pub fn spend_message(&mut self) {
+        self.spent_bytes += self.limits.message_cost_bytes;
+    }
+
+    /// Whether nothing is left.
+    pub fn is_spent(&self) -> bool {
+        self.spent_bytes >= self.limits.max_connection_bytes
+    }
+
+    /// What was spent, in bytes.
+    pub fn spent(&self) -> u64 {
+        self.spent_bytes as u64
+    }
+}
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -43,6 +43,7 @@
 use crate::policy_adapter::{EndpointKey, Ms};
 use crate::retry_queue::RetryQueue;
 use crate::system_error::{source_of_transfer_error, ErrorSource};
+use crate::turn::{ConnectionKind, ReadyQueue, READABLE_AND_WRITABLE};
 
 use attempt_table::AttemptTable;
 use connection::Connection;
@@ -72,6 +73,7 @@
     stalled: BTreeSet<ConnectionId>,
     /// Connections on which a connect, read or write failed by an error of this machine.
     retries: RetryQueue<ConnectionId>,
+    ready: ReadyQueue,
     /// Whether completed attempts carry the version of the copy that was served.
     pub reports_versions: bool,
     /// Connections opened since the start.
@@ -86,6 +88,7 @@
         limits: Limits,
         buffers: &BufferPool,
         reserve: &DescriptorReserve,
+        ready: &ReadyQueue,
         handle: LoopHandle<'static, W>,
     ) -> Self {
         Self {
@@ -101,6 +104,7 @@
             completed: VecDeque::new(),
             stalled: BTreeSet::new(),
             retries: RetryQueue::default(),
+            ready: ready.clone(),
             reports_versions: false,
             connects: 0,
             violations: 0,
@@ -139,8 +143,28 @@
         (input, output)
     }
 
-    /// Reads and writes a connection that the event loop has reported as ready.
-    pub fn on_ready(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) {
+    /// Marks a connection as ready: it is read, or written, when it is its turn.
+    pub fn mark_ready(&mut self, id: ConnectionId, readiness: Readiness) {
+        if self.connections.contains_key(&id) {
+            self.ready.insert(ConnectionKind::Upstream, id, readiness);
+        }
+    }
+
+    /// Marks all connections that are up as ready, whether or not they were reported.
+    pub fn mark_all_ready(&mut self) {
+        let mut ids: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        ids.sort_unstable();
+        ids.into_iter().for_each(|id| self.mark_ready_if_connected(id));
+    }
+
+    fn mark_ready_if_connected(&mut self, id: ConnectionId) {
+        if self.connections.get(&id).is_some_and(Connection::is_connected) {
+            self.mark_ready(id, READABLE_AND_WRITABLE);
+        }
+    }
+
+    /// Reads and writes a connection that is ready.
+    pub fn serve(&mut self, now: Ms, id: ConnectionId, readiness: Readiness) {
         let readable = readiness.readable || readiness.error;
         let writable = readiness.writable || readiness.error;
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -169,28 +193,13 @@
         }
     }
 
-    /// Reads and writes all connections, whether or not they were reported as ready.
-    pub fn poll_all(&mut self, now: Ms) {
-        let mut ids: Vec<ConnectionId> = self.connections.keys().copied().collect();
-        ids.sort_unstable();
-        for id in ids {
-            self.poll_connection(now, id);
-        }
-    }
-
-    fn poll_connection(&mut self, now: Ms, id: ConnectionId) {
-        if self.connections.get(&id).is_some_and(Connection::is_connected) {
-            self.on_ready(now, id, Readiness { readable: true, writable: true, error: false });
-        }
-    }
-
     /// Repeats the connects, reads and writes that failed by errors of this machine.
     fn retry(&mut self, now: Ms) {
         for id in self.retries.take_due(now) {
             let Some(connection) = self.connections.get(&id) else { continue };
             match connection.is_waiting() {
                 true => self.retry_connect(now, id),
-                false => self.poll_connection(now, id),
+                false => self.mark_ready_if_connected(id),
             }
         }
     }
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -12,6 +12,7 @@
 use crate::policy_adapter::{AttemptEnd, EndpointKey, Ms};
 use crate::sockets;
 use crate::system_error::{is_out_of_descriptors, source_of_connect_error, ErrorSource};
+use crate::turn::ConnectionKind;
 
 use super::connection::{Connection, ConnectionId, Exchange, ExchangeOwner, UpstreamSocket};
 use super::endpoints::Endpoint;
@@ -189,6 +190,7 @@
     pub(super) fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
         let mut connection = self.connections.remove(&id)?;
         self.retries.remove(id);
+        self.ready.remove(ConnectionKind::Upstream, id);
         if let Some(socket) = connection.take_socket() {
             self.handle.remove(socket.token);
         }
--- a/crates/router/src/upstream/transfer.rs
+++ b/crates/router/src/upstream/transfer.rs
@@ -7,6 +7,7 @@
 use crate::permission::SendRefusal;
 use crate::policy_adapter::{AttemptEnd, AttemptKey, Ms};
 use crate::system_error::{is_interrupted, source_of_transfer_error, ErrorSource};
+use crate::turn::{ConnectionKind, WorkBudget, READABLE};
 
 use super::attempt_table::InFlightAttempt;
 use super::codec::StringLimits;
@@ -14,27 +15,48 @@
 use super::{EndpointKey, Upstreams};
 
 impl<W: EventHandler> Upstreams<W> {
-    /// Reads a connection until it would block, and handles the complete replies.
+    /// Reads a connection, as far as its budget goes, and handles the complete replies.
     pub(super) fn read(&mut self, now: Ms, id: ConnectionId) {
+        let mut budget = self.ready.connection_budget();
+        self.read_within(now, id, &mut budget);
+        self.ready.charge(ConnectionKind::Upstream, id, &budget);
+    }
+
+    fn read_within(&mut self, now: Ms, id: ConnectionId, budget: &mut WorkBudget) {
         loop {
+            // Complete replies may have been left from the last time.
+            self.handle_replies(now, id, budget);
+            if budget.is_spent() {
+                return self.mark_ready(id, READABLE);
+            }
             let Some(connection) = self.connections.get_mut(&id) else { return };
             match connection.read() {
                 Ok(0) => return self.close(now, id, "closed by the endpoint"),
-                Ok(_) => self.note_activity(now, id),
+                Ok(read) => {
+                    budget.spend_bytes(read);
+                    self.note_activity(now, id);
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return self.close_if_unsolicited_input(now, id);
                 }
                 Err(error) if is_interrupted(&error) => continue,
                 Err(error) => return self.on_transfer_error(now, id, &error),
             }
+        }
+    }
+
+    /// Handles the complete replies that were read, as far as the budget goes.
+    fn handle_replies(&mut self, now: Ms, id: ConnectionId, budget: &mut WorkBudget) {
+        while !budget.is_spent() {
             let limits = self.string_limits();
-            loop {
-                let Some(connection) = self.connections.get_mut(&id) else { return };
-                match connection.next_reply(limits) {
-                    Ok(Some(reply)) => self.on_reply(now, id, reply),
-                    Ok(None) => break,
-                    Err(error) => return self.close(now, id, &error.to_string()),
+            let Some(connection) = self.connections.get_mut(&id) else { return };
+            match connection.next_reply(limits) {
+                Ok(Some(reply)) => {
+                    budget.spend_message();
+                    self.on_reply(now, id, reply);
                 }
+                Ok(None) => return,
+                Err(error) => return self.close(now, id, &error.to_string()),
             }
         }
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fault_plan;
 pub mod faulty_origin;
+pub mod flooding_clients;
 pub mod idle_clients;
 pub mod late_listener;
 pub mod pending_connections;
--- /dev/null
+++ b/crates/router/tests/flooding.rs
@@ -0,0 +1,91 @@
+//! Clients that send small messages at full speed: a turn of the event loop has its bound, whoever is ready, so that
+//! the requests of others are answered in time.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::flooding_clients::{Flood, FloodingClients};
+use common::{fleet, SERVED};
+use linnethook_quickstart::Client;
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+
+/// How long the flooding clients send before the first request of another one.
+const FLOOD_BEGIN: Duration = Duration::from_secs(1);
+/// The other clients' requests, and the time between them.
+const REQUESTS: u32 = 20;
+const INTERVAL: Duration = Duration::from_millis(100);
+/// An answer later than its deadline by more than this is lost: half a second, and 50 ms on sockets.
+const MAX_LATE: Duration = Duration::from_millis(500 + 50);
+
+/// The answer to a request.
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    code: u8,
+    after: Duration,
+}
+
+/// Sends one request on a connection of its own, and waits for its answer; `None` if there is none.
+fn ask(router: SocketAddr, number: u32, deadline: Duration) -> Option<Answer> {
+    let mut client = Client::connect(router).expect("a connection");
+    let (id, object) = (format!("e{number:015x}"), format!("f{number:015x}"));
+    let wait = deadline.as_millis().to_string();
+    let fields = [("c", "page"), ("i", &*id), ("o", &*object), ("d", &*wait)];
+    let sent = Instant::now();
+    client.ask(1, &fields, b"").expect("sent");
+    let answer = client.read().ok()?;
+    assert_eq!((answer.kind, answer.stream), (66, 1));
+    Some(Answer { code: answer.code, after: sent.elapsed() })
+}
+
+/// Asks beside flooding clients: no request is lost, and at least half of them are served.
+fn check_flood(clients: u32, flood: Flood, deadline: Duration) {
+    let maximum = getrlimit(Resource::Nofile).maximum;
+    setrlimit(Resource::Nofile, Rlimit { current: maximum, maximum }).expect("more descriptors");
+    let fleet = fleet();
+    let router = fleet.router.address;
+    let _flooding = FloodingClients::start(router, clients, flood);
+    thread::sleep(FLOOD_BEGIN);
+    let asking: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            thread::sleep(INTERVAL);
+            thread::spawn(move || ask(router, number, deadline))
+        })
+        .collect();
+    let answers = asking.into_iter().filter_map(|asked| asked.join().expect("no panic"));
+    let answers: Vec<Answer> = answers.collect();
+    let timely = answers.iter().filter(|answer| answer.after <= deadline + MAX_LATE).count();
+    let lost = REQUESTS as usize - timely;
+    let served = answers.iter().filter(|answer| answer.code == SERVED).count();
+    let longest = answers.iter().map(|answer| answer.after).max();
+    println!("{clients} clients, {flood:?}: {served} of {REQUESTS} served, {lost} lost, longest {longest:?}");
+    println!("{}", fleet.router.counters_line());
+    assert_eq!(lost, 0, "lost of {REQUESTS}");
+    assert!(2 * served >= REQUESTS as usize, "{served} of {REQUESTS} served");
+}
+
+/// Guards against a turn that reads all that a hundred clients send and cancel, while the requests of others wait.
+#[test]
+fn requests_are_answered_beside_a_hundred_clients_that_send_and_cancel() {
+    check_flood(100, Flood::CancelledRequests(1), Duration::from_millis(500));
+}
+
+/// Guards against the same turn where each client has as many requests open as it may.
+#[test]
+fn requests_are_answered_beside_a_hundred_clients_that_cancel_thirty_at_once() {
+    check_flood(100, Flood::CancelledRequests(30), Duration::from_millis(500));
+}
+
+/// Guards against the same turn, made long by readiness checks.
+#[test]
+fn requests_are_answered_beside_a_hundred_clients_that_ask_for_readiness() {
+    check_flood(100, Flood::ReadinessQueries, Duration::from_millis(500));
+}
+
+/// Guards against a turn that has a bound for each client, and grows with their number.
+#[test]
+fn requests_are_answered_beside_four_hundred_clients_that_send_and_cancel() {
+    check_flood(400, Flood::CancelledRequests(1), Duration::from_millis(1_500));
+}
--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -730,7 +730,12 @@
     fleet.router.signal(Signal::SIGUSR1);
     let line = fleet.router.wait_for_log("counters");
     assert!(line.contains("taken_in=1 taken_in_bytes=3") && line.contains("served=1 "), "{line}");
-    assert!(line.ends_with("open=0 out=0 buffers=0"), "{line}");
+    let (others, turns) = line.split_once(" turns=").expect("the durations of turns are at the end");
+    assert!(others.ends_with("open=0 out=0 buffers=0"), "{line}");
+    assert!(
+        turns.contains(" turns_over_bound=0 turn_p99_us=") && turns.contains(" turn_max_timers_us="),
+        "{line}"
+    );
 }
 
 /// A log line that can't be written must not end the router.
--- /dev/null
+++ b/crates/router/tests/unit/ready_queue.rs
@@ -0,0 +1,91 @@
+//! Unit tests of `src/turn/ready_queue.rs`, as a submodule of it.
+
+use super::*;
+
+const LIMITS: TurnLimits = TurnLimits {
+    max_duration_ms: 50.0,
+    connections_ms: 10.0,
+    max_connection_bytes: 1_000,
+    message_cost_bytes: 100,
+};
+
+/// Serves turns in which each connection uses all of its budget and is ready again. Returns the connections in their
+/// order.
+fn serve_busy(queue: &ReadyQueue, turns: usize) -> Vec<ReadyConnection> {
+    let mut served = Vec::new();
+    for _ in 0..turns {
+        let (connection, readiness) = queue.pop().expect("a ready connection");
+        let mut budget = queue.connection_budget();
+        while !budget.is_spent() {
+            budget.spend_message();
+        }
+        queue.charge(connection.kind, connection.id, &budget);
+        queue.insert(connection.kind, connection.id, readiness);
+        served.push(connection);
+    }
+    served
+}
+
+/// Guards against replies of endpoints that wait until all clients were read.
+#[test]
+fn a_reply_is_read_before_the_backlog_of_any_number_of_clients() {
+    let queue = ReadyQueue::new(LIMITS);
+    (0..400).for_each(|id| queue.insert(ConnectionKind::Client, id, READABLE));
+    serve_busy(&queue, 1_000);
+    for kind in [ConnectionKind::Discovery, ConnectionKind::Upstream, ConnectionKind::Link] {
+        queue.insert(kind, 7, READABLE);
+        let served = serve_busy(&queue, 2);
+        assert!(served.contains(&ReadyConnection { kind, id: 7 }), "{served:?}");
+        queue.remove(kind, 7);
+    }
+}
+
+/// Guards against the first request of a connection that waits until all other clients were read.
+#[test]
+fn a_new_client_is_read_before_the_backlog_of_others() {
+    let queue = ReadyQueue::new(LIMITS);
+    (0..400).for_each(|id| queue.insert(ConnectionKind::Client, id, READABLE));
+    serve_busy(&queue, 1_000);
+    queue.insert(ConnectionKind::NewClient, 500, READABLE);
+    let served = serve_busy(&queue, 2);
+    assert!(served.contains(&ReadyConnection { kind: ConnectionKind::NewClient, id: 500 }), "{served:?}");
+}
+
+/// Guards against clients that keep all others waiting, since they connect anew again and again.
+#[test]
+fn kinds_that_are_always_ready_have_equal_shares() {
+    let queue = ReadyQueue::new(LIMITS);
+    let kinds = [ConnectionKind::Upstream, ConnectionKind::NewClient, ConnectionKind::Client];
+    for kind in kinds {
+        (0..10).for_each(|id| queue.insert(kind, id, READABLE));
+    }
+    let served = serve_busy(&queue, 300);
+    for kind in kinds {
+        let turns = served.iter().filter(|connection| connection.kind == kind).count();
+        assert!((99..=101).contains(&turns), "{kind:?}: {turns} of 300");
+    }
+}
+
+#[test]
+fn a_connection_that_is_marked_twice_is_served_once_for_both() {
+    let queue = ReadyQueue::new(LIMITS);
+    queue.insert(ConnectionKind::Client, 1, READABLE);
+    queue.insert(ConnectionKind::Client, 1, Readiness { readable: false, writable: true, error: false });
+    let (connection, readiness) = queue.pop().expect("a ready connection");
+    assert_eq!(connection, ReadyConnection { kind: ConnectionKind::Client, id: 1 });
+    assert!(readiness.readable && readiness.writable && !readiness.error);
+    assert!(queue.is_empty() && queue.pop().is_none());
+}
+
+#[test]
+fn a_connection_that_was_served_outside_its_turn_or_has_ended_is_not_ready() {
+    let queue = ReadyQueue::new(LIMITS);
+    (1..=3).for_each(|id| queue.insert(ConnectionKind::Client, id, READABLE));
+    queue.withdraw(ConnectionKind::Client, 1);
+    queue.remove(ConnectionKind::Client, 2);
+    queue.withdraw(ConnectionKind::Link, 9);
+    assert!(!queue.contains(ConnectionKind::Client, 1) && queue.contains(ConnectionKind::Client, 3));
+    assert!(queue.has_any(ConnectionKind::Client) && !queue.has_any(ConnectionKind::Upstream));
+    queue.withdraw(ConnectionKind::Client, 3);
+    assert!(queue.is_empty() && !queue.has_any(ConnectionKind::Client));
+}
--- a/examples/quickstart/src/client.rs
+++ b/examples/quickstart/src/client.rs
@@ -36,12 +36,12 @@
 
     /// Cancels the request of a stream.
     pub fn give_up(&mut self, stream: u32) -> io::Result<()> {
-        self.stream.write_all(&frame(67, stream, &[]))
+        self.stream.write_all(&cancellation(stream))
     }
 
     /// Queries whether the router is ready.
     pub fn ask_ready(&mut self, stream: u32) -> io::Result<()> {
-        self.stream.write_all(&frame(80, stream, &[0]))
+        self.stream.write_all(&readiness_query(stream))
     }
 
     /// Reads the next frame.
@@ -79,6 +79,16 @@
     frame(65, stream, &payload)
 }
 
+/// Encodes the cancellation of a request.
+pub fn cancellation(stream: u32) -> Vec<u8> {
+    frame(67, stream, &[])
+}
+
+/// Encodes a query whether the router is ready.
+pub fn readiness_query(stream: u32) -> Vec<u8> {
+    frame(80, stream, &[0])
+}
+
 fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
     let mut out = ((payload.len() + 5) as u32).to_be_bytes().to_vec();
     out.push(kind);
