Write a client's answers only after the messages of the same read are handled

Cause, by reading: a read wrote the answer to a readiness check before the request that the client had sent ahead of it was handed to the policy. Since a new connection is read after the events of its turn, both arrive in one read more often; where the router lost the processor in between, its client had left and the cache accepted before the attempt began.

Change: `read_input` leaves the writing to its caller, and a ready client is read, its events are handled, and then its output is written. Other callers write after reading, as before.

--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -35,9 +35,17 @@
         }
     }
 
-    /// Reads what a client has sent, as far as its budget goes, and writes pending output. Open requests of a client
-    /// that has disconnected are reported as cancelled.
+    /// Reads what a client has sent, as far as its budget goes, and writes pending output.
     pub fn read(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
+        self.read_input(now, id, events);
+        // The socket may be writable without another readiness event.
+        self.flush(now, id, events);
+    }
+
+    /// Reads what a client has sent, as far as its budget goes. Open requests of a client that has disconnected are
+    /// reported as cancelled. The caller has the output written, best after it has handled the events: a message is
+    /// not answered before those that the client has sent earlier are handled.
+    pub fn read_input(&mut self, now: Ms, id: ClientId, events: &mut Vec<ClientEvent>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let kind = client.kind();
         client.was_read = true;
@@ -51,8 +59,6 @@
         if let Some(client) = self.clients.get_mut(&id) {
             client.ready_since = None;
         }
-        // The socket may be writable without another readiness event.
-        self.flush(now, id, events);
     }
 
     fn read_within(&mut self, now: Ms, id: ClientId, budget: &mut WorkBudget, events: &mut Vec<ClientEvent>) {
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -49,7 +49,7 @@
                 downstreams.flush(now, id, events);
             }
             if readiness.readable || readiness.error {
-                downstreams.read(now, id, events);
+                downstreams.read_input(now, id, events);
             }
         });
         self.run_downstreams(|downstreams, events| downstreams.flush(now, id, events));
