Hold the bound of a turn by a test with a cache that sends copies without end

The bound of a turn covers them since connections to caches are served from the same queue.

Change: `requests_are_answered_beside_a_cache_that_sends_copies_without_end` in `tests/flooding.rs`.

--- a/crates/router/tests/flooding.rs
+++ b/crates/router/tests/flooding.rs
@@ -1,4 +1,4 @@
-//! Clients that send small messages at full speed: a turn of the event loop has its bound, whoever is ready, so that
+//! Clients and caches that send small messages at full speed: a turn of the event loop has its bound, whoever is ready, so that
 //! the requests of others are answered in time.
 
 mod common;
@@ -8,8 +8,9 @@
 use std::time::{Duration, Instant};
 
 use common::flooding_clients::{Flood, FloodingClients};
-use common::{fleet, SERVED};
-use linnethook_quickstart::Client;
+use common::{echo, fleet, fleet_of, Fleet, Router, SERVED};
+use linnethook_quickstart::cache::encode;
+use linnethook_quickstart::{Answer as CacheAnswer, Cache, CacheEvent, Client};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 
 /// How long the flooding clients send before the first request of another one.
@@ -17,6 +18,8 @@
 /// The other clients' requests, and the time between them.
 const REQUESTS: u32 = 20;
 const INTERVAL: Duration = Duration::from_millis(100);
+/// How many copies of an answer a cache writes together.
+const COPIES_PER_WRITE: usize = 1_000;
 /// An answer later than its deadline by more than this is lost: half a second, and 50 ms on sockets.
 const MAX_LATE: Duration = Duration::from_millis(500 + 50);
 
@@ -40,18 +43,24 @@
     Some(Answer { code: answer.code, after: sent.elapsed() })
 }
 
-/// Asks beside flooding clients: no request is lost, and at least half of them are served.
+/// Asks beside flooding clients.
 fn check_flood(clients: u32, flood: Flood, deadline: Duration) {
     let maximum = getrlimit(Resource::Nofile).maximum;
     setrlimit(Resource::Nofile, Rlimit { current: maximum, maximum }).expect("more descriptors");
     let fleet = fleet();
-    let router = fleet.router.address;
-    let _flooding = FloodingClients::start(router, clients, flood);
+    let _flooding = FloodingClients::start(fleet.router.address, clients, flood);
     thread::sleep(FLOOD_BEGIN);
+    println!("{clients} clients, {flood:?}");
+    check_requests(&fleet.router, deadline);
+}
+
+/// Asks: no request is lost, and at least half of them are served.
+fn check_requests(router: &Router, deadline: Duration) {
+    let address = router.address;
     let asking: Vec<_> = (0..REQUESTS)
         .map(|number| {
             thread::sleep(INTERVAL);
-            thread::spawn(move || ask(router, number, deadline))
+            thread::spawn(move || ask(address, number, deadline))
         })
         .collect();
     let answers = asking.into_iter().filter_map(|asked| asked.join().expect("no panic"));
@@ -60,12 +69,32 @@
     let lost = REQUESTS as usize - timely;
     let served = answers.iter().filter(|answer| answer.code == SERVED).count();
     let longest = answers.iter().map(|answer| answer.after).max();
-    println!("{clients} clients, {flood:?}: {served} of {REQUESTS} served, {lost} lost, longest {longest:?}");
-    println!("{}", fleet.router.counters_line());
+    println!("{served} of {REQUESTS} served, {lost} lost, longest {longest:?}");
+    println!("{}", router.counters_line());
     assert_eq!(lost, 0, "lost of {REQUESTS}");
     assert!(2 * served >= REQUESTS as usize, "{served} of {REQUESTS} served");
 }
 
+/// Writes copies of an answer to a connection with a request until the router closes it, and then to the next one.
+/// Other connections are answered meanwhile.
+fn write_copies(cache: &Cache) {
+    for event in &cache.events {
+        let CacheEvent::Request { connection, id, .. } = event else { continue };
+        let copies = encode(&id, &CacheAnswer::data(b"a copy".as_slice())).repeat(COPIES_PER_WRITE);
+        while cache.write(connection, &copies).is_ok() {}
+    }
+}
+
+/// Guards against a turn that reads a cache until nothing is left, while copies of an answer follow without end.
+#[test]
+fn requests_are_answered_beside_a_cache_that_sends_copies_without_end() {
+    let Fleet { a, b: _b, parent: _parent, origin: _origin, journal: _journal, router } =
+        fleet_of(echo("a"), echo("b"), echo("origin"));
+    let copying = thread::spawn(move || write_copies(&a));
+    check_requests(&router, Duration::from_millis(1_500));
+    assert!(!copying.is_finished(), "the cache has ended");
+}
+
 /// Guards against a turn that reads all that a hundred clients send and cancel, while the requests of others wait.
 #[test]
 fn requests_are_answered_beside_a_hundred_clients_that_send_and_cancel() {
