Hold by a test that the event loop rests beside clients that it does not read

Cause: the loop does not wait while a connection is ready, so that one that stays ready without being served would make it turn without a pause.

Change: `the_event_loop_rests_after_a_flood_and_beside_a_client_that_reads_nothing` counts turns within 1 s after a flood has ended, beside a client with more than 1 MB of unread answers. The bound is one turn in 5 ms, the router's shortest pause.

--- a/crates/router/tests/flooding.rs
+++ b/crates/router/tests/flooding.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,6 +11,7 @@
 use common::flooding_clients::{Flood, FloodingClients};
 use common::{echo, fleet, fleet_of, Fleet, Router, SERVED};
 use linnethook_quickstart::cache::encode;
+use linnethook_quickstart::client::readiness_query;
 use linnethook_quickstart::{Answer as CacheAnswer, Cache, CacheEvent, Client};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 
@@ -18,6 +20,14 @@
 /// The other clients' requests, and the time between them.
 const REQUESTS: u32 = 20;
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Too few clients to keep others waiting.
+const FEW_CLIENTS: u32 = 10;
+/// So many answers to readiness queries are more than the router and the system keep for a client.
+const UNREAD_ANSWERS: u32 = 1_500_000;
+/// How long the turns of a router without work are counted.
+const REST: Duration = Duration::from_secs(1);
+/// The router's shortest pause before something is tried again is 5 ms.
+const MAX_TURNS_AT_REST: u64 = 200;
 /// How many copies of an answer a cache writes together.
 const COPIES_PER_WRITE: usize = 1_000;
 /// An answer later than its deadline by more than this is lost: half a second, and 50 ms on sockets.
@@ -75,6 +85,34 @@
     assert!(2 * served >= REQUESTS as usize, "{served} of {REQUESTS} served");
 }
 
+/// Guards against a loop that turns without waiting for clients that it does not read: those that have left in the
+/// middle of a flood, and one that takes none of its answers.
+#[test]
+fn the_event_loop_rests_after_a_flood_and_beside_a_client_that_reads_nothing() {
+    let fleet = fleet();
+    let flooding = FloodingClients::start(fleet.router.address, FEW_CLIENTS, Flood::CancelledRequests(1));
+    thread::sleep(FLOOD_BEGIN);
+    drop(flooding);
+    let silent = fleet.router.client();
+    let queries: Vec<u8> = (1..=UNREAD_ANSWERS).flat_map(readiness_query).collect();
+    silent.stream.set_nonblocking(true).expect("a socket");
+    let mut written = 0;
+    let begin = Instant::now();
+    while written < queries.len() && begin.elapsed() < FLOOD_BEGIN {
+        match (&silent.stream).write(&queries[written..]) {
+            Ok(bytes) => written += bytes,
+            Err(_) => thread::sleep(Duration::from_millis(1)),
+        }
+    }
+    let turns = || fleet.router.counters().0["turns"];
+    let before = turns();
+    thread::sleep(REST);
+    let during = turns() - before;
+    println!("{during} turns within {REST:?}");
+    assert!(during <= MAX_TURNS_AT_REST, "{during} turns within {REST:?}");
+    drop(silent);
+}
+
 /// Writes copies of an answer to a connection with a request until the router closes it, and then to the next one.
 /// Other connections are answered meanwhile.
 fn write_copies(cache: &Cache) {
