Give the steps of a turn of the event loop a file of their own

Change: measuring, marking and serving move to router/turns.rs as they are; kinds of connections get doc comments. No behaviour changes.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,11 +1,13 @@
 //! One router: its state, and the dispatch between its components.
 //!
-//! - [`readiness`]: handling of ready sockets.
+//! - [`readiness`]: what the event loop reports of sockets;
+//! - [`turns`]: the steps of a turn of the event loop, and the service of ready connections.
 //!
 //! The router makes no routing decisions. It passes events of its sockets, of the journal and of the control
 //! socket to the responsible components, and manages their startup and shutdown.
 
 mod readiness;
+mod turns;
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -35,7 +37,7 @@
 use crate::shadow_policy::{ShadowReport, ShadowSetup};
 use crate::start_error::StartError;
 use crate::start_retry;
-use crate::turn::{ConnectionKind, ReadyQueue, TurnClock, TurnDurations, TurnWork, READABLE};
+use crate::turn::{ReadyQueue, TurnClock, TurnDurations, TurnWork};
 
 /// The maximum time between two runs of the timers.
 const MAX_TIMER_INTERVAL_MS: Ms = 1_000.0;
@@ -231,56 +233,6 @@
         Duration::from_secs_f64((next - now).clamp(0.0, MAX_TIMER_INTERVAL_MS) / 1000.0)
     }
 
-    /// Begins a turn of the event loop.
-    pub fn begin_wait(&mut self) {
-        self.turn.begin_wait(self.clock.now());
-    }
-
-    /// Ends the wait of a turn that had no event either: what is read from here on has just arrived.
-    pub fn end_wait(&mut self) {
-        self.note_event();
-    }
-
-    /// Ends a turn. One that took longer than the bound is logged.
-    pub fn end_turn(&mut self) {
-        let duration = self.turn.duration(self.clock.now());
-        let Some(times) = self.turn_durations.end_turn(duration) else { return };
-        log_line!(
-            duration_ms = duration.round(),
-            accepts_ms = times.get(TurnWork::Accepts).round(),
-            clients_ms = times.get(TurnWork::Clients).round(),
-            caches_ms = times.get(TurnWork::Upstreams).round(),
-            journal_ms = times.get(TurnWork::Discovery).round(),
-            links_ms = times.get(TurnWork::Links).round(),
-            commands_ms = times.get(TurnWork::Commands).round(),
-            timers_ms = times.get(TurnWork::Timers).round(),
-            clients = self.proxy.gauges().clients,
-            "a turn of the event loop took longer than its bound"
-        );
-    }
-
-    /// Does a part of this turn's work, and records how long it takes.
-    fn measure<T>(&mut self, work: TurnWork, step: impl FnOnce(&mut Self) -> T) -> T {
-        let begin = self.clock.now();
-        let outcome = step(self);
-        self.turn_durations.add(work, self.clock.now() - begin);
-        outcome
-    }
-
-    /// Records that an event of this turn is handled.
-    fn note_event(&mut self) {
-        self.turn.note_event(self.clock.now());
-        self.proxy.set_earliest_arrival(self.turn.earliest_arrival());
-    }
-
-    /// Accepts nobody, but marks all connections as ready, whether or not they were reported.
-    pub fn mark_all_ready(&mut self) {
-        for id in self.discovery.connection_ids() {
-            self.ready.insert(ConnectionKind::Discovery, id, READABLE);
-        }
-        self.proxy.mark_all_ready();
-    }
-
     // ---- Signals.
 
     /// Handles a signal: SIGUSR1 prints the counters, SIGHUP reads the configuration again, and all others
--- a/crates/router/src/router/readiness.rs
+++ b/crates/router/src/router/readiness.rs
@@ -1,5 +1,4 @@
-//! Handling of ready sockets. Connections that the event loop reports only become ready; they are served by the
-//! components that own them, within the time of the turn.
+//! What the event loop reports of sockets. Connections only become ready: they are served later in the turn.
 
 use std::fs::File;
 use std::net::TcpListener;
@@ -11,7 +10,7 @@
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
 use crate::operator_reload::EvaluationProgress;
-use crate::turn::{ConnectionKind, ReadyConnection, TurnWork};
+use crate::turn::{ConnectionKind, TurnWork};
 
 use super::Router;
 
@@ -64,42 +63,6 @@
 }
 
 impl Router {
-    /// Serves connections that are ready until none is left, or the time for them is over. The others are served in
-    /// later turns.
-    pub fn serve_ready(&mut self) {
-        let until = self.clock.now() + self.limits.turn.connections_ms;
-        while let Some((connection, readiness)) = self.ready.pop() {
-            let work = match connection.kind {
-                ConnectionKind::Discovery => TurnWork::Discovery,
-                ConnectionKind::Upstream => TurnWork::Upstreams,
-                ConnectionKind::Link => TurnWork::Links,
-                ConnectionKind::NewClient | ConnectionKind::Client => TurnWork::Clients,
-            };
-            self.measure(work, |router| router.serve(connection, readiness));
-            if self.clock.now() >= until {
-                return;
-            }
-        }
-    }
-
-    /// Reads and writes one connection.
-    fn serve(&mut self, connection: ReadyConnection, readiness: Readiness) {
-        let ReadyConnection { kind, id } = connection;
-        match kind {
-            ConnectionKind::Discovery => self.serve_discovery(id, readiness),
-            ConnectionKind::Upstream => self.proxy.serve_upstream(id, readiness),
-            ConnectionKind::Link => self.proxy.serve_link(id, readiness),
-            ConnectionKind::NewClient | ConnectionKind::Client => self.proxy.serve_client(id, readiness),
-        }
-    }
-
-    fn serve_discovery(&mut self, id: u64, readiness: Readiness) {
-        self.ready.remove(ConnectionKind::Discovery, id);
-        let events = self.discovery.serve(self.clock.now(), id, readiness);
-        self.on_watch_events(events);
-        self.proxy.process_outcomes();
-    }
-
     /// Reads output of the evaluation of the operator file; returns false if there is nothing more to read.
     fn read_evaluation(&mut self, output: &File) -> bool {
         let Some(file) = &mut self.operator_file else { return false };
--- a/crates/router/src/turn/ready_queue.rs
+++ b/crates/router/src/turn/ready_queue.rs
@@ -19,11 +19,15 @@
 /// The kinds of connections; where their shares are equal, the first goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionKind {
+    /// A connection to the journal service.
     Discovery,
+    /// A connection to a cache, a parent or the origin.
     Upstream,
+    /// A link with another site.
     Link,
     /// A client's connection that has not been read yet. Others can't delay the first request of a connection.
     NewClient,
+    /// A client's connection that has been read.
     Client,
 }
 
@@ -31,10 +35,12 @@
     const ALL: [Self; 5] = [Self::Discovery, Self::Upstream, Self::Link, Self::NewClient, Self::Client];
 }
 
-/// A connection; its id is unique within its kind.
+/// A connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReadyConnection {
+    /// Whose connection it is.
     pub kind: ConnectionKind,
+    /// Its id among those of its kind.
     pub id: u64,
 }
 
