Serve upstream connections before clients in a turn, each side for its own time

Callers saw, with the equal shares of all kinds that came with the bound of a turn: a router that is busy with many large answers served 3 requests in the time in which it had served 262, refused 198 and had 171 attempts that never reached a cache.

Cause: clients had half of each turn's work whether or not replies waited. Reading a client takes on further work, reading a cache finishes it: with equal shares a saturated router took on more than it finished, connections that had come up waited for 346 ms, and their attempts were given up. Known as receive livelock.

Change: a turn serves upstream connections first, for at most 30 ms, and then clients, for at most 10 ms. So requests that were taken on are finished before others are read, and neither endless replies nor endless requests keep the other side waiting. Within a side all is as before.

--- a/crates/router/src/config/limits.rs
+++ b/crates/router/src/config/limits.rs
@@ -157,9 +157,11 @@
 pub struct TurnLimits {
     /// A turn that takes longer is logged. Cancellations have to be noticed within 100 ms.
     pub max_duration_ms: Ms,
-    /// The time in which connections that are ready are served; the others are served in later turns. A request
-    /// takes several turns from its accept to its answer.
-    pub connections_ms: Ms,
+    /// The time in which connections to caches, the journal and other sites are served that are ready; the others
+    /// are served in later turns. A request takes several turns from its accept to its answer.
+    pub upstream_ms: Ms,
+    /// The same for clients, after that.
+    pub downstream_ms: Ms,
     /// The work that one connection may cause before others have their turn: so many bytes that are read, or fewer
     /// with messages.
     pub max_connection_bytes: usize,
@@ -171,7 +173,8 @@
     fn new() -> Self {
         Self {
             max_duration_ms: 50.0,
-            connections_ms: 10.0,
+            upstream_ms: 30.0,
+            downstream_ms: 10.0,
             // A client with all its requests in one go is read in one.
             max_connection_bytes: MAX_STREAMS_PER_CLIENT * MESSAGE_COST_BYTES,
             message_cost_bytes: MESSAGE_COST_BYTES,
--- a/crates/router/src/router/turns.rs
+++ b/crates/router/src/router/turns.rs
@@ -3,7 +3,8 @@
 use calloop::Readiness;
 
 use crate::log::log_line;
-use crate::turn::{ConnectionKind, ReadyConnection, TurnWork, READABLE};
+use crate::policy_adapter::Ms;
+use crate::turn::{ConnectionKind, ReadyConnection, Side, TurnWork, READABLE};
 
 use super::Router;
 
@@ -58,11 +59,16 @@
         self.proxy.mark_all_ready();
     }
 
-    /// Serves connections that are ready until none is left, or the time for them is over. The others are served in
-    /// later turns.
+    /// Serves connections that are ready until none is left, or the time of their side is over. The others are served
+    /// in later turns.
     pub fn serve_ready(&mut self) {
-        let until = self.clock.now() + self.limits.turn.connections_ms;
-        while let Some((connection, readiness)) = self.ready.pop() {
+        self.serve_side(Side::Upstream, self.limits.turn.upstream_ms);
+        self.serve_side(Side::Downstream, self.limits.turn.downstream_ms);
+    }
+
+    fn serve_side(&mut self, side: Side, max_duration: Ms) {
+        let until = self.clock.now() + max_duration;
+        while let Some((connection, readiness)) = self.ready.pop(side) {
             let work = match connection.kind {
                 ConnectionKind::Discovery => TurnWork::Discovery,
                 ConnectionKind::Upstream => TurnWork::Upstreams,
--- a/crates/router/src/turn/mod.rs
+++ b/crates/router/src/turn/mod.rs
@@ -14,5 +14,5 @@
 
 pub use clock::TurnClock;
 pub use durations::{TurnDurations, TurnReport, TurnWork};
-pub use ready_queue::{ConnectionKind, ReadyConnection, ReadyQueue, READABLE, READABLE_AND_WRITABLE};
+pub use ready_queue::{ConnectionKind, ReadyConnection, ReadyQueue, Side, READABLE, READABLE_AND_WRITABLE};
 pub use work_budget::WorkBudget;
--- a/crates/router/src/turn/ready_queue.rs
+++ b/crates/router/src/turn/ready_queue.rs
@@ -1,9 +1,9 @@
 //! The connections that are ready to be read or written.
 //!
 //! The event loop only reports which connections became ready. They are served afterwards, a bounded part of each at a
-//! time, until the time of the turn is over; the others wait for later turns. First the kinds of connections have
-//! equal shares, so that no number of clients delays the replies of endpoints or the journal. Within a kind, the
-//! connection that was served least is the next one.
+//! time, until the time of their side is over; the others wait for later turns. Upstream connections go first: requests
+//! that were taken on are finished before further ones are taken on, or else a busy router would finish none. On each
+//! side the kinds of connections have equal shares, and within a kind, the connection that was served least is next.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -33,6 +33,26 @@
 
 impl ConnectionKind {
     const ALL: [Self; 5] = [Self::Discovery, Self::Upstream, Self::Link, Self::NewClient, Self::Client];
+
+    fn side(self) -> Side {
+        match self {
+            Self::Discovery | Self::Upstream | Self::Link => Side::Upstream,
+            Self::NewClient | Self::Client => Side::Downstream,
+        }
+    }
+}
+
+/// The sides of the router, each with its own time in a turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Connections to the journal service, to caches, parents, the origin and other sites.
+    Upstream,
+    /// Connections of clients.
+    Downstream,
+}
+
+impl Side {
+    const ALL: [Self; 2] = [Self::Upstream, Self::Downstream];
 }
 
 /// A connection.
@@ -56,7 +76,9 @@
 #[derive(Debug)]
 struct Queues {
     limits: TurnLimits,
-    kinds: FairQueue<ConnectionKind>,
+    /// By side.
+    kinds: [FairQueue<ConnectionKind>; Side::ALL.len()],
+    /// By kind.
     connections: [FairQueue<u64>; ConnectionKind::ALL.len()],
     /// What the waiting connections are ready for.
     readiness: HashMap<ReadyConnection, Readiness>,
@@ -67,16 +89,20 @@
         &mut self.connections[kind as usize]
     }
 
+    fn kinds_beside(&mut self, kind: ConnectionKind) -> &mut FairQueue<ConnectionKind> {
+        &mut self.kinds[kind.side() as usize]
+    }
+
     fn charge(&mut self, connection: ReadyConnection, budget: &WorkBudget) {
         self.of(connection.kind).charge(connection.id, budget.spent());
-        self.kinds.charge(connection.kind, budget.spent());
+        self.kinds_beside(connection.kind).charge(connection.kind, budget.spent());
     }
 
     fn withdraw(&mut self, connection: ReadyConnection) {
         self.of(connection.kind).withdraw(connection.id);
         self.readiness.remove(&connection);
         if self.of(connection.kind).is_empty() {
-            self.kinds.withdraw(connection.kind);
+            self.kinds_beside(connection.kind).withdraw(connection.kind);
         }
     }
 }
@@ -87,7 +113,7 @@
         let connection_work = limits.max_connection_bytes as u64;
         Self(Rc::new(RefCell::new(Queues {
             limits,
-            kinds: FairQueue::new(0),
+            kinds: Side::ALL.map(|_| FairQueue::new(0)),
             connections: ConnectionKind::ALL.map(|_| FairQueue::new(connection_work)),
             readiness: HashMap::new(),
         })))
@@ -100,7 +126,7 @@
 
     /// Whether no connection is ready.
     pub fn is_empty(&self) -> bool {
-        self.0.borrow().kinds.is_empty()
+        self.0.borrow().kinds.iter().all(FairQueue::is_empty)
     }
 
     /// Whether a connection is ready, and was not served since.
@@ -117,7 +143,7 @@
     pub fn insert(&self, kind: ConnectionKind, id: u64, readiness: Readiness) {
         let mut queues = self.0.borrow_mut();
         queues.of(kind).insert(id);
-        queues.kinds.insert(kind);
+        queues.kinds_beside(kind).insert(kind);
         let none = Readiness { readable: false, writable: false, error: false };
         let merged = queues.readiness.entry(ReadyConnection { kind, id }).or_insert(none);
         merged.readable |= readiness.readable;
@@ -125,16 +151,16 @@
         merged.error |= readiness.error;
     }
 
-    /// Takes the next connection to be served. Being served at all counts as a message.
-    pub fn pop(&self) -> Option<(ReadyConnection, Readiness)> {
+    /// Takes the next connection of a side to be served. Being served at all counts as a message.
+    pub fn pop(&self, side: Side) -> Option<(ReadyConnection, Readiness)> {
         let mut queues = self.0.borrow_mut();
-        let kind = queues.kinds.pop()?;
+        let kind = queues.kinds[side as usize].pop()?;
         let id = queues.of(kind).pop()?;
         let mut budget = WorkBudget::new(queues.limits);
         budget.spend_message();
         queues.charge(ReadyConnection { kind, id }, &budget);
         if !queues.of(kind).is_empty() {
-            queues.kinds.insert(kind);
+            queues.kinds_beside(kind).insert(kind);
         }
         let connection = ReadyConnection { kind, id };
         let readiness = queues.readiness.remove(&connection)?;
