Serve a connection by parts that hold the largest reply

Callers saw, with the bound of a turn: a router with 8 MB refused 67 of 94 answers of 240 KB for want of buffers, though 44 of 256 blocks were in use a moment later.

Cause, by the counters of one fill: a connection was served 128 KiB at a time, so that replies of 240 KB were read in two parts, in turn with each other. The first parts of all replies held the buffers before any of them was complete.

Change: a message counts as 16 KiB, one block, so that a part is 512 KiB or 32 messages: the largest reply (256 KiB) is read in one, as are all requests that a client may have open.

--- a/crates/router/src/config/limits.rs
+++ b/crates/router/src/config/limits.rs
@@ -149,8 +149,8 @@
 /// The maximum number of open requests on one connection of a client, set by the protocol.
 const MAX_STREAMS_PER_CLIENT: usize = 32;
 
-/// Handling a message counts as reading so many bytes.
-const MESSAGE_COST_BYTES: usize = 4 * KIB;
+/// Handling a message counts as reading so many bytes: one block.
+const MESSAGE_COST_BYTES: usize = 16 * KIB;
 
 /// Turns of the event loop.
 #[derive(Debug, Clone, Copy)]
@@ -175,7 +175,8 @@
             max_duration_ms: 50.0,
             upstream_ms: 30.0,
             downstream_ms: 10.0,
-            // A client with all its requests in one go is read in one.
+            // All requests of a client that come in one go are read in one. So is the largest reply: many that are
+            // read in part would take the buffers.
             max_connection_bytes: MAX_STREAMS_PER_CLIENT * MESSAGE_COST_BYTES,
             message_cost_bytes: MESSAGE_COST_BYTES,
         }
