Let a small remainder of input hold only as much memory as it has bytes

Cause: a client whose next message is there in part, or whose part of a turn is over, holds whole blocks of 16 KiB. 400 of them, each with some 900 bytes of a message, hold 6.5 MB.

Change: a chain that needs at most half of its only block is copied into one of its own size, and the block is free again. The pool counts such blocks by their size, so that its bounds hold as before.

Measured: the new unit test (20 chains of 100 bytes count as 2 blocks of 1,000 instead of 20); unit tests of the router, 102 passed.

--- a/crates/router/src/buffers.rs
+++ b/crates/router/src/buffers.rs
@@ -23,6 +23,15 @@
     /// The number of blocks in use at which the pool counts as short.
     short_at: usize,
     in_use: usize,
+    /// The size of all compact blocks together, in bytes.
+    compact_bytes: usize,
+}
+
+impl Blocks {
+    /// The number of blocks in use; compact ones count by their size.
+    fn in_use(&self) -> usize {
+        self.in_use + self.compact_bytes.div_ceil(self.size)
+    }
 }
 
 /// The share of the blocks that may be in use before the pool counts as short.
@@ -34,26 +43,27 @@
     pub fn new(block_size: usize, max_free: usize, max_in_use: usize) -> Self {
         let size = block_size.max(1);
         let short_at = (max_in_use as f64 * SHORT_RATIO).ceil() as usize;
-        let blocks = Blocks { free: Vec::new(), size, max_free, max_in_use, short_at, in_use: 0 };
+        let (free, in_use, compact_bytes) = (Vec::new(), 0, 0);
+        let blocks = Blocks { free, size, max_free, max_in_use, short_at, in_use, compact_bytes };
         Self(Rc::new(RefCell::new(blocks)))
     }
 
     /// Whether no blocks should be taken for new messages. This is advisory: blocks can still be acquired.
     pub fn is_exhausted(&self) -> bool {
         let blocks = self.0.borrow();
-        blocks.in_use >= blocks.max_in_use
+        blocks.in_use() >= blocks.max_in_use
     }
 
     /// Whether the remaining blocks are reserved for messages that use few of them. Always true for an
     /// exhausted pool.
     pub fn is_short(&self) -> bool {
         let blocks = self.0.borrow();
-        blocks.in_use >= blocks.short_at
+        blocks.in_use() >= blocks.short_at
     }
 
     /// The number of blocks in use.
     pub fn in_use(&self) -> usize {
-        self.0.borrow().in_use
+        self.0.borrow().in_use()
     }
 
     fn acquire(&self) -> Block {
@@ -64,8 +74,20 @@
         Block { bytes, start: 0, end: 0 }
     }
 
+    /// A copy of a block that is as large as its data.
+    fn acquire_compact(&self, block: &Block) -> Block {
+        let bytes: Box<[u8]> = block.filled().into();
+        self.0.borrow_mut().compact_bytes += bytes.len();
+        let end = bytes.len();
+        Block { bytes, start: 0, end }
+    }
+
     fn release(&self, block: Block) {
         let mut blocks = self.0.borrow_mut();
+        if block.bytes.len() < blocks.size {
+            blocks.compact_bytes = blocks.compact_bytes.saturating_sub(block.bytes.len());
+            return;
+        }
         blocks.in_use = blocks.in_use.saturating_sub(1);
         if blocks.free.len() < blocks.max_free {
             blocks.free.push(block.bytes);
@@ -147,6 +169,17 @@
         &mut self.blocks[last]
     }
 
+    /// Gives up the free space of a chain that needs little of its only block, and is kept for a while.
+    pub fn compact(&mut self) {
+        let [block] = self.blocks.make_contiguous() else { return };
+        if block.filled().len() > block.bytes.len() / 2 {
+            return;
+        }
+        let compact = self.pool.acquire_compact(block);
+        let block = std::mem::replace(block, compact);
+        self.pool.release(block);
+    }
+
     /// Appends another chain: without copying its bytes, unless they fit into the free space of the last block.
     pub fn append(&mut self, mut other: Self) {
         if other.len <= self.free_bytes() {
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -58,6 +58,7 @@
         self.ready.charge(kind, id, &budget);
         if let Some(client) = self.clients.get_mut(&id) {
             client.ready_since = None;
+            client.input.compact();
         }
     }
 
--- a/crates/router/tests/unit/buffers.rs
+++ b/crates/router/tests/unit/buffers.rs
@@ -51,3 +51,22 @@
     assert_eq!(chain.read_from(&b"abc"[..]).expect("bytes"), 3);
     assert!(pool.is_exhausted());
 }
+
+/// Guards against small remainders that hold a whole block each.
+#[test]
+fn a_compact_chain_counts_by_its_size_and_can_be_extended() {
+    let pool = BufferPool::new(1_000, 4, 10);
+    let mut chains: Vec<BufferChain> = (0..20).map(|_| BufferChain::from_bytes(&pool, &[7; 100])).collect();
+    assert_eq!(pool.in_use(), 20);
+    chains.iter_mut().for_each(BufferChain::compact);
+    chains.iter_mut().for_each(BufferChain::compact);
+    assert_eq!(pool.in_use(), 2);
+    chains[0].push(&[8; 30]);
+    assert_eq!(chains[0].to_vec(), [vec![7; 100], vec![8; 30]].concat());
+    assert_eq!(pool.in_use(), 3);
+    let mut large = BufferChain::from_bytes(&pool, &[9; 600]);
+    large.compact();
+    assert_eq!(pool.in_use(), 4);
+    drop((chains, large));
+    assert_eq!(pool.in_use(), 0);
+}
