Count a request's body twice, so that one large request is a part of a client's work

Callers saw nothing; `effects.rs` did not reach what it checks: bookings of a client with little time went ahead of other clients' that had been sent before.

Cause: with 1 KiB a message two bookings of some 40 KB fitted into one part.

Change: the bytes of a body count once as read and once as passed on.

--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -254,6 +254,8 @@
             if let ClientMessage::Request { body, .. } = &message {
                 let field_bytes = frame_bytes.saturating_sub(body.len());
                 budget.spend_bytes(field_bytes * self.limits.turn.field_byte_cost);
+                // It is passed on, too.
+                budget.spend_bytes(body.len());
             }
             client.scanned = client.scanned.saturating_sub(frame_bytes);
             client.partial_since = None;
