--- a/crates/router/tests/unit/buffers.rs
+++ b/crates/router/tests/unit/buffers.rs
@@ -1,4 +1,6 @@
-//! Unit tests of `src/buffers.rs`, included there as the module `tests`.
+//! Unit tests of `src/buffers`, included there as the module `tests`.
+
+use std::io::{self, Read};
 
 use super::*;
 
