Handle clients' messages in a module of their own, apart from reading

Cause: reader.rs read, looked ahead and handled messages, in one function of 70 lines for the latter. Change: messages.rs handles a message in short steps; what a read changes in a connection is recorded by the connection itself. No behaviour differs.

--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -241,6 +241,33 @@
         self.partial_frame_bytes(max_frame).is_some_and(|frame_bytes| frame_bytes > bytes)
     }
 
+    /// Records bytes that were appended to the input. Returns true if the connection is to be closed: it lingers, and
+    /// no more is discarded.
+    pub fn note_read(&mut self, read: usize) -> bool {
+        let ConnectionPhase::Lingering { bytes, .. } = &mut self.phase else {
+            self.has_undecoded_input = true;
+            return false;
+        };
+        self.input.consume(read);
+        *bytes = bytes.saturating_sub(read);
+        *bytes == 0
+    }
+
+    /// Records that the input holds no further complete message.
+    pub fn note_partial_input(&mut self, now: Ms) {
+        self.has_undecoded_input = false;
+        self.scanned = 0;
+        let is_partial = self.has_partial_message();
+        self.partial_since = is_partial.then(|| self.partial_since.unwrap_or(now));
+    }
+
+    /// Records that a message of so many bytes was taken from the input.
+    pub fn note_message(&mut self, now: Ms, bytes: usize) {
+        self.scanned = self.scanned.saturating_sub(bytes);
+        self.partial_since = None;
+        self.last_used = now;
+    }
+
     /// Since when a partially received message has been incomplete, or could not be read further.
     pub fn receiving_since(&self) -> Ms {
         self.partial_since.unwrap_or(self.last_used)
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -5,7 +5,8 @@
 //! - [`connection`]: the state of one connection;
 //! - [`listener`]: accepting connections, and evicting idle ones in favour of new ones;
 //! - [`shortage`]: whether this process is short of descriptors;
-//! - [`reader`]: reading requests and cancellations;
+//! - [`reader`]: reading what clients send;
+//! - [`messages`]: handling their requests, cancellations and readiness checks;
 //! - [`protocol_error`]: why a connection is closed with an error;
 //! - [`writer`]: writing answers;
 //! - [`closing`]: closing connections;
@@ -20,6 +21,7 @@
 mod connection;
 mod drain;
 mod listener;
+mod messages;
 mod protocol_error;
 mod reader;
 mod request;
--- a/crates/router/src/downstream/reader.rs
+++ b/crates/router/src/downstream/reader.rs
@@ -1,4 +1,4 @@
-//! Reading requests, cancellations and readiness checks, a bounded part of each client at a time.
+//! Reading what clients send, a bounded part of each at a time.
 
 use std::io;
 
@@ -6,15 +6,12 @@
 
 use crate::event_handler::EventHandler;
 use crate::permission::CloseReason;
-use crate::policy_adapter::{Ms, Ticket};
+use crate::policy_adapter::Ms;
 
 use super::closing::withdraw_request;
-use super::codec::{self, ClientMessage, Fields, FrameHeads};
+use super::codec::FrameHeads;
 use super::connection::{ClientConnection, ConnectionPhase, ReadAheadEnd};
-use super::protocol_error::ProtocolError;
-use super::request::parse_request;
-use super::{ClientEvent, ClientId, ClientStream, Downstreams};
-use crate::buffers::BufferChain;
+use super::{ClientEvent, ClientId, Downstreams};
 use crate::system_error::is_interrupted;
 use crate::turn::{WorkBudget, READABLE, READABLE_AND_WRITABLE};
 
@@ -79,7 +76,7 @@
                 return self.defer_reading(now, id, budget, events);
             }
             if client.is_open() && client.has_undecoded_input {
-                self.decode_input(now, id, budget, events);
+                self.handle_input(now, id, budget, events);
                 continue;
             }
             let read = match client.input.read_from(&*client.stream) {
@@ -94,28 +91,12 @@
                 Err(error) => return self.on_transfer_error(now, id, &error, events),
             };
             budget.spend_bytes(read);
-            match &mut client.phase {
-                ConnectionPhase::Lingering { bytes, .. } => {
-                    client.input.consume(read);
-                    *bytes = bytes.saturating_sub(read);
-                    if *bytes == 0 {
-                        return self.remove(id, CloseReason::Finished, events);
-                    }
-                }
-                ConnectionPhase::Open | ConnectionPhase::Closing { .. } => {
-                    client.has_undecoded_input = true;
-                }
+            if client.note_read(read) {
+                return self.remove(id, CloseReason::Finished, events);
             }
         }
     }
 
-    /// Lets a client count as one that is known, from its first message on.
-    fn promote(&mut self, id: ClientId) {
-        let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_new) else { return };
-        client.is_new = false;
-        self.ready.promote_client(id);
-    }
-
     /// Leaves the rest of a client's input to its next turn. Its open requests may have been cancelled in the rest:
     /// they must not be forwarded.
     fn defer_reading(
@@ -204,127 +185,4 @@
             self.mark_ready(now, id, READABLE_AND_WRITABLE);
         }
     }
-
-    /// While buffers are short, discards partially received messages that need several blocks: those of clients
-    /// without any answer before the others, and the oldest first. Otherwise a few clients that send slowly
-    /// could keep the buffers from all others. A request is rejected once the rest of it has arrived.
-    pub(super) fn discard_partial_messages(&mut self) {
-        let block_bytes = self.limits.buffers.block_bytes;
-        let max_frame = self.limits.clients.max_frame_bytes;
-        while self.buffers.is_short() {
-            let clients = self.clients.values_mut();
-            let large = clients.filter(|client| client.is_receiving_more_than(block_bytes, max_frame));
-            let oldest = large.min_by(|a, b| {
-                let answered = a.has_been_answered.cmp(&b.has_been_answered);
-                answered.then(a.receiving_since().total_cmp(&b.receiving_since()))
-            });
-            if oldest.is_none_or(|client| client.discard_frame(max_frame).is_err()) {
-                return;
-            }
-        }
-    }
-
-    /// Handles the messages that were read, as far as the budget goes.
-    fn decode_input(
-        &mut self,
-        now: Ms,
-        id: ClientId,
-        budget: &mut WorkBudget,
-        events: &mut Vec<ClientEvent>,
-    ) {
-        while let Some(client) = self.clients.get_mut(&id).filter(|client| client.is_open()) {
-            if budget.is_spent() {
-                return;
-            }
-            let max_frame = self.limits.clients.max_frame_bytes;
-            let unread_bytes = client.input.len();
-            let message = match client.next_message(max_frame) {
-                Ok(Some(message)) => message,
-                Ok(None) => {
-                    client.has_undecoded_input = false;
-                    client.scanned = 0;
-                    let is_partial = client.has_partial_message();
-                    client.partial_since = is_partial.then(|| client.partial_since.unwrap_or(now));
-                    return self.discard_partial_messages();
-                }
-                Err(error) => return self.close_with_error(now, id, error.into(), events),
-            };
-            let frame_bytes = unread_bytes - client.input.len();
-            budget.spend_message();
-            if let ClientMessage::Request { body, .. } = &message {
-                let field_bytes = frame_bytes.saturating_sub(body.len());
-                budget.spend_bytes(field_bytes * self.limits.turn.field_byte_cost);
-                // It is passed on, too.
-                budget.spend_bytes(body.len());
-            }
-            client.scanned = client.scanned.saturating_sub(frame_bytes);
-            client.partial_since = None;
-            client.last_used = now;
-            self.promote(id);
-            let Some(client) = self.clients.get_mut(&id) else { return };
-            match message {
-                ClientMessage::Request { stream, fields, body } => match self.open_request(id, stream) {
-                    Ok(ticket) => {
-                        let stream = ClientStream { client: id, stream };
-                        events.push(self.request_event(now, ticket, stream, &fields, body));
-                    }
-                    Err(error) => return self.close_with_error(now, id, error, events),
-                },
-                ClientMessage::DiscardedRequest { stream } => match self.open_request(id, stream) {
-                    Ok(ticket) => {
-                        events.push(ClientEvent::Discarded(ticket, ClientStream { client: id, stream }));
-                    }
-                    Err(error) => return self.close_with_error(now, id, error, events),
-                },
-                ClientMessage::Cancel { stream } => {
-                    let Some(ticket) = client.open.remove(&stream) else { continue };
-                    self.counts.withdrawn += u64::from(withdraw_request(ticket, events));
-                }
-                ClientMessage::ReadinessCheck { stream } => {
-                    client.has_been_answered = true;
-                    let readiness = codec::encode_readiness(&self.buffers, stream, !self.draining);
-                    client.output.append(readiness);
-                }
-            }
-        }
-    }
-
-    /// Opens a request on a stream; an error means that the connection has to be closed.
-    fn open_request(&mut self, id: ClientId, stream: u32) -> Result<Ticket, ProtocolError> {
-        let max_streams = self.limits.clients.max_streams_per_connection;
-        self.last_ticket += 1;
-        let Some(client) = self.clients.get_mut(&id) else { return Ok(self.last_ticket) };
-        if !client.streams.insert(stream, max_streams) {
-            return Err(ProtocolError::StreamReused);
-        }
-        if client.open.len() >= max_streams {
-            return Err(ProtocolError::TooManyOpenRequests);
-        }
-        client.open.insert(stream, self.last_ticket);
-        // The input behind it may hold its cancellation, which had no effect before.
-        client.scanned = 0;
-        Ok(self.last_ticket)
-    }
-
-    /// The event of a request that was opened on a stream.
-    fn request_event(
-        &mut self,
-        now: Ms,
-        ticket: Ticket,
-        stream: ClientStream,
-        fields: &Fields,
-        body: BufferChain,
-    ) -> ClientEvent {
-        let Some(mut request) = parse_request(stream, fields, body, &self.limits) else {
-            return ClientEvent::Invalid(stream);
-        };
-        let arrival = self.earliest_arrival.min(now);
-        request.arrived_at = Some(arrival);
-        if let Some(client) = self.clients.get_mut(&stream.client) {
-            request.arrived_at = Some(client.earliest_arrival(arrival));
-            let until = now + request.spec.budget + self.limits.requests.network_allowance_ms;
-            client.answers_awaited_until = client.answers_awaited_until.max(until);
-        }
-        ClientEvent::Request(ticket, Box::new(request))
-    }
 }
