Count attempts begun for another site's client that has gone, by cause

Cause: whether a router tries for a client of another site that has left could be seen only in the logs of the store. No counter told a cancelled request from one whose link had ended.

Change: the gateway keeps for each request from another site whether its sender has cancelled it or its connection has ended, and the router counts attempts begun after that as `sent_after_cancel` and `sent_after_link_loss`, after `violations`. No decision changes.

--- a/crates/gateway/src/actions.rs
+++ b/crates/gateway/src/actions.rs
@@ -52,6 +52,15 @@
     pub passed_sites: Vec<String>,
 }
 
+/// Why it is not known, or not true any more, that the sender of a request from another site waits for its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// The sender has cancelled the request: nobody waits for it.
+    Cancelled,
+    /// The connection that the request came on has ended. The sender may wait, and then queries the outcome.
+    ConnectionLost,
+}
+
 /// An action that the caller of a gateway has to carry out. Actions are carried out in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 use crate::site_state::PublishedState;
 
 pub use self::cluster::PeerEntry;
-pub use crate::actions::{Action, ConnectionId, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
+pub use crate::actions::{Action, ConnectionId, Departure, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
 pub use crate::config::{GatewayConfig, GatewaySetup, PeerConfig};
 pub use crate::status::{
     ConnectionView, GatewayCounts, GatewayStatusView, PeerGatewayView, RemoteSiteView, RouteView, SiteShare,
@@ -141,6 +141,11 @@
         self.remote_requests.complete(&mut self.links, now, ticket, reply);
     }
 
+    /// Why the sender of a request from another site may no longer wait for its reply; `None` while it waits.
+    pub fn departure_of(&self, ticket: Ticket) -> Option<Departure> {
+        self.remote_requests.departure_of(ticket)
+    }
+
     /// Records the outcome of a request that was served here for a client of this site.
     pub fn record_local_outcome(&mut self, now: Ms, kind: RequestKind, failed: bool) {
         self.forwarder.local_capacity.record_outcome(now, kind, failed);
--- a/crates/gateway/src/remote_requests.rs
+++ b/crates/gateway/src/remote_requests.rs
@@ -13,7 +13,7 @@
 use linnethook::interface::Ms;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::actions::{Action, ConnectionId, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
+use crate::actions::{Action, ConnectionId, Departure, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
 use crate::attempt_ledger::{Admission, AttemptOutcome, Ticket, Token};
 use crate::codec::{CachedReply, ForwardedRequest, Message, RejectReason, ResponseHead, ResumePoint};
 use crate::config::GatewayConfig;
@@ -32,6 +32,8 @@
 struct ServedRequest {
     /// The stream for the reply; `None` once it has ended.
     reply_to: Option<StreamId>,
+    /// Set once it is not certain any more that the sender waits.
+    departure: Option<Departure>,
     peer: String,
     token: Option<Token>,
     /// Identifies its content, and its peer; `None` for a request with a token.
@@ -99,6 +101,11 @@
         }
     }
 
+    /// See [`Gateway::departure_of`](crate::gateway::Gateway::departure_of).
+    pub fn departure_of(&self, ticket: Ticket) -> Option<Departure> {
+        self.requests.get(&ticket)?.departure
+    }
+
     /// The number of requests without a reply.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -174,6 +181,7 @@
         let ticket = FIRST_REMOTE_TICKET + self.last_number;
         let served = ServedRequest {
             reply_to: Some(stream),
+            departure: None,
             peer,
             token: request.token,
             content,
@@ -199,7 +207,7 @@
         let Some(earlier) = self.by_content.get(&content) else { return };
         let reply_to = self.requests.get(earlier).and_then(|request| request.reply_to);
         if let Some(earlier) = reply_to.filter(|earlier| earlier.connection != stream.connection) {
-            self.handle_cancellation(links, earlier);
+            self.handle_departure(links, earlier, Departure::Cancelled);
             reject_stream(links, earlier, RejectReason::Unusable);
             links.request_write(earlier.connection);
         }
@@ -280,12 +288,20 @@
         true
     }
 
-    /// Handles a cancellation by the sender. A request with a token continues to run, and its outcome is
-    /// retained.
+    /// Handles a cancellation by the sender.
     pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
+        self.handle_departure(links, stream, Departure::Cancelled);
+    }
+
+    /// Handles the end of a stream without a reply. A request with a token continues to run, and its outcome is
+    /// retained.
+    fn handle_departure(&mut self, links: &mut Links, stream: StreamId, departure: Departure) {
         let Some(ticket) = self.by_stream.remove(&stream) else { return };
         match self.requests.get_mut(&ticket) {
-            Some(request) if request.token.is_some() => request.reply_to = None,
+            Some(request) if request.token.is_some() => {
+                request.reply_to = None;
+                request.departure = Some(departure);
+            }
             Some(_) => {
                 self.remove(ticket);
                 links.push(Action::CancelServe(ticket));
@@ -299,7 +315,7 @@
         let all = StreamId { connection, stream: 0 }..=StreamId { connection, stream: u32::MAX };
         let streams: Vec<StreamId> = self.by_stream.range(all).map(|(stream, _)| *stream).collect();
         for stream in streams {
-            self.handle_cancellation(links, stream);
+            self.handle_departure(links, stream, Departure::ConnectionLost);
         }
         self.write_deadlines.retain(|(_, stream)| stream.connection != connection);
     }
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 
+use linnethook_gateway::gateway::Departure;
+
 use crate::cluster::ClusterAdapter;
 use crate::downstream::codec::AnswerCode;
 use crate::downstream::ConnectionCounts;
@@ -98,6 +100,10 @@
         /// Connections that were closed while answers were owed on them, and attempts that were still queued
         /// though their requests had ended.
         violations: u64 = "violations",
+        /// Attempts begun for requests from other sites that their senders had cancelled.
+        attempts_after_cancel: u64 = "sent_after_cancel",
+        /// Attempts begun for requests from other sites whose connection had ended.
+        attempts_after_link_loss: u64 = "sent_after_link_loss",
     }
 }
 
@@ -127,6 +133,17 @@
         *counter += 1;
     }
 
+    /// Counts an attempt that is begun. `departure` is set if its request came from another site that may not wait
+    /// for it any more.
+    pub fn record_attempt(&mut self, departure: Option<Departure>) {
+        self.attempts += 1;
+        match departure {
+            Some(Departure::Cancelled) => self.attempts_after_cancel += 1,
+            Some(Departure::ConnectionLost) => self.attempts_after_link_loss += 1,
+            None => {}
+        }
+    }
+
     /// Counts an answer to a client with the bytes of its body.
     pub fn record_answer(&mut self, code: AnswerCode, body_bytes: usize) {
         match code {
--- a/crates/router/src/proxy/attempts.rs
+++ b/crates/router/src/proxy/attempts.rs
@@ -51,7 +51,9 @@
         let Some(request) = self.requests.get(order.attempt.ticket) else {
             return self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         };
-        self.counters.attempts += 1;
+        let remote_sites = self.parts.remote_sites.as_ref();
+        let departure = remote_sites.and_then(|sites| sites.gateway.departure_of(order.attempt.ticket));
+        self.counters.record_attempt(departure);
         if let Some(cluster) = &mut self.parts.cluster {
             cluster.record_attempt(now, order, &request.message.id, request.profile.is_write);
         }
