Begin no attempt for another site's booking once its sender has cancelled it

Cause: RemoteRequests::handle_cancellation took three events as one: the sender's word that nobody waits, the loss of the connection (whose sender may well wait, and asks later), and a copy that replaces another.

Change: a cancellation by the sender always cancels at the router, with or without a token; a lost connection is handled by itself, as before. The router ends the request at once (place, queued attempts, policy), and completes it at the gateway once its outcome is known: rejected only if every attempt is proven not executed, else with the outcome of the running attempt when that comes, or as failed where it was called off without an answer. So the ledger never says that a token never ran while that is open. Upstreams tell for each attempt whether it may have been executed; an attempt that ends as cancelled may have been only if it was sent whole. A request that was forwarded further is cancelled there, too.

Tests: tests/remote_departures.rs (two routers, a store that rejects for 450 ms; clients cancel, close, half-close and reset, two others stay) failed before, both tests: attempts 230 ms to 0.77 s after the client had gone, one of them executed; with the change both pass. tests/cancelled_attempts.rs of the gateway holds what is retained of the token.

--- a/crates/gateway/src/actions.rs
+++ b/crates/gateway/src/actions.rs
@@ -77,7 +77,8 @@
     /// Serve a request from another site. The caller completes it exactly once, with
     /// [`complete_remote_request`](crate::gateway::Gateway::complete_remote_request).
     ServeRemote(RemoteRequest),
-    /// Cancel a request from another site.
+    /// Cancel a request from another site: no further attempt is begun for it. The caller completes it once its
+    /// outcome is known, as rejected only if it is proven not to have run.
     CancelServe(Ticket),
     /// Another site has published a fact that concerns this site too.
     RemoteFact(Fact),
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -330,12 +330,13 @@
         links.push(Action::Answer(ticket, Reply::Rejected { retry_after }));
     }
 
-    /// Cancels a request whose reply is no longer needed.
-    pub fn cancel_request(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
-        let Some(request) = self.pending.remove(ticket) else { return };
+    /// Cancels a request whose reply is no longer needed. Returns whether another site may have executed it.
+    pub fn cancel_request(&mut self, links: &mut Links, now: Ms, ticket: Ticket) -> bool {
+        let Some(request) = self.pending.remove(ticket) else { return false };
         self.record_outcome(now, &request, None);
         cancel_stream(links, &request, ticket);
         self.sent_attempts.abandon(ticket);
+        !matches!(request.state, ForwardState::Waiting(_))
     }
 
     /// Records the end of an attempt. `failed` is `None` if it has no bearing on the path to the site.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -131,9 +131,9 @@
         self.forwarder.forward_rejected_request(&mut self.links, now, ticket, request)
     }
 
-    /// Cancels a request whose reply is no longer needed.
-    pub fn cancel_request(&mut self, now: Ms, ticket: Ticket) {
-        self.forwarder.cancel_request(&mut self.links, now, ticket);
+    /// Cancels a request whose reply is no longer needed. Returns whether another site may have executed it.
+    pub fn cancel_request(&mut self, now: Ms, ticket: Ticket) -> bool {
+        self.forwarder.cancel_request(&mut self.links, now, ticket)
     }
 
     /// Completes a request from another site with its only reply. A rejected request must not have run.
--- a/crates/gateway/src/remote_requests.rs
+++ b/crates/gateway/src/remote_requests.rs
@@ -207,7 +207,7 @@
         let Some(earlier) = self.by_content.get(&content) else { return };
         let reply_to = self.requests.get(earlier).and_then(|request| request.reply_to);
         if let Some(earlier) = reply_to.filter(|earlier| earlier.connection != stream.connection) {
-            self.handle_departure(links, earlier, Departure::Cancelled);
+            self.handle_cancellation(links, earlier);
             reject_stream(links, earlier, RejectReason::Unusable);
             links.request_write(earlier.connection);
         }
@@ -236,6 +236,9 @@
         if is_sent {
             return;
         }
+        if request.departure == Some(Departure::Cancelled) {
+            return;
+        }
         // The stream has ended: the outcome is reported on another connection, or else the sender queries it.
         let Some(token) = request.token else { return };
         let Some(peer) = links.peers.get_mut(&request.peer) else { return };
@@ -288,26 +291,32 @@
         true
     }
 
-    /// Handles a cancellation by the sender.
+    /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
+    /// is still retained.
     pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
-        self.handle_departure(links, stream, Departure::Cancelled);
+        let Some(ticket) = self.end_stream(stream, Departure::Cancelled) else { return };
+        links.push(Action::CancelServe(ticket));
     }
 
-    /// Handles the end of a stream without a reply. A request with a token continues to run, and its outcome is
-    /// retained.
-    fn handle_departure(&mut self, links: &mut Links, stream: StreamId, departure: Departure) {
-        let Some(ticket) = self.by_stream.remove(&stream) else { return };
-        match self.requests.get_mut(&ticket) {
-            Some(request) if request.token.is_some() => {
-                request.reply_to = None;
-                request.departure = Some(departure);
-            }
-            Some(_) => {
-                self.remove(ticket);
-                links.push(Action::CancelServe(ticket));
-            }
-            None => {}
+    /// Handles the loss of the connection that a request came on. One with a token continues to run, and its outcome
+    /// is retained: its sender may query it.
+    fn handle_lost_stream(&mut self, links: &mut Links, stream: StreamId) {
+        let Some(ticket) = self.end_stream(stream, Departure::ConnectionLost) else { return };
+        if !self.requests.contains_key(&ticket) {
+            links.push(Action::CancelServe(ticket));
+        }
+    }
+
+    /// Ends a stream whose request has no reply, and returns the request. One without a token is forgotten.
+    fn end_stream(&mut self, stream: StreamId, departure: Departure) -> Option<Ticket> {
+        let ticket = self.by_stream.remove(&stream)?;
+        let request = self.requests.get_mut(&ticket)?;
+        request.reply_to = None;
+        request.departure = Some(departure);
+        if request.token.is_none() {
+            self.remove(ticket);
         }
+        Some(ticket)
     }
 
     /// Handles the loss of a connection with all its streams.
@@ -315,7 +324,7 @@
         let all = StreamId { connection, stream: 0 }..=StreamId { connection, stream: u32::MAX };
         let streams: Vec<StreamId> = self.by_stream.range(all).map(|(stream, _)| *stream).collect();
         for stream in streams {
-            self.handle_departure(links, stream, Departure::ConnectionLost);
+            self.handle_lost_stream(links, stream);
         }
         self.write_deadlines.retain(|(_, stream)| stream.connection != connection);
     }
--- /dev/null
+++ b/crates/gateway/tests/cancelled_attempts.rs
@@ -0,0 +1,90 @@
+//! Requests with a token whose senders cancel them: nothing further is begun for them, and what is retained of the
+//! token is what is known.
+
+mod support;
+
+use bytes::Bytes;
+use linnethook_gateway::attempt_ledger::{AttemptOutcome, Ticket, Token};
+use linnethook_gateway::codec::Message;
+use linnethook_gateway::gateway::{Action, Departure, Gateway, GatewayConfig, Reply};
+use support::*;
+
+const TOKEN: Token = Token { epoch: PEER_EPOCH, number: 1 };
+const STREAM: u32 = 1;
+
+fn served() -> Reply {
+    Reply::Served { fields: Vec::new(), body: Bytes::from_static(b"booked"), version: None }
+}
+
+fn served_ticket(gateway: &mut Gateway) -> Option<Ticket> {
+    actions(gateway).into_iter().find_map(|action| match action {
+        Action::ServeRemote(request) => Some(request.ticket),
+        _ => None,
+    })
+}
+
+/// A gateway that serves the request with [`TOKEN`], which its sender has cancelled.
+fn with_cancelled_request() -> (Gateway, Ticket) {
+    let mut gateway = connected(GatewayConfig::default());
+    send(&mut gateway, 61.0, STREAM, request(Some(TOKEN)));
+    let ticket = served_ticket(&mut gateway).expect("served");
+    assert_eq!(gateway.departure_of(ticket), None);
+    send(&mut gateway, 62.0, STREAM, Message::Cancel);
+    assert!(actions(&mut gateway).contains(&Action::CancelServe(ticket)));
+    assert_eq!(gateway.departure_of(ticket), Some(Departure::Cancelled));
+    sent_frames(&mut gateway);
+    (gateway, ticket)
+}
+
+/// The outcome of [`TOKEN`] that the gateway reports to a query.
+fn queried(gateway: &mut Gateway) -> AttemptOutcome {
+    send(gateway, 64.0, 0, Message::OutcomeQuery(TOKEN));
+    let reports = sent_frames(gateway).into_iter().filter_map(|frame| match frame.message {
+        Message::OutcomeReport(TOKEN, outcome) => Some(outcome),
+        _ => None,
+    });
+    let reports: Vec<AttemptOutcome> = reports.collect();
+    assert_eq!(reports.len(), 1);
+    reports[0].clone()
+}
+
+/// Guards against a token that is reported as never run while its last attempt may still be executed.
+#[test]
+fn a_cancelled_request_is_running_until_its_outcome_is_known() {
+    let (mut gateway, _) = with_cancelled_request();
+    assert_eq!(queried(&mut gateway), AttemptOutcome::Running);
+}
+
+#[test]
+fn a_cancelled_request_that_was_not_executed_never_runs() {
+    let (mut gateway, ticket) = with_cancelled_request();
+    gateway.complete_remote_request(63.0, ticket, Reply::Rejected { retry_after: 0.0 });
+    assert!(sent_frames(&mut gateway).is_empty(), "nobody waits for the outcome");
+    assert_eq!(queried(&mut gateway), AttemptOutcome::NeverRan);
+    send(&mut gateway, 65.0, STREAM + 1, request(Some(TOKEN)));
+    assert_eq!(served_ticket(&mut gateway), None, "it is fenced");
+}
+
+#[test]
+fn a_cancelled_request_that_was_or_may_have_been_executed_is_never_reported_as_not_run() {
+    for reply in [served(), Reply::Failed] {
+        let (mut gateway, ticket) = with_cancelled_request();
+        gateway.complete_remote_request(63.0, ticket, reply);
+        assert!(matches!(queried(&mut gateway), AttemptOutcome::Completed(_)));
+        assert_eq!(gateway.departure_of(ticket), None, "its place is given back");
+        send(&mut gateway, 65.0, STREAM + 1, request(Some(TOKEN)));
+        assert_eq!(served_ticket(&mut gateway), None, "it does not run twice");
+    }
+}
+
+#[test]
+fn a_cancellation_that_crosses_with_the_reply_changes_nothing() {
+    let mut gateway = connected(GatewayConfig::default());
+    send(&mut gateway, 61.0, STREAM, request(Some(TOKEN)));
+    let ticket = served_ticket(&mut gateway).expect("served");
+    gateway.complete_remote_request(62.0, ticket, served());
+    sent_frames(&mut gateway);
+    send(&mut gateway, 63.0, STREAM, Message::Cancel);
+    assert!(!actions(&mut gateway).contains(&Action::CancelServe(ticket)));
+    assert!(matches!(queried(&mut gateway), AttemptOutcome::Completed(Some(_))));
+}
--- a/crates/router/src/policy_adapter/events.rs
+++ b/crates/router/src/policy_adapter/events.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Whether an attempt with this outcome may have been executed.
+    pub fn may_have_run(self) -> bool {
+        !self.status().never_executed()
+    }
+
     fn status(self) -> AttemptStatus {
         match self {
             Self::Answered => AttemptStatus::Ok,
--- a/crates/router/src/proxy/attempts.rs
+++ b/crates/router/src/proxy/attempts.rs
@@ -3,7 +3,7 @@
 use crate::event_handler::EventHandler;
 use crate::hierarchy_adapter::FillDecision;
 use crate::policy_adapter::{AttemptKey, Ms, PolicyInput};
-use crate::upstream::{AttemptOrder, CompletedAttempt, FillPath, HealthCheckResult};
+use crate::upstream::{AttemptOrder, CompletedAttempt, FillPath, HealthCheckResult, ResponsePayload};
 
 use super::Proxy;
 
@@ -92,11 +92,17 @@
         if let (Some(cluster), Some(request)) = (&mut self.parts.cluster, write) {
             cluster.record_write_outcome(now, &request.message.id, attempt.number, end);
         }
+        let has_departed = self.departed.record_attempt(&completed);
+        self.requests.record_attempt(&completed);
         if let Some(hierarchy) = &mut self.parts.hierarchy {
             let decisions = hierarchy.complete_attempt(now, &completed);
             self.execute_fill_decisions(decisions);
         }
         let commands = self.policy.handle(now, PolicyInput::AttemptEnded(completed.report));
+        if has_departed {
+            self.execute(commands, ResponsePayload::Empty);
+            return self.on_departed_attempt(attempt, end, completed.payload);
+        }
         self.execute(commands, completed.payload);
     }
 
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`clients`]: requests and cancellations of clients, and their final answers;
 //! - [`attempts`]: sending of attempts to caches, and their outcomes;
+//! - [`departed`]: requests of other sites whose senders have gone;
 //! - [`remote_sites`]: requests forwarded to other sites, and requests received from them;
 //! - [`buffer_usage`]: logging what holds the buffers while they are short;
 //! - [`endpoints`]: updates of the endpoint list, fill sources and purges, from every source.
@@ -13,6 +14,7 @@
 mod attempts;
 mod buffer_usage;
 mod clients;
+mod departed;
 mod endpoints;
 mod remote_sites;
 
@@ -33,6 +35,8 @@
 use crate::turn::ReadyQueue;
 use crate::upstream::{AttemptOrder, ResponsePayload, Upstreams};
 
+use departed::DepartedRequests;
+
 /// The resources that a proxy shares with the rest of the router.
 pub struct ProxySetup<'a, W: EventHandler> {
     /// The clock of the process.
@@ -60,6 +64,7 @@
     downstreams: Downstreams<W>,
     upstreams: Upstreams<W>,
     requests: OpenRequests,
+    departed: DepartedRequests,
     /// The time of the policy's next timer, in milliseconds.
     policy_timer: Option<Ms>,
     /// Set during shutdown: new requests are rejected.
@@ -86,6 +91,7 @@
             downstreams: Downstreams::new(limits, buffers, reserve, ready, handle.clone()),
             upstreams,
             requests: OpenRequests::new(limits.requests.max_open),
+            departed: DepartedRequests::default(),
             policy_timer: None,
             is_closing: false,
             counters: Counters::default(),
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -9,7 +9,7 @@
 use crate::downstream::ClientRequest;
 use crate::event_handler::EventHandler;
 use crate::log::log_line;
-use crate::policy_adapter::{FinalAnswer, Ms, PolicyInput, Ticket};
+use crate::policy_adapter::{FinalAnswer, Ms, Ticket};
 use crate::remote_sites::{self, answer_of, is_remote, parse_remote_request, SiteEffect};
 use crate::requests::OpenRequest;
 use crate::upstream::ResponsePayload;
@@ -188,15 +188,8 @@
     }
 
     fn on_remote_cancelled(&mut self, ticket: Ticket) {
-        let now = self.clock.now();
-        if let Some(remote_sites) = &mut self.parts.remote_sites {
-            remote_sites.cancel(now, ticket);
-        }
         self.counters.cancelled_requests += 1;
-        self.requests.remove(ticket);
-        self.withdraw_unsent(now, ticket);
-        self.parts.take_retry_after(ticket);
-        self.report_to_policy(now, PolicyInput::RequestCancelled(ticket));
+        self.cancel_remote(self.clock.now(), ticket);
     }
 
     /// Applies a drain, or the end of one, that another site has announced for an endpoint.
--- a/crates/router/src/remote_sites/serving.rs
+++ b/crates/router/src/remote_sites/serving.rs
@@ -53,9 +53,9 @@
         self.gateway.complete_remote_request(now, ticket, Reply::Rejected { retry_after });
     }
 
-    /// Cancels a request whose answer is no longer needed.
-    pub fn cancel(&mut self, now: Ms, ticket: Ticket) {
-        self.gateway.cancel_request(now, ticket);
+    /// Cancels a request whose answer is no longer needed. Returns whether another site may have executed it.
+    pub fn cancel(&mut self, now: Ms, ticket: Ticket) -> bool {
+        self.gateway.cancel_request(now, ticket)
     }
 
     /// Notifies other sites that this router is shutting down; no more links are opened.
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -6,7 +6,7 @@
 use crate::hierarchy_adapter::RequestProfile;
 use crate::policy_adapter::{Ms, PolicyAdapter, RequestProperties, RequestSpec, Ticket};
 use crate::remote_sites::CrossSiteRequest;
-use crate::upstream::RequestMessage;
+use crate::upstream::{CompletedAttempt, RequestMessage};
 
 /// The number of bytes in a kilobyte, the unit in which clients state sizes.
 const BYTES_PER_KB: f64 = 1_000.0;
@@ -21,6 +21,8 @@
     pub profile: RequestProfile,
     /// Whether it may be executed again, so that it may be rejected although it was executed.
     pub is_idempotent: bool,
+    /// Whether an attempt that has ended may have been executed.
+    pub may_have_run: bool,
     /// The gateway's data for the request; `None` if requests are not forwarded to other sites.
     pub cross_site: Option<Box<CrossSiteRequest>>,
 }
@@ -45,7 +47,7 @@
             received_at: now,
         };
         let is_idempotent = !policy.needs_repeat_protection(spec);
-        Self { stream, message, profile, is_idempotent, cross_site: None }
+        Self { stream, message, profile, is_idempotent, may_have_run: false, cross_site: None }
     }
 
     /// Marks the request as one that may be forwarded to other sites, except those that it has `passed`.
@@ -114,6 +116,13 @@
         self.by_ticket.get(&ticket)
     }
 
+    /// Records the outcome of an attempt.
+    pub fn record_attempt(&mut self, completed: &CompletedAttempt) {
+        if let Some(request) = self.by_ticket.get_mut(&completed.report.attempt.ticket) {
+            request.may_have_run |= completed.may_have_run;
+        }
+    }
+
     /// The tickets of all open requests, in no particular order.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> + '_ {
         self.by_ticket.keys().copied()
--- a/crates/router/src/upstream/attempt.rs
+++ b/crates/router/src/upstream/attempt.rs
@@ -62,6 +62,8 @@
 #[derive(Debug)]
 pub struct CompletedAttempt {
     pub report: AttemptReport,
+    /// Whether the endpoint may have executed it.
+    pub may_have_run: bool,
     pub payload: ResponsePayload,
     /// The edge by which its fill returned to a node that it had already passed.
     pub fill_loop: Option<FillLoop>,
--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -139,7 +139,11 @@
         if let SendProgress::Partial { unwritten_bytes } = progress {
             self.log_ended_while_written(attempt, &in_flight, unwritten_bytes, end);
         }
-        self.complete(now, attempt, in_flight.endpoint, in_flight.sent_at, end);
+        let InFlightAttempt { endpoint, sent_at, .. } = in_flight;
+        match progress {
+            SendProgress::Sent => self.complete(now, attempt, endpoint, sent_at, end),
+            _ => self.complete_unsent(now, attempt, endpoint, sent_at, end),
+        }
         self.close_idle_if_silent(in_flight.endpoint, in_flight.sent_at);
         Some(in_flight.connection)
     }
--- a/crates/router/src/upstream/completion.rs
+++ b/crates/router/src/upstream/completion.rs
@@ -1,7 +1,7 @@
 //! Completion of attempts, by a reply or without one.
 
 use crate::event_handler::EventHandler;
-use crate::policy_adapter::{AttemptEnd, AttemptKey, AttemptReport, EndpointKey, Ms};
+use crate::policy_adapter::{AttemptEnd, AttemptKey, AttemptReport, EndpointKey, Ms, Ticket};
 
 use super::attempt::{CompletedAttempt, ResponsePayload};
 use super::codec::{FieldList, Reply, ReplyBody, ReplyStatus};
@@ -15,6 +15,13 @@
     payload: ResponsePayload,
 }
 
+/// How an attempt without a reply has ended.
+#[derive(Debug, Clone, Copy)]
+struct Execution {
+    end: AttemptEnd,
+    may_have_run: bool,
+}
+
 impl AttemptOutcome {
     fn without_payload(end: AttemptEnd) -> Self {
         Self { end, payload: ResponsePayload::Empty }
@@ -60,7 +67,9 @@
             gauges: response::load_report(&fields),
         };
         let fill_loop = response::fill_loop(&fields);
-        self.completed.push_back(CompletedAttempt { report, payload: outcome.payload, fill_loop });
+        let may_have_run = report.end.may_have_run();
+        let payload = outcome.payload;
+        self.completed.push_back(CompletedAttempt { report, may_have_run, payload, fill_loop });
         self.close_if_drained(id);
     }
 
@@ -103,7 +112,36 @@
         sent_at: Ms,
         end: AttemptEnd,
     ) {
-        self.push_completed(AttemptReport {
+        self.complete_with(
+            now,
+            attempt,
+            endpoint,
+            sent_at,
+            Execution { end, may_have_run: end.may_have_run() },
+        );
+    }
+
+    /// Completes an attempt without a reply of which no byte, or not all, was sent: it was not executed.
+    pub(super) fn complete_unsent(
+        &mut self,
+        now: Ms,
+        attempt: AttemptKey,
+        endpoint: EndpointKey,
+        sent_at: Ms,
+        end: AttemptEnd,
+    ) {
+        self.complete_with(now, attempt, endpoint, sent_at, Execution { end, may_have_run: false });
+    }
+
+    fn complete_with(
+        &mut self,
+        now: Ms,
+        attempt: AttemptKey,
+        endpoint: EndpointKey,
+        sent_at: Ms,
+        Execution { end, may_have_run }: Execution,
+    ) {
+        let report = AttemptReport {
             attempt,
             endpoint,
             end,
@@ -111,12 +149,19 @@
             source_wait: 0.0,
             cache_result: None,
             gauges: Vec::new(),
-        });
+        };
+        self.push_completed(report, may_have_run);
     }
 
     /// Queues the report of an attempt without a reply.
-    pub(super) fn push_completed(&mut self, report: AttemptReport) {
+    pub(super) fn push_completed(&mut self, report: AttemptReport, may_have_run: bool) {
         let payload = ResponsePayload::Empty;
-        self.completed.push_back(CompletedAttempt { report, payload, fill_loop: None });
+        self.completed.push_back(CompletedAttempt { report, may_have_run, payload, fill_loop: None });
+    }
+
+    /// Whether an attempt of a request is in flight, or has an outcome that was not taken yet.
+    pub fn has_unreported_attempt(&self, ticket: Ticket) -> bool {
+        let is_of_request = |completed: &CompletedAttempt| completed.report.attempt.ticket == ticket;
+        self.attempts.of_request(ticket).next().is_some() || self.completed.iter().any(is_of_request)
     }
 }
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -65,7 +65,7 @@
 
     /// Completes an attempt that was never sent as cancelled.
     pub fn cancel_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey) {
-        self.complete(now, attempt, endpoint, now, AttemptEnd::Cancelled);
+        self.complete_unsent(now, attempt, endpoint, now, AttemptEnd::Cancelled);
     }
 
     /// Completes an attempt whose queued fill was withdrawn as not sent.
@@ -77,7 +77,7 @@
     /// count as a fault of its endpoint.
     pub fn reject_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, queued_at: Ms) {
         let elapsed = now - queued_at;
-        self.push_completed(AttemptReport {
+        let report = AttemptReport {
             attempt,
             endpoint,
             end: AttemptEnd::Rejected,
@@ -85,6 +85,7 @@
             source_wait: elapsed,
             cache_result: Some(CacheResult::NoCapacity),
             gauges: Vec::new(),
-        });
+        };
+        self.push_completed(report, false);
     }
 }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The router as a process, with servers of the test in place of everything that it connects to.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod booking_sites;
+pub mod busy_store;
 pub mod fault_plan;
 pub mod faulty_origin;
 pub mod flooding_clients;
@@ -429,6 +431,15 @@
     }
 }
 
+/// Waits for a condition that must occur.
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let end = std::time::Instant::now() + TEST_TIMEOUT;
+    while !condition() {
+        assert!(std::time::Instant::now() < end, "not within {TEST_TIMEOUT:?}: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// Waits for the next request at a server: its connection, id, fields and body.
 pub fn next_request(cache: &Cache) -> (usize, String, Fields, Vec<u8>) {
     match wait(&cache.events, |event| matches!(event, CacheEvent::Request { .. })) {
--- /dev/null
+++ b/crates/router/tests/remote_departures.rs
@@ -0,0 +1,51 @@
+//! Clients of one site that leave while the other site tries for their bookings: no attempt begins for them more
+//! than 0.1 s later, and the bookings of others are made once.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+
+use common::booking_sites::*;
+use common::busy_store::StoreBehavior;
+use common::pending_connections::{Disconnect, DISCONNECTS};
+
+/// Longer than a site takes to try again several times.
+const REJECTS_FOR: Duration = Duration::from_millis(450);
+const PROMPT_STORE: StoreBehavior = StoreBehavior { rejects_for: REJECTS_FOR, answer_delay: Duration::ZERO };
+/// Longer than the store rejects a booking and the pause before the next attempt together.
+const OBSERVATION: Duration = Duration::from_millis(1_500);
+/// The number of clients that stay.
+const STAYING: usize = 2;
+
+/// Guards against attempts for nobody: the south went on trying, and booked, after clients of the north had cancelled
+/// their bookings or disconnected.
+#[test]
+fn a_booking_is_not_tried_at_the_other_site_once_its_client_has_left() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let staying = sites.book_several(STAYING);
+    let departed: Vec<DepartedBooking> = DISCONNECTS
+        .into_iter()
+        .zip(sites.book_several(DISCONNECTS.len()))
+        .map(|(how, booking)| booking.leave(how))
+        .collect();
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.assert_served_once(staying);
+    sites.wait_until_idle();
+    assert_eq!(sites.south().counters().0["sent_after_cancel"], 0);
+}
+
+/// Guards against the same while an attempt runs that the store rejects after the client has left.
+#[test]
+fn a_booking_whose_attempt_is_rejected_after_its_client_has_left_is_not_tried_again() {
+    let answer_delay = Duration::from_millis(300);
+    let mut sites = BookingSites::start(StoreBehavior { rejects_for: REJECTS_FOR, answer_delay });
+    let staying = sites.book_several(STAYING);
+    let departed: Vec<DepartedBooking> =
+        sites.book_several(4).into_iter().map(|booking| booking.leave(Disconnect::CancelFrames)).collect();
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.assert_served_once(staying);
+    sites.wait_until_idle();
+}
--- a/crates/router/tests/unit/requests.rs
+++ b/crates/router/tests/unit/requests.rs
@@ -27,7 +27,14 @@
         received_at: 0.0,
     };
     let stream = ClientStream { client: 1, stream: 1 };
-    OpenRequest { stream, message: message(id, object), profile, is_idempotent: true, cross_site: None }
+    OpenRequest {
+        stream,
+        message: message(id, object),
+        profile,
+        is_idempotent: true,
+        may_have_run: false,
+        cross_site: None,
+    }
 }
 
 #[test]
