Hold attempts for a site whose link is lost, and tell it departures by their tokens

Where only the sender's end was lost, clients that stayed got no answer.

Cause: two holes beside each other. A departure while the attempt was uncertain was told to nobody: Forwarder::cancel_request cancelled only the stream of an attempt in flight and abandoned the token. And a site whose connection to the sender was lost went on trying without knowing whether anybody waited. Beside them, an attempt that had been reported as running on a new connection had no stream there, so that its cancellation was sent nowhere, and its answer was written to the stream of the old connection.

The receiver fences a token that is cancelled before its request arrives. A query moves the request to its connection, where the outcome is reported. A site in the middle passes both on. A report that settles a request closes its stream, and a lost connection touches only requests in flight on it. Counter held_for_sender.

Giving the attempt back to the policy costs it one of four attempts.

--- a/crates/gateway/src/actions.rs
+++ b/crates/gateway/src/actions.rs
@@ -80,6 +80,12 @@
     /// Cancel a request from another site: no further attempt is begun for it. The caller completes it once its
     /// outcome is known, as rejected only if it is proven not to have run.
     CancelServe(Ticket),
+    /// Begin no attempt for a request from another site whose connection was lost, until
+    /// [`may_begin_attempt`](crate::gateway::Gateway::may_begin_attempt) allows it. An attempt that runs goes on.
+    SuspendServe(Ticket),
+    /// Begin no further attempt for a request whose sender was not heard for too long. An attempt that runs goes on.
+    /// The caller completes the request once its outcome is known, as for [`Action::CancelServe`].
+    StopRetries(Ticket),
     /// Another site has published a fact that concerns this site too.
     RemoteFact(Fact),
     /// The first connection to one start of a router of the local site is up, or the last one is down.
--- a/crates/gateway/src/attempt_ledger/mod.rs
+++ b/crates/gateway/src/attempt_ledger/mod.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use received::{Admission, AttemptLedgerConfig, ReceivedAttempts, RetainedAttempts};
-pub use sent::{AttemptState, Resolution, SentAttempts};
+pub use sent::{AttemptState, OpenAttempt, Resolution, SentAttempts};
 
 /// A fencing token. A sender never uses a token twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/gateway/src/attempt_ledger/sent.rs
+++ b/crates/gateway/src/attempt_ledger/sent.rs
@@ -39,6 +39,17 @@
     Failed(Ticket),
 }
 
+/// Identifies an attempt at its receiver.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OpenAttempt {
+    /// Its token.
+    pub token: Token,
+    /// Identifies the process that it was sent to.
+    pub receiver_start: u64,
+    /// The deadline of its request.
+    pub deadline: Ms,
+}
+
 /// The open attempts with tokens that this process has sent.
 #[derive(Debug, Clone)]
 pub struct SentAttempts {
@@ -181,23 +192,31 @@
         }
     }
 
-    /// Drops the attempt of a request that was cancelled. The state of its token at the receiver does not
-    /// change.
-    pub fn abandon(&mut self, ticket: Ticket) {
-        if let Some(token) = self.by_ticket.get(&ticket).copied() {
-            self.remove(token);
-        }
+    /// The open attempt of a request, for a cancellation at its receiver.
+    pub fn open_attempt(&self, ticket: Ticket) -> Option<OpenAttempt> {
+        let token = *self.by_ticket.get(&ticket)?;
+        let Attempt { receiver_start, deadline, .. } = *self.attempts.get(&token)?;
+        Some(OpenAttempt { token, receiver_start, deadline })
+    }
+
+    /// Drops the attempt of a request that was cancelled, and returns it. The state of its token at the receiver does
+    /// not change.
+    pub fn abandon(&mut self, ticket: Ticket) -> Option<OpenAttempt> {
+        let abandoned = self.open_attempt(ticket)?;
+        self.remove(abandoned.token);
+        Some(abandoned)
+    }
+
+    /// The requests with attempts whose deadline has passed.
+    pub fn overdue(&self, now: Ms) -> Vec<Ticket> {
+        self.attempts.values().filter(|a| now >= a.deadline).map(|a| a.ticket).collect()
     }
 
     /// Ends the attempts whose deadline has passed: they have failed for good.
     pub fn expire(&mut self, now: Ms) -> Vec<Resolution> {
-        let expired: Vec<Token> =
-            self.attempts.iter().filter(|(_, a)| now >= a.deadline).map(|(t, _)| *t).collect();
-        expired
-            .into_iter()
-            .filter_map(|token| self.remove(token))
-            .map(|a| Resolution::Failed(a.ticket))
-            .collect()
+        let expired = self.overdue(now);
+        expired.iter().for_each(|ticket| _ = self.abandon(*ticket));
+        expired.into_iter().map(Resolution::Failed).collect()
     }
 
     /// When [`Self::expire`] is due.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -21,8 +21,11 @@
 pub type Fields = Vec<(String, String)>;
 
 /// The protocol versions that this build supports. Version 2 added gossip entries between routers of one
-/// site.
-pub const SUPPORTED_VERSIONS: VersionRange = VersionRange { min: 1, max: 2 };
+/// site, version 3 the cancellation of a token.
+pub const SUPPORTED_VERSIONS: VersionRange = VersionRange { min: 1, max: 3 };
+
+/// The first protocol version with [`Message::CancelToken`].
+pub const CANCEL_TOKEN_VERSION: u16 = 3;
 
 /// A range of protocol versions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +83,8 @@
     GoAway,
     /// Facts outside the versioned updates, for one router of the same site that lacks them.
     DirectFacts(Vec<Fact>),
+    /// Nobody waits for the attempt with this token any more, which was sent on a connection that has ended.
+    CancelToken(Token),
 }
 
 /// The handshake message: the identity of a gateway and what it supports.
--- a/crates/gateway/src/forwarding/mod.rs
+++ b/crates/gateway/src/forwarding/mod.rs
@@ -4,13 +4,17 @@
 //! - `pending`: the requests that have no reply yet;
 //! - `responses`: the handling of responses;
 //! - `recovery`: retries, lost connections and timeouts;
-//! - `waiting`: interrupted requests that wait.
+//! - `waiting`: interrupted requests that wait;
+//! - `departure`: requests that nobody waits for any more;
+//! - `owed_cancellations`: cancellations that may not have arrived.
 //!
 //! A request never has two open attempts, unless it allows that: a further one is sent only after the previous
 //! one has ended at the other site. A request that is not idempotent is sent again only after its previous
 //! attempt is proven not to have run.
 
 mod config;
+mod departure;
+mod owed_cancellations;
 mod pending;
 mod recovery;
 mod responses;
@@ -31,6 +35,7 @@
 use crate::routing::{Route, RouteQuery, RouteRejection, RoutingTable, SiteId};
 use crate::site_names::{SiteNames, LOCAL_SITE};
 
+use owed_cancellations::OwedCancellations;
 use pending::{ForwardState, PendingRequest, PendingRequests};
 
 pub use config::ForwardingConfig;
@@ -89,6 +94,7 @@
     pub local_capacity: LocalCapacity,
     windows: BTreeMap<SiteId, ConcurrencyWindow>,
     sent_attempts: SentAttempts,
+    owed_cancellations: OwedCancellations,
     pending: PendingRequests,
 }
 
@@ -109,6 +115,7 @@
             local_capacity,
             windows: sites.others().map(|site| (site, window.clone())).collect(),
             sent_attempts,
+            owed_cancellations: OwedCancellations::new(config.max_attempts),
             pending: PendingRequests::default(),
             sites,
         }
@@ -330,15 +337,6 @@
         links.push(Action::Answer(ticket, Reply::Rejected { retry_after }));
     }
 
-    /// Cancels a request whose reply is no longer needed. Returns whether another site may have executed it.
-    pub fn cancel_request(&mut self, links: &mut Links, now: Ms, ticket: Ticket) -> bool {
-        let Some(request) = self.pending.remove(ticket) else { return false };
-        self.record_outcome(now, &request, None);
-        cancel_stream(links, &request, ticket);
-        self.sent_attempts.abandon(ticket);
-        !matches!(request.state, ForwardState::Waiting(_))
-    }
-
     /// Records the end of an attempt. `failed` is `None` if it has no bearing on the path to the site.
     fn record_outcome(&mut self, now: Ms, request: &PendingRequest, failed: Option<bool>) {
         let site = match request.state {
@@ -370,10 +368,3 @@
     }
     links.push(Action::Answer(ticket, reply));
 }
-
-/// Cancels the stream of an attempt, if it is in flight.
-fn cancel_stream(links: &mut Links, request: &PendingRequest, ticket: Ticket) {
-    if let ForwardState::InFlight(connection, _) = request.state {
-        links.cancel_request(connection, ticket);
-    }
-}
--- a/crates/gateway/src/forwarding/pending.rs
+++ b/crates/gateway/src/forwarding/pending.rs
@@ -54,6 +54,8 @@
     /// The received part of the body.
     pub body: BytesMut,
     pub tried_sites: Vec<SiteId>,
+    /// Whether another attempt is begun if the current one did not run.
+    pub is_retried: bool,
     /// The site of the last attempt.
     pub last_site: Option<SiteId>,
     /// The retry delay requested by the last site that rejected the request, in milliseconds.
@@ -74,6 +76,7 @@
             fields: Vec::new(),
             body: BytesMut::new(),
             tried_sites,
+            is_retried: true,
             last_site: None,
             retry_after: 0.0,
             spec,
--- a/crates/gateway/src/forwarding/recovery.rs
+++ b/crates/gateway/src/forwarding/recovery.rs
@@ -4,8 +4,9 @@
 
 use linnethook::interface::Ms;
 
+use super::departure::cancel_stream;
 use super::pending::{ForwardState, PendingRequest, UnconfirmedEnd};
-use super::{answer_request, cancel_stream, serve_locally, Forwarder};
+use super::{answer_request, serve_locally, Forwarder};
 use crate::actions::{ConnectionId, Reply};
 use crate::attempt_ledger::{Resolution, Ticket};
 use crate::codec::Message;
@@ -19,6 +20,8 @@
     pub id: ConnectionId,
     /// The requests with streams on it.
     pub tickets: Vec<Ticket>,
+    /// Identifies the process at its other end, if that is known.
+    pub peer_start: Option<u64>,
     /// Set if the peer may still run these requests.
     pub unconfirmed_end: Option<UnconfirmedEnd>,
 }
@@ -35,6 +38,9 @@
         was_interrupted: bool,
     ) {
         request.token = None;
+        if !request.is_retried {
+            return self.reject_request(links, ticket, &request);
+        }
         if !self.config.resumes_bodies || !request.has_version {
             links.counts.discarded_body_bytes += request.body.len() as u64;
             request.discard_body();
@@ -80,9 +86,14 @@
         let mut affected: BTreeSet<Ticket> = self.pending.with_token_on(lost.id).collect();
         affected.extend(lost.tickets);
         let resolutions = self.sent_attempts.connection_lost(lost.id);
+        self.owed_cancellations.connection_lost(lost.id);
         for ticket in affected {
             let Some(request) = self.pending.get_mut(ticket) else { continue };
-            let ForwardState::InFlight(_, site) = request.state else { continue };
+            let ForwardState::InFlight(connection, site) = request.state else { continue };
+            // It may have been sent again on another connection.
+            if connection != lost.id {
+                continue;
+            }
             if request.token.is_none() {
                 // The loss of the connection has no bearing on the capacity of the site.
                 let Some(mut request) = self.pending.remove(ticket) else { continue };
@@ -102,6 +113,9 @@
         for resolution in resolutions {
             self.resolve_attempt(links, now, resolution);
         }
+        if let Some(start) = lost.peer_start {
+            self.send_cancellations(links, start);
+        }
     }
 
     fn handle_uncertain(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
@@ -126,12 +140,16 @@
 
     /// Ends the requests whose deadline, or time to wait for a connection, has passed.
     pub fn expire_requests(&mut self, links: &mut Links, now: Ms) {
+        for ticket in self.sent_attempts.overdue(now) {
+            self.cancel_open_attempt(links, ticket);
+        }
         for resolution in self.sent_attempts.expire(now) {
             self.resolve_attempt(links, now, resolution);
         }
+        self.owed_cancellations.expire(now);
         while let Some((ticket, request)) = self.pending.pop_expired(now) {
             self.record_outcome(now, &request, Some(true));
-            cancel_stream(links, &request, ticket);
+            cancel_stream(links, request.state, ticket);
             answer_request(links, ticket, Reply::Failed);
         }
         for ticket in self.pending.expired_waiting(now) {
--- a/crates/gateway/src/forwarding/responses.rs
+++ b/crates/gateway/src/forwarding/responses.rs
@@ -2,8 +2,9 @@
 
 use linnethook::interface::Ms;
 
+use super::departure::cancel_stream;
 use super::pending::{ForwardState, PendingRequest};
-use super::{answer_request, cancel_stream, Forwarder};
+use super::{answer_request, Forwarder};
 use crate::actions::{ConnectionId, Reply};
 use crate::attempt_ledger::{AttemptOutcome, Resolution, Ticket, Token};
 use crate::codec::{CachedReply, RejectReason, ResponseHead};
@@ -72,7 +73,7 @@
             ticket
         ));
         self.record_outcome(now, &request, None);
-        cancel_stream(links, &request, ticket);
+        cancel_stream(links, request.state, ticket);
         if request.spec.not_idempotent {
             return answer_request(links, ticket, Reply::Failed);
         }
@@ -187,6 +188,7 @@
             Resolution::Answered(ticket, answer) => {
                 let Some(request) = self.pending.remove(ticket) else { return };
                 self.record_outcome(now, &request, Some(false));
+                cancel_stream(links, request.state, ticket);
                 let reply = match postcard::from_bytes::<CachedReply>(&answer) {
                     Ok(CachedReply { served: true, fields, body }) => {
                         Reply::Served { fields, body, version: None }
@@ -199,13 +201,14 @@
                 let Some(request) = self.pending.remove(ticket) else { return };
                 links.counts.proven_not_run += 1;
                 self.record_outcome(now, &request, None);
+                cancel_stream(links, request.state, ticket);
                 self.retry_request(links, now, ticket, request, true);
             }
             Resolution::Failed(ticket) => {
                 let Some(request) = self.pending.remove(ticket) else { return };
                 let failed = matches!(request.state, ForwardState::InFlight(..)).then_some(true);
                 self.record_outcome(now, &request, failed);
-                cancel_stream(links, &request, ticket);
+                cancel_stream(links, request.state, ticket);
                 answer_request(links, ticket, Reply::Failed);
             }
         }
--- a/crates/gateway/src/gateway/connections.rs
+++ b/crates/gateway/src/gateway/connections.rs
@@ -101,9 +101,11 @@
         let may_still_run = reason != CloseReason::Closed;
         self.log_closed(&removed, reason, was_last);
         self.refresh_site_views(now);
-        self.remote_requests.handle_lost_connection(&mut self.links, connection);
+        self.remote_requests.handle_lost_connection(&mut self.links, now, connection);
+        let peer = removed.peer.as_ref().and_then(|name| Some((name, self.links.peers.get(name)?)));
         let lost = LostConnection {
             id: connection,
+            peer_start: peer.map(|(name, peer)| peer_start_id(name, peer.epoch)),
             tickets: removed.session.open_tickets(),
             unconfirmed_end: removed
                 .peer
@@ -192,10 +194,11 @@
             SessionEvent::Cancelled(stream) => {
                 remote_requests.handle_cancellation(links, StreamId { connection, stream });
             }
+            SessionEvent::TokenCancelled(token) => {
+                remote_requests.handle_cancelled_token(links, now, connection, token);
+            }
             SessionEvent::OutcomeQuery(token) => {
-                let Some(peer) = links.peer_of_mut(connection) else { return Ok(()) };
-                let outcome = peer.received_attempts.query_outcome(now, token);
-                links.send(connection, &Message::OutcomeReport(token, outcome));
+                remote_requests.handle_query(links, now, connection, token);
             }
             SessionEvent::OutcomeReport(token, outcome) => {
                 forwarder.handle_outcome(links, now, connection, token, outcome);
@@ -312,6 +315,7 @@
         self.refresh_site_views(now);
         let start = peer_start_id(name, hello.epoch);
         self.forwarder.query_outcomes(&mut self.links, connection, start);
+        self.forwarder.send_cancellations_on(&mut self.links, connection, start);
     }
 
     /// Frees a place for another gateway at the limit of known gateways: evicts the one that has been silent
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -136,11 +136,23 @@
         self.forwarder.cancel_request(&mut self.links, now, ticket)
     }
 
+    /// Begins no further attempt of a request at other sites, as its sender may not wait any more. The outcome of an
+    /// attempt that is out is still awaited. Returns false if the request is not forwarded.
+    pub fn stop_retries(&mut self, ticket: Ticket) -> bool {
+        self.forwarder.stop_retries(&mut self.links, ticket)
+    }
+
     /// Completes a request from another site with its only reply. A rejected request must not have run.
     pub fn complete_remote_request(&mut self, now: Ms, ticket: Ticket, reply: Reply) {
         self.remote_requests.complete(&mut self.links, now, ticket, reply);
     }
 
+    /// Whether an attempt of a request may be begun now: the sender of one from another site still waits for it, as
+    /// far as known. Attempts that may not be begun are checked again after each call that passes in bytes or the time.
+    pub fn may_begin_attempt(&self, ticket: Ticket) -> bool {
+        self.remote_requests.departure_of(ticket).is_none()
+    }
+
     /// Why the sender of a request from another site may no longer wait for its reply; `None` while it waits.
     pub fn departure_of(&self, ticket: Ticket) -> Option<Departure> {
         self.remote_requests.departure_of(ticket)
@@ -192,6 +204,7 @@
         }
         self.forwarder.expire_requests(&mut self.links, now);
         self.remote_requests.expire_writes(&mut self.links, now);
+        self.remote_requests.expire_lost_senders(&mut self.links, now);
     }
 
     fn run_session_timers(&mut self, now: Ms) {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -131,12 +131,11 @@
         self.actions.retain(|action| *action != Action::Write(connection));
     }
 
-    /// Cancels a request that was sent on a connection.
-    pub fn cancel_request(&mut self, connection: ConnectionId, ticket: u64) {
-        if let Some(session) = self.session_mut(connection) {
-            session.cancel_request(ticket);
-        }
+    /// Cancels a request that was sent on a connection. Returns false if it has no stream there.
+    pub fn cancel_request(&mut self, connection: ConnectionId, ticket: u64) -> bool {
+        let is_cancelled = self.session_mut(connection).is_some_and(|session| session.cancel_request(ticket));
         self.request_write(connection);
+        is_cancelled
     }
 
     pub fn peer_of(&self, connection: ConnectionId) -> Option<&Peer> {
@@ -168,6 +167,13 @@
         self.least_queued(self.peers.get(name)?.connections.iter().copied())
     }
 
+    /// A connection to one start of another gateway, whether or not it may carry requests.
+    pub fn connection_to_start(&self, start: u64) -> Option<ConnectionId> {
+        let mut peers = self.peers.iter();
+        let (_, peer) = peers.find(|(name, peer)| peer_start_id(name, peer.epoch) == start)?;
+        peer.connections.last().copied()
+    }
+
     fn least_queued(&self, connections: impl Iterator<Item = ConnectionId>) -> Option<ConnectionId> {
         let usable = connections.filter(|connection| {
             self.connections.get(connection).is_some_and(SiteConnection::may_carry_request)
--- a/crates/gateway/src/remote_requests.rs
+++ b/crates/gateway/src/remote_requests.rs
@@ -34,6 +34,10 @@
     reply_to: Option<StreamId>,
     /// Set once it is not certain any more that the sender waits.
     departure: Option<Departure>,
+    /// The connection on which the sender has queried the outcome, after the stream has ended.
+    awaited_on: Option<ConnectionId>,
+    /// Until when the sender, whose connection was lost, may return, in milliseconds.
+    lost_until: Option<u64>,
     peer: String,
     token: Option<Token>,
     /// Identifies its content, and its peer; `None` for a request with a token.
@@ -56,14 +60,20 @@
 pub(crate) struct RemoteRequests {
     rules: AdmissionRules,
     answer_write_timeout: Ms,
+    /// How long a request whose connection was lost waits for its sender.
+    max_sender_loss: Ms,
     local_site: String,
     last_number: Ticket,
     requests: BTreeMap<Ticket, ServedRequest>,
     by_stream: BTreeMap<StreamId, Ticket>,
+    /// By the name of the peer and its token.
+    by_token: BTreeMap<(String, Token), Ticket>,
     /// The latest request of each content.
     by_content: BTreeMap<u64, Ticket>,
     /// Streams whose answers are being written, with the deadline of each, in milliseconds.
     write_deadlines: BTreeSet<(u64, StreamId)>,
+    /// Requests whose connection was lost, with the time until which their senders may return, in milliseconds.
+    lost_senders: BTreeSet<(u64, Ticket)>,
 }
 
 fn priority_from_wire(number: u8) -> Priority {
@@ -92,12 +102,15 @@
         Self {
             rules,
             answer_write_timeout: config.forwarding.answer_write_timeout,
+            max_sender_loss: config.forwarding.max_wait,
             local_site: local_site.to_string(),
             last_number: 0,
             requests: BTreeMap::new(),
             by_stream: BTreeMap::new(),
+            by_token: BTreeMap::new(),
             by_content: BTreeMap::new(),
             write_deadlines: BTreeSet::new(),
+            lost_senders: BTreeSet::new(),
         }
     }
 
@@ -111,9 +124,11 @@
         self.requests.len()
     }
 
-    /// When [`Self::expire_writes`] is due.
+    /// When [`Self::expire_writes`] or [`Self::expire_lost_senders`] is due.
     pub fn next_deadline(&self) -> Option<Ms> {
-        self.write_deadlines.first().map(|(at, _)| *at as Ms)
+        let writes = self.write_deadlines.first().map(|(at, _)| *at as Ms);
+        let lost_senders = self.lost_senders.first().map(|(at, _)| *at as Ms);
+        writes.into_iter().chain(lost_senders).reduce(f64::min)
     }
 
     /// Handles a request from another site; `is_draining` means that this site accepts none.
@@ -182,12 +197,17 @@
         let served = ServedRequest {
             reply_to: Some(stream),
             departure: None,
+            awaited_on: None,
+            lost_until: None,
             peer,
             token: request.token,
             content,
             resume_from: request.resume_from,
             priority: priority_from_wire(request.priority),
         };
+        if let Some(token) = served.token {
+            self.by_token.insert((served.peer.clone(), token), ticket);
+        }
         self.requests.insert(ticket, served);
         self.by_stream.insert(stream, ticket);
         if let Some(content) = content {
@@ -219,6 +239,9 @@
         if let Some(content) = content {
             self.by_content.remove(&content);
         }
+        if let Some(token) = request.token {
+            self.by_token.remove(&(request.peer.clone(), token));
+        }
         Some(request)
     }
 
@@ -236,9 +259,6 @@
         if is_sent {
             return;
         }
-        if request.departure == Some(Departure::Cancelled) {
-            return;
-        }
         // The stream has ended: the outcome is reported on another connection, or else the sender queries it.
         let Some(token) = request.token else { return };
         let Some(peer) = links.peers.get_mut(&request.peer) else { return };
@@ -294,38 +314,106 @@
     /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
     /// is still retained.
     pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
-        let Some(ticket) = self.end_stream(stream, Departure::Cancelled) else { return };
+        let Some(ticket) = self.by_stream.remove(&stream) else { return };
+        match self.requests.get(&ticket) {
+            Some(request) if request.token.is_none() => _ = self.remove(ticket),
+            Some(_) => self.detach(ticket, Some(Departure::Cancelled), None),
+            None => return,
+        }
         links.push(Action::CancelServe(ticket));
     }
 
-    /// Handles the loss of the connection that a request came on. One with a token continues to run, and its outcome
-    /// is retained: its sender may query it.
-    fn handle_lost_stream(&mut self, links: &mut Links, stream: StreamId) {
-        let Some(ticket) = self.end_stream(stream, Departure::ConnectionLost) else { return };
-        if !self.requests.contains_key(&ticket) {
-            links.push(Action::CancelServe(ticket));
+    /// Handles a cancellation by the sender on another connection than that of the request. The token does not run
+    /// if its request arrives later.
+    pub fn handle_cancelled_token(
+        &mut self,
+        links: &mut Links,
+        now: Ms,
+        connection: ConnectionId,
+        token: Token,
+    ) {
+        match self.ticket_of(links, connection, token) {
+            Some(ticket) => {
+                self.detach(ticket, Some(Departure::Cancelled), None);
+                links.push(Action::CancelServe(ticket));
+            }
+            None => {
+                let peer = links.peer_of_mut(connection);
+                peer.map(|peer| peer.received_attempts.query_outcome(now, token));
+            }
         }
     }
 
-    /// Ends a stream whose request has no reply, and returns the request. One without a token is forgotten.
-    fn end_stream(&mut self, stream: StreamId, departure: Departure) -> Option<Ticket> {
-        let ticket = self.by_stream.remove(&stream)?;
-        let request = self.requests.get_mut(&ticket)?;
-        request.reply_to = None;
-        request.departure = Some(departure);
+    /// Reports the outcome of a token to its sender, which has lost the connection of the request, and waits for the
+    /// outcome on this one.
+    pub fn handle_query(&mut self, links: &mut Links, now: Ms, connection: ConnectionId, token: Token) {
+        if let Some(ticket) = self.ticket_of(links, connection, token) {
+            self.detach(ticket, None, Some(connection));
+        }
+        let Some(peer) = links.peer_of_mut(connection) else { return };
+        let outcome = peer.received_attempts.query_outcome(now, token);
+        links.send(connection, &Message::OutcomeReport(token, outcome));
+    }
+
+    /// The open request with a token of the peer of a connection.
+    fn ticket_of(&self, links: &Links, connection: ConnectionId, token: Token) -> Option<Ticket> {
+        let peer = links.connections.get(&connection)?.peer.clone()?;
+        self.by_token.get(&(peer, token)).copied()
+    }
+
+    /// Detaches a request from the stream that it came on. `awaited_on` is the connection on which its sender waits
+    /// for the outcome now.
+    fn detach(&mut self, ticket: Ticket, departure: Option<Departure>, awaited_on: Option<ConnectionId>) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if let Some(stream) = request.reply_to.take() {
+            self.by_stream.remove(&stream);
+        }
+        request.departure = departure;
+        request.awaited_on = awaited_on;
+        request.lost_until = None;
+    }
+
+    /// Handles the loss of the connection on which the sender of a request waits. For one with a token, no attempt is
+    /// begun until the sender queries its outcome, since it may not wait any more.
+    fn handle_lost_sender(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
+        let Some(request) = self.requests.get(&ticket) else { return };
         if request.token.is_none() {
             self.remove(ticket);
+            return links.push(Action::CancelServe(ticket));
+        }
+        self.detach(ticket, Some(Departure::ConnectionLost), None);
+        let until = (now + self.max_sender_loss) as u64;
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.lost_until = Some(until);
+        }
+        self.lost_senders.insert((until, ticket));
+        links.push(Action::SuspendServe(ticket));
+    }
+
+    /// Stops trying for requests whose senders were lost for too long.
+    pub fn expire_lost_senders(&mut self, links: &mut Links, now: Ms) {
+        while let Some((at, ticket)) = self.lost_senders.first().copied() {
+            if at as Ms > now {
+                break;
+            }
+            self.lost_senders.pop_first();
+            // The sender may have returned, and been lost again.
+            if self.requests.get(&ticket).is_some_and(|request| request.lost_until == Some(at)) {
+                links.push(Action::StopRetries(ticket));
+            }
         }
-        Some(ticket)
     }
 
     /// Handles the loss of a connection with all its streams.
-    pub fn handle_lost_connection(&mut self, links: &mut Links, connection: ConnectionId) {
+    pub fn handle_lost_connection(&mut self, links: &mut Links, now: Ms, connection: ConnectionId) {
         let all = StreamId { connection, stream: 0 }..=StreamId { connection, stream: u32::MAX };
-        let streams: Vec<StreamId> = self.by_stream.range(all).map(|(stream, _)| *stream).collect();
-        for stream in streams {
-            self.handle_lost_stream(links, stream);
+        let on_stream = self.by_stream.range(all).map(|(_, ticket)| *ticket);
+        let queried = self.requests.iter().filter(|(_, request)| request.awaited_on == Some(connection));
+        let lost: Vec<Ticket> = on_stream.chain(queried.map(|(ticket, _)| *ticket)).collect();
+        for ticket in lost {
+            self.handle_lost_sender(links, now, ticket);
         }
+        self.by_stream.retain(|stream, _| stream.connection != connection);
         self.write_deadlines.retain(|(_, stream)| stream.connection != connection);
     }
 
--- a/crates/gateway/src/session/incoming.rs
+++ b/crates/gateway/src/session/incoming.rs
@@ -64,6 +64,7 @@
                 self.heartbeat.record_pong(now, number);
                 return Ok(None);
             }
+            Message::CancelToken(token) => SessionEvent::TokenCancelled(token),
             Message::OutcomeQuery(token) => SessionEvent::OutcomeQuery(token),
             Message::OutcomeReport(token, outcome) => SessionEvent::OutcomeReport(token, outcome),
             Message::StateUpdate(update) => SessionEvent::StateUpdate(update),
@@ -86,6 +87,7 @@
             return Err(CloseReason::UnsupportedVersions { offered, supported });
         }
         self.has_hello = true;
+        self.peer_version = offered.max;
         Ok(SessionEvent::Hello(hello))
     }
 
--- a/crates/gateway/src/session/mod.rs
+++ b/crates/gateway/src/session/mod.rs
@@ -18,6 +18,7 @@
 use crate::attempt_ledger::{AttemptOutcome, Ticket, Token};
 use crate::codec::{
     write_data, write_message, ForwardedRequest, FrameDecoder, Hello, Message, RejectReason, ResponseHead,
+    CANCEL_TOKEN_VERSION,
 };
 use crate::flow_control::{CreditGrant, FlowControlConfig, Priority, ReceiveWindow, SendScheduler};
 use crate::heartbeat::{Heartbeat, HeartbeatConfig, LinkHealth};
@@ -83,6 +84,8 @@
     },
     /// The peer no longer needs the response on this stream.
     Cancelled(u32),
+    /// The peer needs the outcome of an attempt no longer, whose connection has ended.
+    TokenCancelled(Token),
     /// The peer queries the outcome of an attempt.
     OutcomeQuery(Token),
     /// The peer reports the outcome of an attempt.
@@ -134,6 +137,8 @@
     config: SessionConfig,
     opened_at: Ms,
     has_hello: bool,
+    /// The latest protocol version that the peer supports; 0 before its hello.
+    peer_version: u16,
     decoder: FrameDecoder,
     /// Messages that are queued for writing.
     output: BytesMut,
@@ -169,6 +174,7 @@
             config,
             opened_at: now,
             has_hello: false,
+            peer_version: 0,
             decoder: FrameDecoder::default(),
             output: BytesMut::new(),
             scheduler: SendScheduler::new(config.flow_control),
@@ -200,6 +206,11 @@
         self.has_hello
     }
 
+    /// Whether the peer takes [`Message::CancelToken`].
+    pub fn supports_cancelled_tokens(&self) -> bool {
+        self.peer_version >= CANCEL_TOKEN_VERSION
+    }
+
     /// The numbers of open streams.
     pub fn open_streams(&self) -> OpenStreams {
         OpenStreams { outgoing: self.outgoing.len(), incoming: self.incoming.len() }
@@ -243,15 +254,16 @@
         self.send_credit(grants);
     }
 
-    /// Cancels a request whose response is no longer needed.
-    pub fn cancel_request(&mut self, ticket: Ticket) {
-        let Some(stream) = self.tickets.get(&ticket).copied() else { return };
+    /// Cancels a request whose response is no longer needed. Returns false if it has no stream here.
+    pub fn cancel_request(&mut self, ticket: Ticket) -> bool {
+        let Some(stream) = self.tickets.get(&ticket).copied() else { return false };
         self.finish_stream(stream);
         write_message(&mut self.output, stream, &Message::Cancel);
         self.cancelled_streams.insert(stream);
         if self.cancelled_streams.len() > self.config.max_cancelled_streams {
             self.cancelled_streams.pop_first();
         }
+        true
     }
 
     fn send_credit(&mut self, grants: Vec<CreditGrant>) {
--- a/crates/gateway/tests/golden.rs
+++ b/crates/gateway/tests/golden.rs
@@ -109,6 +109,7 @@
     for (name, outcome) in outcomes {
         messages.push((format!("told.{name}"), Message::OutcomeReport(token, outcome)));
     }
+    messages.push(("cancel.token".to_string(), Message::CancelToken(token)));
     messages
 }
 
--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -104,6 +104,8 @@
         attempts_after_cancel: u64 = "sent_after_cancel",
         /// Attempts begun for requests from other sites whose connection had ended.
         attempts_after_link_loss: u64 = "sent_after_link_loss",
+        /// Attempts that waited until the site that had sent their request was heard again.
+        attempts_held: u64 = "held_for_sender",
     }
 }
 
--- a/crates/router/src/proxy/attempts.rs
+++ b/crates/router/src/proxy/attempts.rs
@@ -15,12 +15,19 @@
             // ended would count as in flight at its endpoint forever.
             return self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         };
+        if request.has_lost_sender {
+            self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
+            return self.cancel_remote(now, order.attempt.ticket);
+        }
         let decision = self.parts.admit(now, order, request.profile);
         self.execute_fill_decisions(decision);
     }
 
     /// Cancels an attempt, whether its fill is queued or it is in flight.
     pub(super) fn cancel(&mut self, now: Ms, attempt: AttemptKey) {
+        if let Some(order) = self.held_attempts.remove(attempt) {
+            return self.upstreams.cancel_unsent(now, attempt, order.endpoint);
+        }
         let hierarchy = self.parts.hierarchy.as_mut();
         match hierarchy.and_then(|hierarchy| hierarchy.cancel_attempt(attempt)) {
             Some(FillDecision::Reject { order, .. }) => {
@@ -45,12 +52,16 @@
         }
     }
 
-    /// Sends an attempt, unless its client has cancelled the request or disconnected.
-    fn send_upstream(&mut self, now: Ms, order: &AttemptOrder, fill_path: Option<&FillPath>) {
+    /// Sends an attempt, unless its client has cancelled the request or disconnected, or the site that has sent the
+    /// request is not heard at the moment.
+    pub(super) fn send_upstream(&mut self, now: Ms, order: &AttemptOrder, fill_path: Option<&FillPath>) {
         self.check_client(order.attempt.ticket);
         let Some(request) = self.requests.get(order.attempt.ticket) else {
             return self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         };
+        if !self.may_begin_attempt(order.attempt.ticket) {
+            return self.hold_attempt(now, order, fill_path);
+        }
         let remote_sites = self.parts.remote_sites.as_ref();
         let departure = remote_sites.and_then(|sites| sites.gateway.departure_of(order.attempt.ticket));
         self.counters.record_attempt(departure);
@@ -104,6 +115,7 @@
             return self.on_departed_attempt(attempt, end, completed.payload);
         }
         self.execute(commands, completed.payload);
+        self.end_if_sender_lost(now, attempt.ticket);
     }
 
     /// Sends or rejects queued fills that are due.
--- a/crates/router/src/proxy/departed.rs
+++ b/crates/router/src/proxy/departed.rs
@@ -45,6 +45,32 @@
         self.report_departed_if_known(ticket, None);
     }
 
+    /// Begins no attempt for a request until its sender is heard again, whose connection was lost. An attempt that was
+    /// sent goes on, and its outcome is reported.
+    pub(super) fn suspend_remote(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        let remote_sites = self.parts.remote_sites.as_mut();
+        if !remote_sites.is_some_and(|remote_sites| remote_sites.stop_retries(ticket)) {
+            self.upstreams.withdraw_suspended(now, ticket);
+        }
+    }
+
+    /// Begins no further attempt for a request whose sender was not heard in time.
+    pub(super) fn stop_retries(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        self.requests.mark_lost_sender(ticket);
+        if !self.upstreams.has_sent_attempt(ticket) {
+            self.cancel_remote(now, ticket);
+        }
+    }
+
+    /// Ends a request whose sender was lost once its last attempt has ended without an answer.
+    pub(super) fn end_if_sender_lost(&mut self, now: Ms, ticket: Ticket) {
+        if self.requests.has_lost_sender(ticket) && !self.upstreams.has_unreported_attempt(ticket) {
+            self.cancel_remote(now, ticket);
+        }
+    }
+
     /// Handles an outcome that was reported to the policy, if it is that of a departed request.
     pub(super) fn on_departed_attempt(
         &mut self,
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -40,6 +40,7 @@
             remote_sites.serve_link(now, id, readiness);
         }
         self.run_remote_sites();
+        self.release_held_attempts();
         self.process_outcomes();
     }
 
@@ -80,6 +81,8 @@
                 SiteEffect::Answer(ticket, reply) => self.answer_from_site(ticket, reply),
                 SiteEffect::Serve(request) => self.on_remote_request(&request),
                 SiteEffect::Cancel(ticket) => self.on_remote_cancelled(ticket),
+                SiteEffect::Suspend(ticket) => self.suspend_remote(ticket),
+                SiteEffect::StopRetries(ticket) => self.stop_retries(ticket),
                 SiteEffect::EndpointChanged(name) => self.on_remote_endpoint(&name),
                 SiteEffect::Purge(purge) => self.apply_announced_purge(&purge),
                 SiteEffect::PeerLink { name, start, up } => {
--- a/crates/router/src/remote_sites/mod.rs
+++ b/crates/router/src/remote_sites/mod.rs
@@ -57,6 +57,10 @@
     Serve(RemoteRequest),
     /// Cancel a request that another site has cancelled.
     Cancel(Ticket),
+    /// Begin no attempt for a request of another site whose connection was lost, until its sender is heard again.
+    Suspend(Ticket),
+    /// Begin no further attempt for such a request: its sender was not heard in time.
+    StopRetries(Ticket),
     /// Another site has published that an endpoint is draining, ready again or removed.
     EndpointChanged(String),
     /// Another site has published a purge.
@@ -170,6 +174,8 @@
                 GatewayAction::Answer(ticket, reply) => return Some(SiteEffect::Answer(ticket, reply)),
                 GatewayAction::ServeRemote(request) => return Some(SiteEffect::Serve(request)),
                 GatewayAction::CancelServe(ticket) => return Some(SiteEffect::Cancel(ticket)),
+                GatewayAction::SuspendServe(ticket) => return Some(SiteEffect::Suspend(ticket)),
+                GatewayAction::StopRetries(ticket) => return Some(SiteEffect::StopRetries(ticket)),
                 GatewayAction::RemoteFact(fact) => {
                     if let Some(effect) = effect_of_fact(fact) {
                         return Some(effect);
--- a/crates/router/src/remote_sites/serving.rs
+++ b/crates/router/src/remote_sites/serving.rs
@@ -58,6 +58,16 @@
         self.gateway.cancel_request(now, ticket)
     }
 
+    /// Begins no further attempt of a request at other sites. Returns false if no attempt is out there.
+    pub fn stop_retries(&mut self, ticket: Ticket) -> bool {
+        self.gateway.stop_retries(ticket)
+    }
+
+    /// Whether an attempt of a request may be begun now: the sender of one from another site still waits for it.
+    pub fn may_begin_attempt(&self, ticket: Ticket) -> bool {
+        !is_remote(ticket) || self.gateway.may_begin_attempt(ticket)
+    }
+
     /// Notifies other sites that this router is shutting down; no more links are opened.
     pub fn stop(&mut self) {
         self.gateway.begin_shutdown();
--- a/crates/router/src/requests.rs
+++ b/crates/router/src/requests.rs
@@ -23,6 +23,8 @@
     pub is_idempotent: bool,
     /// Whether an attempt that has ended may have been executed.
     pub may_have_run: bool,
+    /// Whether no further attempt is begun, since its sender may not wait any more.
+    pub has_lost_sender: bool,
     /// The gateway's data for the request; `None` if requests are not forwarded to other sites.
     pub cross_site: Option<Box<CrossSiteRequest>>,
 }
@@ -47,7 +49,15 @@
             received_at: now,
         };
         let is_idempotent = !policy.needs_repeat_protection(spec);
-        Self { stream, message, profile, is_idempotent, may_have_run: false, cross_site: None }
+        Self {
+            stream,
+            message,
+            profile,
+            is_idempotent,
+            may_have_run: false,
+            has_lost_sender: false,
+            cross_site: None,
+        }
     }
 
     /// Marks the request as one that may be forwarded to other sites, except those that it has `passed`.
@@ -116,6 +126,18 @@
         self.by_ticket.get(&ticket)
     }
 
+    /// Records that no further attempt of a request is to be begun.
+    pub fn mark_lost_sender(&mut self, ticket: Ticket) {
+        if let Some(request) = self.by_ticket.get_mut(&ticket) {
+            request.has_lost_sender = true;
+        }
+    }
+
+    /// Whether a request is open for which no further attempt is to be begun.
+    pub fn has_lost_sender(&self, ticket: Ticket) -> bool {
+        self.by_ticket.get(&ticket).is_some_and(|request| request.has_lost_sender)
+    }
+
     /// Records the outcome of an attempt.
     pub fn record_attempt(&mut self, completed: &CompletedAttempt) {
         if let Some(request) = self.by_ticket.get_mut(&completed.report.attempt.ticket) {
--- a/crates/router/src/upstream/cancellation.rs
+++ b/crates/router/src/upstream/cancellation.rs
@@ -37,6 +37,7 @@
             Some(object) => requested.object == object,
             None => requested.group == group,
         };
+        self.revision += 1;
         self.withdraw(now, AttemptEnd::TimedOut, |_, queued| queued.object.is_some_and(is_purged));
     }
 
@@ -45,14 +46,23 @@
     /// This is not a cancellation at an endpoint, which the settings may forbid: nothing was sent to a cache
     /// yet.
     pub fn withdraw_request(&mut self, now: Ms, ticket: Ticket) {
+        self.abandon_all(now, self.queued_attempts(ticket), AttemptEnd::Cancelled);
+    }
+
+    /// Withdraws the queued attempts of a request that is suspended. This says nothing about their endpoints.
+    pub fn withdraw_suspended(&mut self, now: Ms, ticket: Ticket) {
+        self.abandon_all(now, self.queued_attempts(ticket), AttemptEnd::NotSentLocally);
+    }
+
+    /// The attempts of a request of which no byte was written.
+    fn queued_attempts(&self, ticket: Ticket) -> Vec<AttemptKey> {
         let of_request = self.attempts.of_request(ticket);
         let queued = of_request.filter(|(attempt, in_flight)| self.is_queued(*attempt, in_flight));
-        let queued: Vec<AttemptKey> = queued.map(|(attempt, _)| attempt).collect();
-        self.abandon_all(now, queued, AttemptEnd::Cancelled);
+        queued.map(|(attempt, _)| attempt).collect()
     }
 
     /// Whether no byte of an attempt was written.
-    fn is_queued(&self, attempt: AttemptKey, in_flight: &InFlightAttempt) -> bool {
+    pub(super) fn is_queued(&self, attempt: AttemptKey, in_flight: &InFlightAttempt) -> bool {
         let connection = self.connections.get(&in_flight.connection);
         connection.is_some_and(|connection| connection.has_queued(attempt))
     }
--- a/crates/router/src/upstream/completion.rs
+++ b/crates/router/src/upstream/completion.rs
@@ -159,6 +159,12 @@
         self.completed.push_back(CompletedAttempt { report, may_have_run, payload, fill_loop: None });
     }
 
+    /// Whether an attempt of a request is in flight of which a byte was written.
+    pub fn has_sent_attempt(&self, ticket: Ticket) -> bool {
+        let mut attempts = self.attempts.of_request(ticket);
+        attempts.any(|(attempt, in_flight)| !self.is_queued(attempt, in_flight))
+    }
+
     /// Whether an attempt of a request is in flight, or has an outcome that was not taken yet.
     pub fn has_unreported_attempt(&self, ticket: Ticket) -> bool {
         let is_of_request = |completed: &CompletedAttempt| completed.report.attempt.ticket == ticket;
--- a/crates/router/src/upstream/endpoints.rs
+++ b/crates/router/src/upstream/endpoints.rs
@@ -37,6 +37,7 @@
     /// Applies an update of the endpoint list. The connections of an endpoint that was removed or restarted
     /// are drained: another process may listen at its address now.
     pub fn update_endpoints(&mut self, now: Ms, entries: &[EndpointEntry], complete: bool) {
+        self.revision += 1;
         let mut removed = Vec::new();
         if complete {
             let listed: HashSet<EndpointKey> =
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -76,6 +76,8 @@
     ready: ReadyQueue,
     /// Whether completed attempts carry the version of the copy that was served.
     pub reports_versions: bool,
+    /// Increases with each update of the endpoint list and each purge.
+    revision: u64,
     /// Connections opened since the start.
     pub connects: u64,
     /// Attempts that were still queued though their requests had ended. They were not sent.
@@ -106,6 +108,7 @@
             retries: RetryQueue::default(),
             ready: ready.clone(),
             reports_versions: false,
+            revision: 0,
             connects: 0,
             violations: 0,
         }
@@ -116,6 +119,11 @@
         self.completed.pop_front()
     }
 
+    /// A number that increases with each update of the endpoint list and each purge: an older order may not be sent.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The number of attempts in flight.
     pub fn in_flight(&self) -> usize {
         self.attempts.len()
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -68,6 +68,11 @@
         self.complete_unsent(now, attempt, endpoint, now, AttemptEnd::Cancelled);
     }
 
+    /// Completes an attempt that was not sent, for no reason of its endpoint.
+    pub fn give_back_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, held_at: Ms) {
+        self.complete(now, attempt, endpoint, held_at, AttemptEnd::NotSentLocally);
+    }
+
     /// Completes an attempt whose queued fill was withdrawn as not sent.
     pub fn withdraw_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, queued_at: Ms) {
         self.complete(now, attempt, endpoint, queued_at, AttemptEnd::NotSent);
--- a/crates/router/tests/remote_departures.rs
+++ b/crates/router/tests/remote_departures.rs
@@ -17,6 +17,8 @@
 const OBSERVATION: Duration = Duration::from_millis(1_500);
 /// The number of clients that stay.
 const STAYING: usize = 2;
+/// The number of clients that leave at once.
+const LEAVING: usize = 6;
 
 /// Guards against attempts for nobody: the south went on trying, and booked, after clients of the north had cancelled
 /// their bookings or disconnected.
@@ -49,3 +51,40 @@
     sites.assert_served_once(staying);
     sites.wait_until_idle();
 }
+
+/// Has half of the clients leave at once after a fault of the link. The others stay.
+fn leave_after(sites: &mut BookingSites, fault: impl FnOnce(&BookingSites)) -> Vec<DepartedBooking> {
+    let staying = sites.book_several(STAYING);
+    let leaving = sites.book_several(LEAVING);
+    fault(sites);
+    let departed: Vec<DepartedBooking> =
+        leaving.into_iter().map(|booking| booking.leave(Disconnect::Close)).collect();
+    thread::sleep(OBSERVATION);
+    sites.assert_served_once(staying);
+    departed
+}
+
+/// Guards against attempts for nobody: a client left while its booking was uncertain, as the connections of the link
+/// were cut, and the other site was told nothing.
+#[test]
+fn a_booking_is_not_tried_after_a_cut_of_the_link_once_its_client_has_left() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let departed = leave_after(&mut sites, |sites| {
+        sites.proxy.cut();
+        sites.proxy.clear_faults();
+    });
+    sites.assert_not_tried_after_departure(&departed);
+    sites.wait_until_idle();
+    assert_eq!(sites.south().counters().0["sent_after_link_loss"], 0);
+}
+
+/// Guards against the same where only one end of the link is lost, and the site that tries for the booking still
+/// takes its end for open.
+#[test]
+fn a_booking_is_not_tried_over_a_half_open_link_once_its_client_has_left() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let departed =
+        leave_after(&mut sites, |sites| sites.proxy.reset_dialer_ends().expect("the ends are reset"));
+    sites.assert_not_tried_after_departure(&departed);
+    sites.wait_until_idle();
+}
--- a/crates/router/tests/unit/requests.rs
+++ b/crates/router/tests/unit/requests.rs
@@ -33,6 +33,7 @@
         profile,
         is_idempotent: true,
         may_have_run: false,
+        has_lost_sender: false,
         cross_site: None,
     }
 }
--- a/crates/testbed/src/two_sites/requests.rs
+++ b/crates/testbed/src/two_sites/requests.rs
@@ -102,8 +102,13 @@
                     self.sides[n].gateway.submit_request(self.now, remote.ticket, forward_request);
                 }
                 Action::CancelServe(ticket) => {
-                    self.sides[n].pending_requests.remove(&ticket);
+                    // The only attempt of a booking is out: its outcome is reported when it is known.
+                    self.sides[n]
+                        .pending_requests
+                        .retain(|other, pending| *other != ticket || pending.booking);
                 }
+                // A request has only one attempt here.
+                Action::SuspendServe(_) | Action::StopRetries(_) => {}
                 Action::RemoteFact(..) | Action::PeerLink { .. } | Action::PeerEntry { .. } => {}
                 Action::Log(text) => {
                     self.out.notes += 1;
