--- a/crates/router/src/counters.rs
+++ b/crates/router/src/counters.rs
@@ -105,7 +105,7 @@
         /// Attempts begun for requests from other sites whose connection had ended.
         attempts_after_link_loss: u64 = "sent_after_link_loss",
         /// Attempts that waited until the site that had sent their request was heard again.
-        attempts_held: u64 = "held_for_sender",
+        attempts_deferred: u64 = "deferred_for_sender",
     }
 }
 
--- a/crates/router/src/proxy/attempts.rs
+++ b/crates/router/src/proxy/attempts.rs
@@ -25,7 +25,7 @@
 
     /// Cancels an attempt, whether its fill is queued or it is in flight.
     pub(super) fn cancel(&mut self, now: Ms, attempt: AttemptKey) {
-        if let Some(order) = self.held_attempts.remove(attempt) {
+        if let Some(order) = self.deferred_attempts.remove(attempt) {
             return self.upstreams.cancel_unsent(now, attempt, order.endpoint);
         }
         let hierarchy = self.parts.hierarchy.as_mut();
@@ -60,7 +60,7 @@
             return self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         };
         if !self.may_begin_attempt(order.attempt.ticket) {
-            return self.hold_attempt(now, order, fill_path);
+            return self.defer_attempt(now, order, fill_path);
         }
         let remote_sites = self.parts.remote_sites.as_ref();
         let departure = remote_sites.and_then(|sites| sites.gateway.departure_of(order.attempt.ticket));
--- a/crates/router/src/proxy/clients.rs
+++ b/crates/router/src/proxy/clients.rs
@@ -165,7 +165,7 @@
     /// settings allow to cancel attempts.
     pub(super) fn withdraw_unsent(&mut self, now: Ms, ticket: Ticket) {
         self.upstreams.withdraw_request(now, ticket);
-        for order in self.held_attempts.take_request(ticket) {
+        for order in self.deferred_attempts.take_request(ticket) {
             self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         }
         for order in self.parts.cancel_queued_fills(ticket) {
--- a/crates/router/src/proxy/held_attempts.rs
+++ b/crates/router/src/proxy/deferred_attempts.rs
@@ -13,24 +13,24 @@
 
 /// An attempt that waits.
 #[derive(Debug)]
-struct HeldAttempt {
+struct DeferredAttempt {
     order: AttemptOrder,
     fill_path: Option<FillPath>,
-    held_at: Ms,
+    deferred_at: Ms,
     /// The state of the endpoint list and purges when it was ordered.
     revision: u64,
 }
 
 /// The attempts that wait.
 #[derive(Debug, Default)]
-pub(super) struct HeldAttempts {
-    by_attempt: BTreeMap<AttemptKey, HeldAttempt>,
+pub(super) struct DeferredAttempts {
+    by_attempt: BTreeMap<AttemptKey, DeferredAttempt>,
 }
 
-impl HeldAttempts {
+impl DeferredAttempts {
     /// Removes an attempt and returns its order; `None` if it does not wait.
     pub fn remove(&mut self, attempt: AttemptKey) -> Option<AttemptOrder> {
-        self.by_attempt.remove(&attempt).map(|held| held.order)
+        self.by_attempt.remove(&attempt).map(|deferred| deferred.order)
     }
 
     /// Removes the attempts of a request.
@@ -48,41 +48,42 @@
         remote_sites.is_none_or(|remote_sites| remote_sites.may_begin_attempt(ticket))
     }
 
-    /// Holds an attempt until the sender of its request is heard again.
-    pub(super) fn hold_attempt(&mut self, now: Ms, order: &AttemptOrder, fill_path: Option<&FillPath>) {
-        let held = HeldAttempt {
+    /// Defers an attempt until the sender of its request is heard again.
+    pub(super) fn defer_attempt(&mut self, now: Ms, order: &AttemptOrder, fill_path: Option<&FillPath>) {
+        let deferred = DeferredAttempt {
             order: order.clone(),
             fill_path: fill_path.cloned(),
-            held_at: now,
+            deferred_at: now,
             revision: self.upstreams.revision(),
         };
-        self.counters.attempts_held += 1;
-        self.held_attempts.by_attempt.insert(order.attempt, held);
+        self.counters.attempts_deferred += 1;
+        self.deferred_attempts.by_attempt.insert(order.attempt, deferred);
     }
 
     /// Sends the attempts whose senders were heard again.
-    pub(super) fn release_held_attempts(&mut self) {
-        let held = self.held_attempts.by_attempt.keys().copied();
-        let ready: Vec<AttemptKey> = held.filter(|attempt| self.may_begin_attempt(attempt.ticket)).collect();
+    pub(super) fn send_deferred_attempts(&mut self) {
+        let deferred = self.deferred_attempts.by_attempt.keys().copied();
+        let ready: Vec<AttemptKey> =
+            deferred.filter(|attempt| self.may_begin_attempt(attempt.ticket)).collect();
         if ready.is_empty() {
             return;
         }
         let now = self.clock.now();
         for attempt in ready {
-            if let Some(held) = self.held_attempts.by_attempt.remove(&attempt) {
-                self.release(now, held);
+            if let Some(deferred) = self.deferred_attempts.by_attempt.remove(&attempt) {
+                self.send_deferred(now, deferred);
             }
         }
         self.process_outcomes();
     }
 
-    fn release(&mut self, now: Ms, held: HeldAttempt) {
-        let HeldAttempt { mut order, fill_path, held_at, revision } = held;
-        order.timeout -= now - held_at;
+    fn send_deferred(&mut self, now: Ms, deferred: DeferredAttempt) {
+        let DeferredAttempt { mut order, fill_path, deferred_at, revision } = deferred;
+        order.timeout -= now - deferred_at;
         if order.timeout > 0.0 && revision == self.upstreams.revision() {
             self.send_upstream(now, &order, fill_path.as_ref());
         } else {
-            self.upstreams.give_back_unsent(now, order.attempt, order.endpoint, held_at);
+            self.upstreams.give_back_unsent(now, order.attempt, order.endpoint, deferred_at);
         }
     }
 }
--- a/crates/router/src/proxy/mod.rs
+++ b/crates/router/src/proxy/mod.rs
@@ -4,7 +4,7 @@
 //! - [`clients`]: requests and cancellations of clients, and their final answers;
 //! - [`attempts`]: sending of attempts to caches, and their outcomes;
 //! - [`departed`]: requests of other sites whose senders have gone;
-//! - [`held_attempts`]: attempts for other sites that are not heard at the moment;
+//! - [`deferred_attempts`]: attempts for other sites that are not heard at the moment;
 //! - [`remote_sites`]: requests forwarded to other sites, and requests received from them;
 //! - [`buffer_usage`]: logging what holds the buffers while they are short;
 //! - [`endpoints`]: updates of the endpoint list, fill sources and purges, from every source.
@@ -15,9 +15,9 @@
 mod attempts;
 mod buffer_usage;
 mod clients;
+mod deferred_attempts;
 mod departed;
 mod endpoints;
-mod held_attempts;
 mod remote_sites;
 
 use calloop::{LoopHandle, Readiness};
@@ -37,8 +37,8 @@
 use crate::turn::ReadyQueue;
 use crate::upstream::{AttemptOrder, ResponsePayload, Upstreams};
 
+use deferred_attempts::DeferredAttempts;
 use departed::DepartedRequests;
-use held_attempts::HeldAttempts;
 
 /// The resources that a proxy shares with the rest of the router.
 pub struct ProxySetup<'a, W: EventHandler> {
@@ -68,7 +68,7 @@
     upstreams: Upstreams<W>,
     requests: OpenRequests,
     departed: DepartedRequests,
-    held_attempts: HeldAttempts,
+    deferred_attempts: DeferredAttempts,
     /// The time of the policy's next timer, in milliseconds.
     policy_timer: Option<Ms>,
     /// Set during shutdown: new requests are rejected.
@@ -96,7 +96,7 @@
             upstreams,
             requests: OpenRequests::new(limits.requests.max_open),
             departed: DepartedRequests::default(),
-            held_attempts: HeldAttempts::default(),
+            deferred_attempts: DeferredAttempts::default(),
             policy_timer: None,
             is_closing: false,
             counters: Counters::default(),
--- a/crates/router/src/proxy/remote_sites.rs
+++ b/crates/router/src/proxy/remote_sites.rs
@@ -40,7 +40,7 @@
             remote_sites.serve_link(now, id, readiness);
         }
         self.run_remote_sites();
-        self.release_held_attempts();
+        self.send_deferred_attempts();
         self.process_outcomes();
     }
 
--- a/crates/router/src/upstream/sending.rs
+++ b/crates/router/src/upstream/sending.rs
@@ -69,8 +69,8 @@
     }
 
     /// Completes an attempt that was not sent, for no reason of its endpoint.
-    pub fn give_back_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, held_at: Ms) {
-        self.complete(now, attempt, endpoint, held_at, AttemptEnd::NotSentLocally);
+    pub fn give_back_unsent(&mut self, now: Ms, attempt: AttemptKey, endpoint: EndpointKey, deferred_at: Ms) {
+        self.complete(now, attempt, endpoint, deferred_at, AttemptEnd::NotSentLocally);
     }
 
     /// Completes an attempt whose queued fill was withdrawn as not sent.
--- a/crates/router/tests/unit/counters.rs
+++ b/crates/router/tests/unit/counters.rs
@@ -58,8 +58,8 @@
     };
     let plain = report.to_string();
     assert!(plain.starts_with("counters taken_in=0 taken_in_bytes=0 "), "{plain}");
-    let rest = " journal_lost=0 ended_unsent=0 repeated_calls=0 closed_open=0 violations=0 sent_after_cancel=0 sent_after_link_loss=0 held_for_sender=0 \
-                journal_number=3 journal_bytes_in=2 \
+    let rest = " journal_lost=0 ended_unsent=0 repeated_calls=0 closed_open=0 violations=0 \
+                sent_after_cancel=0 sent_after_link_loss=0 deferred_for_sender=0 journal_number=3 journal_bytes_in=2 \
                 journal_bytes_out=1 held_clients=0 held_caches=0 held_connections=0 open=0 out=0 buffers=0 turns=0 \
                 turns_over_bound=0 turn_p99_us=0 turn_max_us=0 turn_max_accepts_us=0 turn_max_clients_us=0 \
                 turn_max_caches_us=0 turn_max_journal_us=0 turn_max_links_us=0 turn_max_commands_us=0 \
