Split the requests of other sites into admission, replies and senders

Change: a folder with a module for admission, one for replies and one for senders that leave. Nothing else has changed.

--- a/crates/gateway/src/remote_requests/mod.rs
+++ b/crates/gateway/src/remote_requests/mod.rs
@@ -6,16 +6,22 @@
 //!
 //! A request without a token that a peer sends again on another connection replaces the earlier one: the peer has
 //! lost that connection, which may not have been noticed here yet.
+//!
+//! - this file: admission;
+//! - [`replies`]: the one reply of each request;
+//! - [`senders`]: senders that leave while their requests are served.
+
+mod replies;
+mod senders;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bytes::Bytes;
 use linnethook::interface::Ms;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::actions::{Action, ConnectionId, Departure, RemoteRequest, Reply, FIRST_REMOTE_TICKET};
+use crate::actions::{Action, ConnectionId, Departure, RemoteRequest, FIRST_REMOTE_TICKET};
 use crate::attempt_ledger::{Admission, AttemptOutcome, Ticket, Token};
-use crate::codec::{CachedReply, ForwardedRequest, Message, RejectReason, ResponseHead, ResumePoint};
+use crate::codec::{ForwardedRequest, Message, RejectReason, ResumePoint};
 use crate::config::GatewayConfig;
 use crate::flow_control::Priority;
 use crate::links::{Links, Peer, SiteConnection};
@@ -244,191 +250,6 @@
         }
         Some(request)
     }
-
-    /// Completes a request with its only reply. A rejected request must not have run.
-    pub fn complete(&mut self, links: &mut Links, now: Ms, ticket: Ticket, reply: Reply) {
-        let Some(request) = self.remove(ticket) else { return };
-        if let Some(stream) = request.reply_to {
-            self.by_stream.remove(&stream);
-        }
-        if let Some(token) = request.token {
-            record_reply(links, now, &request.peer, token, &reply);
-        }
-        let is_sent =
-            request.reply_to.is_some_and(|stream| self.send_reply(links, now, stream, &request, reply));
-        if is_sent {
-            return;
-        }
-        // The stream has ended: the outcome is reported on another connection, or else the sender queries it.
-        let Some(token) = request.token else { return };
-        let Some(peer) = links.peers.get_mut(&request.peer) else { return };
-        let Some(connection) = peer.connections.last().copied() else { return };
-        let outcome = peer.received_attempts.query_outcome(now, token);
-        links.send(connection, &Message::OutcomeReport(token, outcome));
-        links.request_write(connection);
-    }
-
-    /// Sends a reply on its stream. Returns false if the stream has ended.
-    fn send_reply(
-        &mut self,
-        links: &mut Links,
-        now: Ms,
-        to: StreamId,
-        request: &ServedRequest,
-        reply: Reply,
-    ) -> bool {
-        let Some(connection) = links.connections.get_mut(&to.connection) else { return false };
-        let session = &mut connection.session;
-        match reply {
-            Reply::Rejected { retry_after } => {
-                links.counts.remote_rejected += 1;
-                session.reject_stream(to.stream, RejectReason::Refused, retry_after);
-            }
-            Reply::Failed => {
-                let head = ResponseHead::failed();
-                if !session.send_response(to.stream, request.priority, head, Bytes::new()) {
-                    return false;
-                }
-            }
-            Reply::Served { fields, body, version } => {
-                links.counts.remote_served += 1;
-                let body_length = body.len() as u64;
-                // Only the rest of the body is sent if it belongs to the version that the sender has.
-                let resume_from = request.resume_from.as_ref().filter(|from| {
-                    version.as_ref() == Some(&from.version)
-                        && from.offset <= body_length
-                        && from.version.length == body_length
-                });
-                let offset = resume_from.map_or(0, |from| from.offset);
-                let head = ResponseHead { served: true, fields, body_length, offset, version };
-                if !session.send_response(to.stream, request.priority, head, body.slice(offset as usize..)) {
-                    return false;
-                }
-            }
-        }
-        self.write_deadlines.insert(((now + self.answer_write_timeout) as u64, to));
-        links.request_write(to.connection);
-        true
-    }
-
-    /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
-    /// is still retained.
-    pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
-        let Some(ticket) = self.by_stream.remove(&stream) else { return };
-        match self.requests.get(&ticket) {
-            Some(request) if request.token.is_none() => _ = self.remove(ticket),
-            Some(_) => self.detach(ticket, Some(Departure::Cancelled), None),
-            None => return,
-        }
-        links.push(Action::CancelServe(ticket));
-    }
-
-    /// Handles a cancellation by the sender on another connection than that of the request. The token does not run
-    /// if its request arrives later.
-    pub fn handle_cancelled_token(
-        &mut self,
-        links: &mut Links,
-        now: Ms,
-        connection: ConnectionId,
-        token: Token,
-    ) {
-        match self.ticket_of(links, connection, token) {
-            Some(ticket) => {
-                self.detach(ticket, Some(Departure::Cancelled), None);
-                links.push(Action::CancelServe(ticket));
-            }
-            None => {
-                let peer = links.peer_of_mut(connection);
-                peer.map(|peer| peer.received_attempts.query_outcome(now, token));
-            }
-        }
-    }
-
-    /// Reports the outcome of a token to its sender, which has lost the connection of the request, and waits for the
-    /// outcome on this one.
-    pub fn handle_query(&mut self, links: &mut Links, now: Ms, connection: ConnectionId, token: Token) {
-        if let Some(ticket) = self.ticket_of(links, connection, token) {
-            self.detach(ticket, None, Some(connection));
-        }
-        let Some(peer) = links.peer_of_mut(connection) else { return };
-        let outcome = peer.received_attempts.query_outcome(now, token);
-        links.send(connection, &Message::OutcomeReport(token, outcome));
-    }
-
-    /// The open request with a token of the peer of a connection.
-    fn ticket_of(&self, links: &Links, connection: ConnectionId, token: Token) -> Option<Ticket> {
-        let peer = links.connections.get(&connection)?.peer.clone()?;
-        self.by_token.get(&(peer, token)).copied()
-    }
-
-    /// Detaches a request from the stream that it came on. `awaited_on` is the connection on which its sender waits
-    /// for the outcome now.
-    fn detach(&mut self, ticket: Ticket, departure: Option<Departure>, awaited_on: Option<ConnectionId>) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if let Some(stream) = request.reply_to.take() {
-            self.by_stream.remove(&stream);
-        }
-        request.departure = departure;
-        request.awaited_on = awaited_on;
-        request.lost_until = None;
-    }
-
-    /// Handles the loss of the connection on which the sender of a request waits. For one with a token, no attempt is
-    /// begun until the sender queries its outcome, since it may not wait any more.
-    fn handle_lost_sender(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        if request.token.is_none() {
-            self.remove(ticket);
-            return links.push(Action::CancelServe(ticket));
-        }
-        self.detach(ticket, Some(Departure::ConnectionLost), None);
-        let until = (now + self.max_sender_loss) as u64;
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.lost_until = Some(until);
-        }
-        self.lost_senders.insert((until, ticket));
-        links.push(Action::SuspendServe(ticket));
-    }
-
-    /// Stops trying for requests whose senders were lost for too long.
-    pub fn expire_lost_senders(&mut self, links: &mut Links, now: Ms) {
-        while let Some((at, ticket)) = self.lost_senders.first().copied() {
-            if at as Ms > now {
-                break;
-            }
-            self.lost_senders.pop_first();
-            // The sender may have returned, and been lost again.
-            if self.requests.get(&ticket).is_some_and(|request| request.lost_until == Some(at)) {
-                links.push(Action::StopRetries(ticket));
-            }
-        }
-    }
-
-    /// Handles the loss of a connection with all its streams.
-    pub fn handle_lost_connection(&mut self, links: &mut Links, now: Ms, connection: ConnectionId) {
-        let all = StreamId { connection, stream: 0 }..=StreamId { connection, stream: u32::MAX };
-        let on_stream = self.by_stream.range(all).map(|(_, ticket)| *ticket);
-        let queried = self.requests.iter().filter(|(_, request)| request.awaited_on == Some(connection));
-        let lost: Vec<Ticket> = on_stream.chain(queried.map(|(ticket, _)| *ticket)).collect();
-        for ticket in lost {
-            self.handle_lost_sender(links, now, ticket);
-        }
-        self.by_stream.retain(|stream, _| stream.connection != connection);
-        self.write_deadlines.retain(|(_, stream)| stream.connection != connection);
-    }
-
-    /// Drops answers that the sender of the request has not read in time.
-    pub fn expire_writes(&mut self, links: &mut Links, now: Ms) {
-        while let Some((at, stream)) = self.write_deadlines.first().copied() {
-            if at as Ms > now {
-                break;
-            }
-            self.write_deadlines.pop_first();
-            if let Some(session) = links.session_mut(stream.connection) {
-                session.drop_stream(stream.stream);
-            }
-        }
-    }
 }
 
 /// Identifies the content of a request from a peer.
@@ -454,16 +275,3 @@
         session.send(&Message::OutcomeReport(token, outcome));
     }
 }
-
-fn record_reply(links: &mut Links, now: Ms, peer: &str, token: Token, reply: &Reply) {
-    let Some(peer) = links.peers.get_mut(peer) else { return };
-    let cached = match reply {
-        Reply::Rejected { .. } => return peer.received_attempts.record_rejection(now, token),
-        Reply::Served { fields, body, .. } => {
-            CachedReply { served: true, fields: fields.clone(), body: body.clone() }
-        }
-        Reply::Failed => CachedReply { served: false, fields: Vec::new(), body: Bytes::new() },
-    };
-    // Postcard can encode every reply.
-    peer.received_attempts.record_answer(now, token, postcard::to_stdvec(&cached).unwrap_or_default());
-}
