Begin no attempt for another site while its link is silent

What callers saw: a client left while the link between two sites passed nothing on, and the other site tried its booking for it up to 240 ms later; the loss of a silent link is noticed after 0.4 to 2 s.

Cause: an attempt began whenever no cancellation had been received, also while none could be received.

Change: an attempt for another site's request begins only if something was received within the last 100 ms on the connection on which its sender waits; pings come every 60 ms. Otherwise it is deferred, as for a lost connection, and is sent once the sender is heard again. Queued attempts whose connection stalls are withdrawn as not sent. The bound is the 0.1 s within which attempts for clients that have gone must have ended.

--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -148,9 +148,9 @@
     }
 
     /// Whether an attempt of a request may be begun now: the sender of one from another site still waits for it, as
-    /// far as known. Attempts that may not be begun are checked again after each call that passes in bytes or the time.
-    pub fn may_begin_attempt(&self, ticket: Ticket) -> bool {
-        self.remote_requests.departure_of(ticket).is_none()
+    /// far as known. Attempts that may not be begun are checked again after each call that passes in bytes.
+    pub fn may_begin_attempt(&self, now: Ms, ticket: Ticket) -> bool {
+        self.remote_requests.may_begin_attempt(&self.links, now, ticket)
     }
 
     /// Why the sender of a request from another site may no longer wait for its reply; `None` while it waits.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -194,7 +194,7 @@
 
     /// The health of the connection now.
     pub fn health(&self, now: Ms) -> LinkHealth {
-        let silence = now - self.last_received;
+        let silence = self.silence(now);
         let is_suspect = silence >= self.config.min_silence && self.phi(now) >= self.config.phi_threshold;
         if silence >= self.config.max_silence || is_suspect {
             return LinkHealth::Silent;
@@ -211,6 +211,11 @@
         }
     }
 
+    /// How long nothing has been received, in milliseconds.
+    pub fn silence(&self, now: Ms) -> Ms {
+        now - self.last_received
+    }
+
     /// When [`Self::health`] has to be checked again.
     pub fn next_check(&self, now: Ms) -> Ms {
         let may_be_silent = self.last_received + self.config.min_silence;
--- a/crates/gateway/src/remote_requests/mod.rs
+++ b/crates/gateway/src/remote_requests/mod.rs
@@ -120,11 +120,6 @@
         }
     }
 
-    /// See [`Gateway::departure_of`](crate::gateway::Gateway::departure_of).
-    pub fn departure_of(&self, ticket: Ticket) -> Option<Departure> {
-        self.requests.get(&ticket)?.departure
-    }
-
     /// The number of requests without a reply.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/crates/gateway/src/remote_requests/senders.rs
+++ b/crates/gateway/src/remote_requests/senders.rs
@@ -9,7 +9,24 @@
 use crate::codec::Message;
 use crate::links::Links;
 
+/// How long the connection on which a sender waits may be silent for an attempt to begin, in milliseconds. A
+/// cancellation may wait on the silent link.
+const MAX_SENDER_SILENCE: Ms = 100.0;
+
 impl RemoteRequests {
+    /// See [`Gateway::departure_of`](crate::gateway::Gateway::departure_of).
+    pub fn departure_of(&self, ticket: Ticket) -> Option<Departure> {
+        self.requests.get(&ticket)?.departure
+    }
+
+    /// See [`Gateway::may_begin_attempt`](crate::gateway::Gateway::may_begin_attempt).
+    pub fn may_begin_attempt(&self, links: &Links, now: Ms, ticket: Ticket) -> bool {
+        // A request without an entry was served for no other site, or has ended.
+        let Some(request) = self.requests.get(&ticket) else { return true };
+        let awaited_on = request.reply_to.map(|stream| stream.connection).or(request.awaited_on);
+        request.departure.is_none() && awaited_on.is_some_and(|id| is_heard(links, now, id))
+    }
+
     /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
     /// is still retained.
     pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
@@ -116,3 +133,9 @@
         self.write_deadlines.retain(|(_, stream)| stream.connection != connection);
     }
 }
+
+/// Whether a connection was not silent for too long.
+fn is_heard(links: &Links, now: Ms, connection: ConnectionId) -> bool {
+    let connection = links.connections.get(&connection);
+    connection.is_some_and(|connection| connection.session.heartbeat.silence(now) <= MAX_SENDER_SILENCE)
+}
--- a/crates/gateway/tests/lost_senders.rs
+++ b/crates/gateway/tests/lost_senders.rs
@@ -180,7 +180,7 @@
     let mut gateway = connected(config());
     send(&mut gateway, 61.0, 1, request(Some(PEER_TOKEN)));
     let ticket = served_ticket(&mut gateway).expect("served");
-    assert!(gateway.may_begin_attempt(ticket));
+    assert!(gateway.may_begin_attempt(61.0, ticket));
     (gateway, ticket)
 }
 
@@ -197,16 +197,32 @@
     gateway.connection_lost(LOST_AT, FIRST_CONNECTION);
     assert!(actions(&mut gateway).contains(&Action::SuspendServe(ticket)));
     assert_eq!(gateway.departure_of(ticket), Some(Departure::ConnectionLost));
-    assert!(!gateway.may_begin_attempt(ticket));
+    assert!(!gateway.may_begin_attempt(LOST_AT, ticket));
     // A connection alone does not tell which clients have stayed.
     reconnect(&mut gateway, LOST_AT + 50.0);
-    assert!(!gateway.may_begin_attempt(ticket));
+    assert!(!gateway.may_begin_attempt(LOST_AT + 59.0, ticket));
     send_on(&mut gateway, SECOND_CONNECTION, LOST_AT + 60.0, 0, Message::OutcomeQuery(PEER_TOKEN));
-    assert!(gateway.may_begin_attempt(ticket));
+    assert!(gateway.may_begin_attempt(LOST_AT + 60.0, ticket));
     gateway.on_timer(LOST_AT + 2_000.0);
     assert!(!actions(&mut gateway).contains(&Action::StopRetries(ticket)));
 }
 
+/// Guards against attempts for nobody: a cancellation waits on a link that passes nothing on, whose loss is not noticed
+/// for seconds.
+#[test]
+fn no_attempt_begins_for_a_sender_that_is_silent() {
+    const LAST_RECEIPT: f64 = 61.0;
+    let (mut gateway, ticket) = with_request_served();
+    assert!(gateway.may_begin_attempt(LAST_RECEIPT + 100.0, ticket));
+    assert!(!gateway.may_begin_attempt(LAST_RECEIPT + 101.0, ticket));
+    assert_eq!(gateway.departure_of(ticket), None);
+    // What counts is the connection on which the sender waits.
+    reconnect(&mut gateway, LAST_RECEIPT + 200.0);
+    assert!(!gateway.may_begin_attempt(LAST_RECEIPT + 210.0, ticket));
+    send(&mut gateway, LAST_RECEIPT + 220.0, 0, Message::Ping(1));
+    assert!(gateway.may_begin_attempt(LAST_RECEIPT + 220.0, ticket));
+}
+
 #[test]
 fn a_lost_sender_that_does_not_return_in_time_is_given_up() {
     let (mut gateway, ticket) = with_request_served();
@@ -228,7 +244,7 @@
     reconnect(&mut gateway, LOST_AT);
     send_on(&mut gateway, SECOND_CONNECTION, LOST_AT + 1.0, 0, Message::OutcomeQuery(PEER_TOKEN));
     gateway.connection_lost(LOST_AT + 5.0, FIRST_CONNECTION);
-    assert!(gateway.may_begin_attempt(ticket), "the sender was heard on another connection");
+    assert!(gateway.may_begin_attempt(LOST_AT + 5.0, ticket), "the sender was heard on another connection");
     sent_frames_on(&mut gateway, SECOND_CONNECTION);
     gateway.complete_remote_request(LOST_AT + 10.0, ticket, Reply::Failed);
     let sent = sent_frames_on(&mut gateway, SECOND_CONNECTION);
--- a/crates/router/src/proxy/attempts.rs
+++ b/crates/router/src/proxy/attempts.rs
@@ -59,7 +59,7 @@
         let Some(request) = self.requests.get(order.attempt.ticket) else {
             return self.upstreams.cancel_unsent(now, order.attempt, order.endpoint);
         };
-        if !self.may_begin_attempt(order.attempt.ticket) {
+        if !self.may_begin_attempt(now, order.attempt.ticket) {
             return self.defer_attempt(now, order, fill_path);
         }
         let remote_sites = self.parts.remote_sites.as_ref();
@@ -72,8 +72,8 @@
     }
 
     /// Reports outcomes of attempts and health checks to the policy until none is pending. For a stalled
-    /// connection, it first checks the clients of the queued attempts for disconnects and cancellations, and
-    /// then writes what is still queued.
+    /// connection, it first checks the clients of the queued attempts for disconnects and cancellations, or the sites
+    /// that have sent their requests for silence, and then writes what is still queued.
     pub fn process_outcomes(&mut self) {
         loop {
             let now = self.clock.now();
@@ -82,7 +82,10 @@
             } else if let Some(check) = self.upstreams.next_health_check() {
                 self.on_health_check(now, check);
             } else if let Some(stalled) = self.upstreams.next_stalled() {
-                stalled.tickets.into_iter().for_each(|ticket| self.check_client(ticket));
+                for ticket in stalled.tickets {
+                    self.check_client(ticket);
+                    self.check_sender(ticket);
+                }
                 self.upstreams.write_queued(self.clock.now(), stalled.id);
             } else {
                 return;
--- a/crates/router/src/proxy/deferred_attempts.rs
+++ b/crates/router/src/proxy/deferred_attempts.rs
@@ -43,9 +43,17 @@
 
 impl<W: EventHandler> Proxy<W> {
     /// Whether an attempt of a request may be begun now: the sender of one from another site still waits for it.
-    pub(super) fn may_begin_attempt(&self, ticket: Ticket) -> bool {
+    pub(super) fn may_begin_attempt(&self, now: Ms, ticket: Ticket) -> bool {
         let remote_sites = self.parts.remote_sites.as_ref();
-        remote_sites.is_none_or(|remote_sites| remote_sites.may_begin_attempt(ticket))
+        remote_sites.is_none_or(|remote_sites| remote_sites.may_begin_attempt(now, ticket))
+    }
+
+    /// Withdraws the queued attempts of a request if the site that has sent it is not heard at the moment.
+    pub(super) fn check_sender(&mut self, ticket: Ticket) {
+        let now = self.clock.now();
+        if !self.may_begin_attempt(now, ticket) {
+            self.upstreams.withdraw_suspended(now, ticket);
+        }
     }
 
     /// Defers an attempt until the sender of its request is heard again.
@@ -62,13 +70,13 @@
 
     /// Sends the attempts whose senders were heard again.
     pub(super) fn send_deferred_attempts(&mut self) {
+        let now = self.clock.now();
         let deferred = self.deferred_attempts.by_attempt.keys().copied();
         let ready: Vec<AttemptKey> =
-            deferred.filter(|attempt| self.may_begin_attempt(attempt.ticket)).collect();
+            deferred.filter(|attempt| self.may_begin_attempt(now, attempt.ticket)).collect();
         if ready.is_empty() {
             return;
         }
-        let now = self.clock.now();
         for attempt in ready {
             if let Some(deferred) = self.deferred_attempts.by_attempt.remove(&attempt) {
                 self.send_deferred(now, deferred);
--- a/crates/router/src/remote_sites/serving.rs
+++ b/crates/router/src/remote_sites/serving.rs
@@ -64,8 +64,8 @@
     }
 
     /// Whether an attempt of a request may be begun now: the sender of one from another site still waits for it.
-    pub fn may_begin_attempt(&self, ticket: Ticket) -> bool {
-        !is_remote(ticket) || self.gateway.may_begin_attempt(ticket)
+    pub fn may_begin_attempt(&self, now: Ms, ticket: Ticket) -> bool {
+        !is_remote(ticket) || self.gateway.may_begin_attempt(now, ticket)
     }
 
     /// Notifies other sites that this router is shutting down; no more links are opened.
--- a/crates/router/tests/remote_departures.rs
+++ b/crates/router/tests/remote_departures.rs
@@ -88,3 +88,24 @@
     sites.assert_not_tried_after_departure(&departed);
     sites.wait_until_idle();
 }
+
+/// Longer than no attempt may begin for a client that has gone, and shorter than the loss of a link is noticed.
+const SILENCE: Duration = Duration::from_millis(300);
+const BOTH_DIRECTIONS: [usize; 2] = [0, 1];
+
+/// Guards against the same while a link passes nothing on and is not lost: the cancellation waited on it.
+#[test]
+fn a_booking_is_not_tried_while_the_link_is_silent_once_its_client_has_left() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let staying = sites.book_several(STAYING);
+    let leaving = sites.book_several(LEAVING);
+    sites.proxy.silence(&BOTH_DIRECTIONS);
+    let departed: Vec<DepartedBooking> =
+        leaving.into_iter().map(|booking| booking.leave(Disconnect::CancelFrames)).collect();
+    thread::sleep(SILENCE);
+    sites.proxy.clear_faults();
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.assert_served_once(staying);
+    sites.wait_until_idle();
+}
