Serve no request of another site that was cancelled in the same read

What callers saw: a client that left at once could still have one attempt made for it at the other site.

Cause: the request and its cancellation, read at once, became two actions in order, and the router sent the first attempt before it took the second.

Change: a cancellation takes back an action to serve that was not taken yet, and the token never runs. In the same module, a query no longer undoes a cancellation.

Tests: a_request_that_is_cancelled_before_it_was_passed_on_is_not_served and a_query_does_not_undo_a_cancellation failed without the change, and pass with it, as do all tests of the gateway.

--- a/crates/gateway/src/gateway/connections.rs
+++ b/crates/gateway/src/gateway/connections.rs
@@ -192,7 +192,7 @@
                 remote_requests.handle_request(links, now, stream, *request, is_draining);
             }
             SessionEvent::Cancelled(stream) => {
-                remote_requests.handle_cancellation(links, StreamId { connection, stream });
+                remote_requests.handle_cancellation(links, now, StreamId { connection, stream });
             }
             SessionEvent::TokenCancelled(token) => {
                 remote_requests.handle_cancelled_token(links, now, connection, token);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::actions::{Action, ConnectionId};
-use crate::attempt_ledger::ReceivedAttempts;
+use crate::attempt_ledger::{ReceivedAttempts, Ticket};
 use crate::codec::Message;
 use crate::heartbeat::LinkHealth;
 use crate::routing::{SiteId, SiteView};
@@ -99,6 +99,14 @@
         self.actions.push_back(action);
     }
 
+    /// Removes the action to serve a request if the caller has not taken it yet. Returns whether it was there.
+    pub fn take_back_serve(&mut self, ticket: Ticket) -> bool {
+        let queued = self.actions.len();
+        self.actions
+            .retain(|action| !matches!(action, Action::ServeRemote(request) if request.ticket == ticket));
+        self.actions.len() < queued
+    }
+
     pub fn log(&mut self, line: String) {
         self.push(Action::Log(line));
     }
--- a/crates/gateway/src/remote_requests/mod.rs
+++ b/crates/gateway/src/remote_requests/mod.rs
@@ -159,7 +159,7 @@
                 }
             }
         }
-        self.serve(links, stream, peer, request);
+        self.serve(links, now, stream, peer, request);
     }
 
     fn reject_reason(
@@ -188,10 +188,17 @@
         }
     }
 
-    fn serve(&mut self, links: &mut Links, stream: StreamId, peer: String, request: ForwardedRequest) {
+    fn serve(
+        &mut self,
+        links: &mut Links,
+        now: Ms,
+        stream: StreamId,
+        peer: String,
+        request: ForwardedRequest,
+    ) {
         let content = request.token.is_none().then(|| content_id(&peer, &request));
         if let Some(content) = content {
-            self.replace_earlier(links, stream, content);
+            self.replace_earlier(links, now, stream, content);
         }
         self.last_number += 1;
         let ticket = FIRST_REMOTE_TICKET + self.last_number;
@@ -224,11 +231,11 @@
     }
 
     /// Cancels the request of the same content that is open on another connection.
-    fn replace_earlier(&mut self, links: &mut Links, stream: StreamId, content: u64) {
+    fn replace_earlier(&mut self, links: &mut Links, now: Ms, stream: StreamId, content: u64) {
         let Some(earlier) = self.by_content.get(&content) else { return };
         let reply_to = self.requests.get(earlier).and_then(|request| request.reply_to);
         if let Some(earlier) = reply_to.filter(|earlier| earlier.connection != stream.connection) {
-            self.handle_cancellation(links, earlier);
+            self.handle_cancellation(links, now, earlier);
             reject_stream(links, earlier, RejectReason::Unusable);
             links.request_write(earlier.connection);
         }
--- a/crates/gateway/src/remote_requests/senders.rs
+++ b/crates/gateway/src/remote_requests/senders.rs
@@ -4,7 +4,7 @@
 use linnethook::interface::Ms;
 
 use super::{RemoteRequests, StreamId};
-use crate::actions::{Action, ConnectionId, Departure};
+use crate::actions::{Action, ConnectionId, Departure, Reply};
 use crate::attempt_ledger::{Ticket, Token};
 use crate::codec::Message;
 use crate::links::Links;
@@ -29,12 +29,19 @@
 
     /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
     /// is still retained.
-    pub fn handle_cancellation(&mut self, links: &mut Links, stream: StreamId) {
-        let Some(ticket) = self.by_stream.remove(&stream) else { return };
-        match self.requests.get(&ticket) {
-            Some(request) if request.token.is_none() => _ = self.remove(ticket),
-            Some(_) => self.detach(ticket, Some(Departure::Cancelled), None),
-            None => return,
+    pub fn handle_cancellation(&mut self, links: &mut Links, now: Ms, stream: StreamId) {
+        if let Some(ticket) = self.by_stream.remove(&stream) {
+            self.cancel(links, now, ticket);
+        }
+    }
+
+    fn cancel(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
+        self.detach(ticket, Some(Departure::Cancelled), None);
+        if links.take_back_serve(ticket) {
+            return self.complete(links, now, ticket, Reply::Rejected { retry_after: 0.0 });
+        }
+        if self.requests.get(&ticket).is_some_and(|request| request.token.is_none()) {
+            self.remove(ticket);
         }
         links.push(Action::CancelServe(ticket));
     }
@@ -49,10 +56,7 @@
         token: Token,
     ) {
         match self.ticket_of(links, connection, token) {
-            Some(ticket) => {
-                self.detach(ticket, Some(Departure::Cancelled), None);
-                links.push(Action::CancelServe(ticket));
-            }
+            Some(ticket) => self.cancel(links, now, ticket),
             None => {
                 let peer = links.peer_of_mut(connection);
                 peer.map(|peer| peer.received_attempts.query_outcome(now, token));
@@ -63,7 +67,9 @@
     /// Reports the outcome of a token to its sender, which has lost the connection of the request, and waits for the
     /// outcome on this one.
     pub fn handle_query(&mut self, links: &mut Links, now: Ms, connection: ConnectionId, token: Token) {
-        if let Some(ticket) = self.ticket_of(links, connection, token) {
+        let open = self.ticket_of(links, connection, token);
+        // A cancellation is final.
+        if let Some(ticket) = open.filter(|ticket| self.departure_of(*ticket) != Some(Departure::Cancelled)) {
             self.detach(ticket, None, Some(connection));
         }
         let Some(peer) = links.peer_of_mut(connection) else { return };
@@ -94,8 +100,7 @@
     fn handle_lost_sender(&mut self, links: &mut Links, now: Ms, ticket: Ticket) {
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.token.is_none() {
-            self.remove(ticket);
-            return links.push(Action::CancelServe(ticket));
+            return self.cancel(links, now, ticket);
         }
         self.detach(ticket, Some(Departure::ConnectionLost), None);
         let until = (now + self.max_sender_loss) as u64;
--- a/crates/gateway/tests/cancelled_attempts.rs
+++ b/crates/gateway/tests/cancelled_attempts.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use linnethook_gateway::attempt_ledger::{AttemptOutcome, Ticket, Token};
-use linnethook_gateway::codec::Message;
+use linnethook_gateway::codec::{encode_frame, Frame, Message};
 use linnethook_gateway::gateway::{Action, Departure, Gateway, GatewayConfig, Reply};
 use support::*;
 
@@ -94,3 +94,31 @@
     assert!(!actions(&mut gateway).contains(&Action::CancelServe(ticket)));
     assert!(matches!(queried(&mut gateway), AttemptOutcome::Completed(Some(_))));
 }
+
+/// Guards against an attempt for nobody: a request and its cancellation, read at once, were served first.
+#[test]
+fn a_request_that_is_cancelled_before_it_was_passed_on_is_not_served() {
+    for token in [None, Some(TOKEN)] {
+        let mut gateway = connected(GatewayConfig::default());
+        actions(&mut gateway);
+        let frames = [request(token), Message::Cancel].map(|message| Frame { stream: STREAM, message });
+        let bytes: Vec<u8> = frames.iter().flat_map(|frame| encode_frame(frame).to_vec()).collect();
+        gateway.receive(61.0, FIRST_CONNECTION, &bytes);
+        let actions = actions(&mut gateway);
+        let is_served = |action: &Action| matches!(action, Action::ServeRemote(_) | Action::CancelServe(_));
+        assert!(!actions.iter().any(is_served), "{actions:?}");
+        sent_frames(&mut gateway);
+        if token.is_some() {
+            assert_eq!(queried(&mut gateway), AttemptOutcome::NeverRan);
+        }
+    }
+}
+
+/// A query of the sender, written before its cancellation on another connection, says no longer that it waits.
+#[test]
+fn a_query_does_not_undo_a_cancellation() {
+    let (mut gateway, ticket) = with_cancelled_request();
+    assert_eq!(queried(&mut gateway), AttemptOutcome::Running);
+    assert_eq!(gateway.departure_of(ticket), Some(Departure::Cancelled));
+    assert!(!gateway.may_begin_attempt(64.0, ticket));
+}
