Hold departures over a killed site, a cut link and three sites by tests

Cause: the rule that no attempt begins for a client that has gone was held by tests on two sites with a link that returns only.

Change: four tests of processes: the site of the clients is killed; the link stays cut; three sites, of which the middle one passes the booking on, without and with a cut of the first link.

--- a/crates/router/tests/common/booking_sites.rs
+++ b/crates/router/tests/common/booking_sites.rs
@@ -37,11 +37,12 @@
         Self::try_start(store, operator).unwrap_or_else(|log_lines| panic!("{log_lines:?}"))
     }
 
-    /// Starts a site that listens for links; returns it with the address. Another test may take a free address first.
-    fn start_listening(store: &BusyStore) -> (Self, SocketAddr) {
+    /// Starts a site that listens for links, with the operator file for an address; returns it with the address.
+    /// Another test may take a free address first.
+    fn start_listening(store: &BusyStore, operator: impl Fn(SocketAddr) -> String) -> (Self, SocketAddr) {
         loop {
             let address = free_address();
-            let operator = format!("gateway(site = \"south\", listen = \"{address}\")\nsite(\"north\")\n");
+            let operator = operator(address);
             match Self::try_start(store, &operator) {
                 Ok(site) => return (site, address),
                 Err(log_lines) if log_lines.iter().any(|line| line.contains("Address already in use")) => {}
@@ -51,11 +52,40 @@
     }
 }
 
-/// The two sites, and the proxy on the link between them.
+/// The most sites that a booking may pass with one in the middle.
+const MAX_SITES: usize = 3;
+
+fn south_operator(address: SocketAddr) -> String {
+    format!(
+        "gateway(site = \"south\", listen = \"{address}\", hops = {MAX_SITES})\n\
+         site(\"north\")\nsite(\"middle\")\n"
+    )
+}
+
+/// A site that passes all bookings of the north on to the south.
+fn middle_operator(address: SocketAddr, south: SocketAddr) -> String {
+    format!(
+        "gateway(site = \"middle\", listen = \"{address}\", first = 1.0, hops = {MAX_SITES})\n\
+         site(\"north\")\nsite(\"south\", classes = [\"booking\"])\nlink(\"south\", connect = \"{south}\")\n"
+    )
+}
+
+/// A site that sends all bookings to `target`, which listens at `address`.
+fn north_operator(target: &str, address: SocketAddr) -> String {
+    format!(
+        "gateway(site = \"north\", first = 1.0, retry_most = 0.1, flapping = 1.0, hops = {MAX_SITES})\n\
+         site(\"{target}\", classes = [\"booking\"])\n\
+         link(\"{target}\", connect = \"{address}\", connections = 2)\n"
+    )
+}
+
+/// The two sites, and the proxy on the link of the north.
 pub struct BookingSites {
     pub store: BusyStore,
     pub proxy: FaultProxy,
     north: Site,
+    /// A site between the two, if there is one.
+    middle: Option<Site>,
     south: Site,
     bookings: u64,
 }
@@ -107,18 +137,27 @@
     /// Starts both sites, and waits until a booking crosses the link.
     pub fn start(behavior: StoreBehavior) -> Self {
         let store = BusyStore::start(behavior);
-        let (south, gateway) = Site::start_listening(&store);
-        let sites = ["north".to_string(), "south".to_string()];
+        let (south, address) = Site::start_listening(&store, south_operator);
+        Self::start_north(store, south, None, address)
+    }
+
+    /// Starts both sites with one in the middle, which passes the bookings on.
+    pub fn start_with_middle(behavior: StoreBehavior) -> Self {
+        let store = BusyStore::start(behavior);
+        let (south, south_address) = Site::start_listening(&store, south_operator);
+        let (middle, address) =
+            Site::start_listening(&store, |address| middle_operator(address, south_address));
+        Self::start_north(store, south, Some(middle), address)
+    }
+
+    /// Starts the north, whose bookings go to the site that listens at `target`.
+    fn start_north(store: BusyStore, south: Site, middle: Option<Site>, target: SocketAddr) -> Self {
+        let target_name = if middle.is_some() { "middle" } else { "south" };
+        let sites = ["north".to_string(), target_name.to_string()];
         let proxy = FaultProxy::start(ProxyEnds { sites, record: Recording::default() }).expect("a proxy");
-        proxy.set_target(gateway);
-        let north_operator = format!(
-            "gateway(site = \"north\", first = 1.0, retry_most = 0.1, flapping = 1.0)\n\
-             site(\"south\", classes = [\"booking\"])\n\
-             link(\"south\", connect = \"{}\", connections = 2)\n",
-            proxy.address
-        );
-        let north = Site::start(&store, &north_operator);
-        let mut sites = Self { store, proxy, north, south, bookings: 0 };
+        proxy.set_target(target);
+        let north = Site::start(&store, &north_operator(target_name, proxy.address));
+        let mut sites = Self { store, proxy, north, middle, south, bookings: 0 };
         sites.wait_until_linked();
         sites
     }
@@ -183,13 +222,21 @@
         }
     }
 
-    /// Waits until neither site has an open request, an attempt in flight or a request of the other site.
+    /// Waits until no site has an open request or an attempt in flight.
     pub fn wait_until_idle(&self) {
-        for router in [self.north(), self.south()] {
-            wait_until("all places are given back", || {
-                let (counters, _) = router.counters();
-                counters["open"] == 0 && counters["out"] == 0
-            });
-        }
+        let routers = [self.north(), self.south()].into_iter();
+        routers.chain(self.middle.as_ref().map(|middle| &middle.router)).for_each(wait_until_idle);
     }
+
+    /// The same for the south alone.
+    pub fn wait_until_south_is_idle(&self) {
+        wait_until_idle(self.south());
+    }
+}
+
+fn wait_until_idle(router: &Router) {
+    wait_until("all places are given back", || {
+        let (counters, _) = router.counters();
+        counters["open"] == 0 && counters["out"] == 0
+    });
 }
--- a/crates/router/tests/remote_departures.rs
+++ b/crates/router/tests/remote_departures.rs
@@ -44,21 +44,23 @@
     let answer_delay = Duration::from_millis(300);
     let mut sites = BookingSites::start(StoreBehavior { rejects_for: REJECTS_FOR, answer_delay });
     let staying = sites.book_several(STAYING);
-    let departed: Vec<DepartedBooking> =
-        sites.book_several(4).into_iter().map(|booking| booking.leave(Disconnect::CancelFrames)).collect();
+    let departed = leave_all(sites.book_several(4), Disconnect::CancelFrames);
     thread::sleep(OBSERVATION);
     sites.assert_not_tried_after_departure(&departed);
     sites.assert_served_once(staying);
     sites.wait_until_idle();
 }
 
-/// Has half of the clients leave at once after a fault of the link. The others stay.
+fn leave_all(bookings: Vec<Booking>, how: Disconnect) -> Vec<DepartedBooking> {
+    bookings.into_iter().map(|booking| booking.leave(how)).collect()
+}
+
+/// Has most of the clients leave at once after a fault of the link. The others stay.
 fn leave_after(sites: &mut BookingSites, fault: impl FnOnce(&BookingSites)) -> Vec<DepartedBooking> {
     let staying = sites.book_several(STAYING);
     let leaving = sites.book_several(LEAVING);
     fault(sites);
-    let departed: Vec<DepartedBooking> =
-        leaving.into_iter().map(|booking| booking.leave(Disconnect::Close)).collect();
+    let departed = leave_all(leaving, Disconnect::Close);
     thread::sleep(OBSERVATION);
     sites.assert_served_once(staying);
     departed
@@ -100,8 +102,7 @@
     let staying = sites.book_several(STAYING);
     let leaving = sites.book_several(LEAVING);
     sites.proxy.silence(&BOTH_DIRECTIONS);
-    let departed: Vec<DepartedBooking> =
-        leaving.into_iter().map(|booking| booking.leave(Disconnect::CancelFrames)).collect();
+    let departed = leave_all(leaving, Disconnect::CancelFrames);
     thread::sleep(SILENCE);
     sites.proxy.clear_faults();
     thread::sleep(OBSERVATION);
@@ -109,3 +110,52 @@
     sites.assert_served_once(staying);
     sites.wait_until_idle();
 }
+
+/// Guards against the same where the site of the clients has ended, with all that it owed.
+#[test]
+fn a_booking_is_not_tried_once_the_site_of_its_client_was_killed() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let leaving = sites.book_several(LEAVING);
+    sites.kill_north();
+    let departed = leave_all(leaving, Disconnect::Close);
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.wait_until_south_is_idle();
+}
+
+/// Guards against the same where the link is not restored while the booking has time.
+#[test]
+fn a_booking_is_not_tried_while_the_link_stays_cut_once_its_client_has_left() {
+    let mut sites = BookingSites::start(PROMPT_STORE);
+    let leaving = sites.book_several(LEAVING);
+    sites.proxy.cut();
+    let departed = leave_all(leaving, Disconnect::Close);
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.wait_until_idle();
+}
+
+/// Guards against the same over three sites: the one in the middle passes on what it learns of the first one.
+#[test]
+fn a_booking_is_not_tried_by_the_last_of_three_sites_once_its_client_has_left() {
+    let mut sites = BookingSites::start_with_middle(PROMPT_STORE);
+    let staying = sites.book_several(STAYING);
+    let departed = leave_all(sites.book_several(LEAVING), Disconnect::Close);
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.assert_served_once(staying);
+    sites.wait_until_idle();
+}
+
+/// Guards against the same where the connections between the first and the middle one are cut.
+#[test]
+fn a_booking_is_not_tried_by_the_last_of_three_sites_after_a_cut_once_its_client_has_left() {
+    let mut sites = BookingSites::start_with_middle(PROMPT_STORE);
+    let leaving = sites.book_several(LEAVING);
+    sites.proxy.cut();
+    sites.proxy.clear_faults();
+    let departed = leave_all(leaving, Disconnect::Close);
+    thread::sleep(OBSERVATION);
+    sites.assert_not_tried_after_departure(&departed);
+    sites.wait_until_idle();
+}
