Test that a read waits while its connection is silent, and rename a function

Change: a unit test of reads, which passes without a change of the program; is_heard is is_receiving.

--- a/crates/gateway/src/remote_requests/senders.rs
+++ b/crates/gateway/src/remote_requests/senders.rs
@@ -24,7 +24,7 @@
         // A request without an entry was served for no other site, or has ended.
         let Some(request) = self.requests.get(&ticket) else { return true };
         let awaited_on = request.reply_to.map(|stream| stream.connection).or(request.awaited_on);
-        request.departure.is_none() && awaited_on.is_some_and(|id| is_heard(links, now, id))
+        request.departure.is_none() && awaited_on.is_some_and(|id| is_receiving(links, now, id))
     }
 
     /// Handles a cancellation by the sender: nobody waits for the request any more. The outcome of one with a token
@@ -140,7 +140,7 @@
 }
 
 /// Whether a connection was not silent for too long.
-fn is_heard(links: &Links, now: Ms, connection: ConnectionId) -> bool {
+fn is_receiving(links: &Links, now: Ms, connection: ConnectionId) -> bool {
     let connection = links.connections.get(&connection);
     connection.is_some_and(|connection| connection.session.heartbeat.silence(now) <= MAX_SENDER_SILENCE)
 }
--- a/crates/gateway/tests/lost_senders.rs
+++ b/crates/gateway/tests/lost_senders.rs
@@ -223,6 +223,18 @@
     assert!(gateway.may_begin_attempt(LAST_RECEIPT + 220.0, ticket));
 }
 
+/// A read has no token that its sender could cancel on another connection.
+#[test]
+fn a_read_waits_while_its_connection_is_silent_and_ends_with_it() {
+    let mut gateway = connected(config());
+    send(&mut gateway, 61.0, 1, request(None));
+    let ticket = served_ticket(&mut gateway).expect("served");
+    assert!(gateway.may_begin_attempt(161.0, ticket));
+    assert!(!gateway.may_begin_attempt(162.0, ticket));
+    gateway.connection_lost(170.0, FIRST_CONNECTION);
+    assert!(actions(&mut gateway).contains(&Action::CancelServe(ticket)));
+}
+
 #[test]
 fn a_lost_sender_that_does_not_return_in_time_is_given_up() {
     let (mut gateway, ticket) = with_request_served();
