--- a/crates/gateway/tests/cancelled_attempts.rs
+++ b/crates/gateway/tests/cancelled_attempts.rs
@@ -16,13 +16,6 @@
     Reply::Served { fields: Vec::new(), body: Bytes::from_static(b"booked"), version: None }
 }
 
-fn served_ticket(gateway: &mut Gateway) -> Option<Ticket> {
-    actions(gateway).into_iter().find_map(|action| match action {
-        Action::ServeRemote(request) => Some(request.ticket),
-        _ => None,
-    })
-}
-
 /// A gateway that serves the request with [`TOKEN`], which its sender has cancelled.
 fn with_cancelled_request() -> (Gateway, Ticket) {
     let mut gateway = connected(GatewayConfig::default());
--- a/crates/gateway/tests/lost_senders.rs
+++ b/crates/gateway/tests/lost_senders.rs
@@ -184,13 +184,6 @@
     (gateway, ticket)
 }
 
-fn served_ticket(gateway: &mut Gateway) -> Option<Ticket> {
-    actions(gateway).into_iter().find_map(|action| match action {
-        Action::ServeRemote(request) => Some(request.ticket),
-        _ => None,
-    })
-}
-
 #[test]
 fn no_attempt_begins_for_a_lost_sender_until_it_queries_the_outcome() {
     let (mut gateway, ticket) = with_request_served();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part")]
 
 use bytes::{Bytes, BytesMut};
-use linnethook_gateway::attempt_ledger::Token;
+use linnethook_gateway::attempt_ledger::{Ticket, Token};
 use linnethook_gateway::codec::{
     encode_frame, ForwardedRequest, Frame, FrameDecoder, Hello, Message, VersionRange, SUPPORTED_VERSIONS,
 };
@@ -155,3 +155,11 @@
 pub fn actions(gateway: &mut Gateway) -> Vec<Action> {
     std::iter::from_fn(|| gateway.next_action()).collect()
 }
+
+/// Takes the actions of the gateway, and returns the ticket of the first request that it passes on to be served.
+pub fn served_ticket(gateway: &mut Gateway) -> Option<Ticket> {
+    actions(gateway).into_iter().find_map(|action| match action {
+        Action::ServeRemote(request) => Some(request.ticket),
+        _ => None,
+    })
+}
