Don't take late bytes of a fenced attempt for a further attempt

The trace: north sent a booking on a connection that went silent, and gave that up; on the next one the south reported that the token had never run, which fences it, and north sent the booking again under another token. Then the bytes of the first one arrived on the old connection, and were refused. The rule took them for a second attempt, and from then on for the open one.

Change: a token that was proven not to run before its bytes arrive for the first time opens no attempt. One that has crossed before and crosses again counts as before, and a late one no longer hides the one that may run, so that the rule finds more than before.

--- a/crates/testbed/src/checker/links.rs
+++ b/crates/testbed/src/checker/links.rs
@@ -10,10 +10,16 @@
     // For each request the token of the attempt that may still run.
     let mut open = BTreeMap::<&str, (u64, u64)>::new();
     let mut proven = BTreeSet::new();
+    let mut crossed = BTreeSet::new();
     for line in lines {
         match &line.what {
             RecordedEvent::Proven { token } => _ = proven.insert(*token),
             RecordedEvent::Crossed { id, token: Some(token), .. } => {
+                // It was proven not to run before its bytes arrived, from a connection that its sender has given up.
+                let is_late = crossed.insert(*token) && proven.contains(token);
+                if is_late {
+                    continue;
+                }
                 let before = open.insert(id, *token).filter(|before| before != token);
                 if let Some(before) = before.filter(|before| !proven.contains(before)) {
                     let what = format!(
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -60,6 +60,10 @@
     line(0.0, RecordedEvent::Crossed { to: to.to_string(), id: "id1".to_string(), token, passed })
 }
 
+fn proven(epoch: u64, number: u64) -> RecordEntry {
+    line(0.0, RecordedEvent::Proven { token: (epoch, number) })
+}
+
 fn purged(at: Ms) -> RecordEntry {
     let (object, router) = (Some("o".to_string()), ROUTER.to_string());
     line(at, RecordedEvent::Purged { router, object, group: None, stamp: at })
@@ -185,12 +189,31 @@
             Rule::NoOverlap,
             vec![
                 crossed("b", Some((1, 1)), &["a"]),
-                line(0.0, RecordedEvent::Proven { token: (1, 1) }),
+                proven(1, 1),
                 crossed("b", Some((1, 2)), &["a"]),
                 crossed("b", Some((1, 2)), &["a"]),
                 crossed("b", None, &["a"]),
+                // Proven by a report on another connection, before its bytes arrive.
+                proven(1, 3),
+                crossed("b", Some((1, 3)), &["a"]),
+            ],
+            vec![
+                vec![crossed("b", Some((1, 1)), &["a"]), crossed("c", Some((1, 2)), &["a"])],
+                // A late one does not hide the one that may run.
+                vec![
+                    proven(1, 1),
+                    crossed("b", Some((1, 2)), &["a"]),
+                    crossed("b", Some((1, 1)), &["a"]),
+                    crossed("b", Some((1, 3)), &["a"]),
+                ],
+                // It has crossed before, and is sent again.
+                vec![
+                    crossed("b", Some((1, 1)), &["a"]),
+                    proven(1, 1),
+                    crossed("b", Some((1, 2)), &["a"]),
+                    crossed("b", Some((1, 1)), &["a"]),
+                ],
             ],
-            vec![vec![crossed("b", Some((1, 1)), &["a"]), crossed("c", Some((1, 2)), &["a"])]],
         ),
         (
             Rule::NoReturn,
